Set down the shape: blackboard, records, folders and checks

Cause: the project starts; its shape has to stand before any part grows. Ruled out: one shared mutable state object, since no owner of a field can be seen in it; message passing between actors, since the users asked for a blackboard. Conclusion: the folders and core types are ready for the first whole path.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup run test lint types check bench
+
+$(VENV)/installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+setup: $(VENV)/installed
+
+run: setup
+	$(BIN)/python -m standins.demo
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+check: lint types test
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the code of the project."""
--- /dev/null
+++ b/snipespring/blackboard/__init__.py
@@ -0,0 +1,7 @@
+"""Hold the state of one process as typed regions that controllers share."""
+
+from . import regions
+from .board import Board, Subscription
+from .region import Region
+
+__all__ = ["Board", "Region", "Subscription", "regions"]
--- /dev/null
+++ b/snipespring/blackboard/region.py
@@ -0,0 +1,18 @@
+"""Describe one typed part of the blackboard and the controller that writes it."""
+
+from typing import Generic, TypeVar
+
+from attrs import field, frozen
+
+__all__ = ["Region"]
+
+T = TypeVar("T")
+
+
+@frozen(kw_only=True, eq=False)
+class Region(Generic[T]):
+    """Name a region, its only writer and the record that it starts with."""
+
+    name: str
+    writer: str
+    initial: T = field(repr=False)
--- /dev/null
+++ b/snipespring/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/snipespring/records/backends.py
@@ -0,0 +1,126 @@
+"""Hold what passes between a host and a backend server."""
+
+from attrs import field, frozen
+from immutables import Map
+
+from .identity import OrganisationName, ServerId
+from .requests import Header
+
+__all__ = [
+    "Answered",
+    "AnswerBroken",
+    "AnswerForeign",
+    "AnswerLate",
+    "BackendRequest",
+    "BackendResult",
+    "ConnectFailed",
+    "ReportedLoad",
+    "SendBroken",
+    "ServerLoad",
+    "ServerLoads",
+    "ShedByServer",
+]
+
+
+@frozen(kw_only=True)
+class BackendRequest:
+    """Hold one attempt, free of keys, for one backend server."""
+
+    request_id: str
+    attempt: int
+    method: str
+    path: str
+    organisation: OrganisationName | None
+    headers: tuple[Header, ...]
+    body: bytes = field(repr=False)
+    timeout_s: float
+
+
+@frozen(kw_only=True)
+class ReportedLoad:
+    """Hold the load that a server states with an answer."""
+
+    busy: int
+    slots: int
+    draining: bool = False
+
+
+@frozen(kw_only=True)
+class Answered:
+    """Carry a whole answer to this very request."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes = field(repr=False)
+    load: ReportedLoad | None = None
+
+
+@frozen(kw_only=True)
+class ShedByServer:
+    """State that the server refused the request and, by contract, did not run it."""
+
+    retry_after_s: float | None
+    load: ReportedLoad | None = None
+
+
+@frozen(kw_only=True)
+class ConnectFailed:
+    """State that no byte of the request reached the server."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class SendBroken:
+    """State that the connection failed after bytes of the request left."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class AnswerLate:
+    """State that no whole answer came in time."""
+
+    waited_s: float
+
+
+@frozen(kw_only=True)
+class AnswerBroken:
+    """State that the answer was cut short or malformed."""
+
+    reason: str
+
+
+@frozen(kw_only=True)
+class AnswerForeign:
+    """State that the answer belonged to another request."""
+
+    expected_id: str
+    received_id: str
+
+
+BackendResult = (
+    Answered
+    | ShedByServer
+    | ConnectFailed
+    | SendBroken
+    | AnswerLate
+    | AnswerBroken
+    | AnswerForeign
+)
+
+
+@frozen(kw_only=True)
+class ServerLoad:
+    """Hold this host's view of one server's use of its slots."""
+
+    in_flight: int = 0
+    reported: ReportedLoad | None = None
+    reported_at_s: float = 0.0
+
+
+@frozen(kw_only=True)
+class ServerLoads:
+    """Hold the load of every server that this host has used."""
+
+    by_server: Map[ServerId, ServerLoad] = Map()
--- /dev/null
+++ b/snipespring/records/requests.py
@@ -0,0 +1,84 @@
+"""Hold a caller's request, the reply to it and its typed outcome."""
+
+from attrs import field, frozen
+
+from .identity import OrganisationName
+from .rules import RouteRule
+
+__all__ = [
+    "AdmittedRequest",
+    "Header",
+    "NotRun",
+    "Outcome",
+    "Ran",
+    "Reply",
+    "Request",
+    "Unknown",
+]
+
+
+@frozen(kw_only=True)
+class Header:
+    """Hold one header field."""
+
+    name: str
+    value: str
+
+
+@frozen(kw_only=True)
+class Ran:
+    """State that a backend server ran the request."""
+
+
+@frozen(kw_only=True)
+class NotRun:
+    """State, with proof, that no backend server ran the request."""
+
+    reason: str
+    retry_after_s: float | None = None
+
+
+@frozen(kw_only=True)
+class Unknown:
+    """State that the request may have run."""
+
+    reason: str
+
+
+Outcome = Ran | NotRun | Unknown
+
+
+@frozen(kw_only=True)
+class Request:
+    """Hold one request as the caller sent it; `path` carries the query."""
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = field(default=b"", repr=False)
+    deadline_s: float | None = None
+
+
+@frozen(kw_only=True)
+class AdmittedRequest:
+    """Hold a request whose route, organisation and deadline are settled.
+
+    `deadline_at_s` is a reading of the monotonic clock.
+    """
+
+    request: Request
+    route: RouteRule
+    organisation: OrganisationName | None
+    deadline_at_s: float
+
+
+@frozen(kw_only=True)
+class Reply:
+    """Hold the answer to one request."""
+
+    request_id: str
+    status: int
+    outcome: Outcome
+    headers: tuple[Header, ...] = ()
+    body: bytes = field(default=b"", repr=False)
--- /dev/null
+++ b/snipespring/records/rules.py
@@ -0,0 +1,139 @@
+"""Hold the rules that operators write and the configuration made of them."""
+
+from attrs import field, frozen
+from immutables import Map
+
+from .identity import DomainName, OrganisationName, ServerId, ServiceName
+
+__all__ = [
+    "Access",
+    "Configuration",
+    "EjectCarefully",
+    "EjectQuickly",
+    "EjectionPreference",
+    "KeyAccess",
+    "KeyRule",
+    "OpenAccess",
+    "OrganisationRule",
+    "RouteRule",
+    "Rule",
+    "RunAsUpload",
+    "RunIdempotent",
+    "RunOnce",
+    "RunPolicy",
+    "ServerRule",
+    "ServiceRule",
+]
+
+
+@frozen(kw_only=True)
+class EjectCarefully:
+    """Accept slower detection for fewer false ejections."""
+
+
+@frozen(kw_only=True)
+class EjectQuickly:
+    """Accept more false ejections for faster detection."""
+
+
+EjectionPreference = EjectCarefully | EjectQuickly
+
+
+@frozen(kw_only=True)
+class OpenAccess:
+    """Serve a route to every caller."""
+
+
+@frozen(kw_only=True)
+class KeyAccess:
+    """Serve a route only with an organisation's key."""
+
+
+Access = OpenAccess | KeyAccess
+
+
+@frozen(kw_only=True)
+class RunIdempotent:
+    """Let a request run again after an unknown outcome."""
+
+
+@frozen(kw_only=True)
+class RunOnce:
+    """Run a request at most once."""
+
+
+@frozen(kw_only=True)
+class RunAsUpload:
+    """Retry a request by its id until a backend server has stored it."""
+
+
+RunPolicy = RunIdempotent | RunOnce | RunAsUpload
+
+
+@frozen(kw_only=True)
+class ServiceRule:
+    """Set the limits of one service; `floor` is a share of its servers."""
+
+    name: ServiceName
+    slots: int = 3
+    connections: int = 330
+    floor: float = 0.7
+    deadline_s: float = 2.0
+    retry_share: float = 0.1
+    ejection: EjectionPreference = field(factory=EjectCarefully)
+    asked_by: str
+
+
+@frozen(kw_only=True)
+class ServerRule:
+    """Place one backend server in a service and a failure domain."""
+
+    server: ServerId
+    domain: DomainName
+    asked_by: str
+
+
+@frozen(kw_only=True)
+class RouteRule:
+    """Send requests with a method and path prefix to a service."""
+
+    methods: tuple[str, ...]
+    prefix: str
+    service: ServiceName
+    access: Access
+    run: RunPolicy
+    asked_by: str
+
+
+@frozen(kw_only=True)
+class OrganisationRule:
+    """Entitle an organisation to a fleet-wide rate and burst of requests."""
+
+    name: OrganisationName
+    rate_per_s: float
+    burst: float
+    asked_by: str
+
+
+@frozen(kw_only=True)
+class KeyRule:
+    """Admit a key, known by its SHA-256 digest in hex, for an organisation."""
+
+    organisation: OrganisationName
+    digest: str
+    asked_by: str
+
+
+Rule = ServiceRule | ServerRule | RouteRule | OrganisationRule | KeyRule
+
+
+@frozen(kw_only=True)
+class Configuration:
+    """Index the rules of one accepted version; version 0 holds none."""
+
+    version: int = 0
+    services: Map[ServiceName, ServiceRule] = Map()
+    servers: Map[ServiceName, tuple[ServerRule, ...]] = Map()
+    routes: Map[str, tuple[RouteRule, ...]] = Map()
+    organisations: Map[OrganisationName, OrganisationRule] = Map()
+    keys: Map[str, OrganisationName] = Map()
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Run small stand-ins of the platform and of backend servers."""
