Add a stand-in for a backend server with gray failures

Cause: slots, load reports, cancellation and gray modes need a server that shows them and keeps a log of what ran. Ruled out: sleeping while work holds a slot, since a closed caller would go unseen; MSG_PEEK on readability, since pipelined data would look like a close, so POLLRDHUP is awaited.

--- /dev/null
+++ b/standins/backend/controller.py
@@ -0,0 +1,200 @@
+"""Carry work through the slots on a backend server's blackboard."""
+
+import socket
+import threading
+import time
+
+from attrs import define, field
+
+from ..board import Board
+from . import decisions
+from .peer import PeerClosed, TimedOut, Woken, wait_for_peer
+from .records import (
+    Abandoned,
+    Admission,
+    AnswerAfter,
+    AnswerError,
+    AnswerForeign,
+    AnswerNever,
+    AnswerTruncated,
+    AnswerWell,
+    BackendSettings,
+    BackendState,
+    Completed,
+    Ending,
+    Failed,
+    Foreign,
+    Mode,
+    Outcome,
+    Queued,
+    Shed,
+    Started,
+    Truncated,
+    Work,
+)
+
+__all__ = ["BackendController"]
+
+PROBE_S = 0.025
+CONNECT_S = 0.001
+
+
+@define(kw_only=True, eq=False)
+class BackendController:
+    """Read and write the blackboard for one server."""
+
+    _settings: BackendSettings
+    _board: Board[BackendState] = field(init=False)
+    _wakers: dict[int, socket.socket] = field(factory=dict, init=False)
+    _wakers_lock: threading.Lock = field(factory=threading.Lock, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start with every slot free."""
+        state = BackendState(settings=self._settings, started_s=time.monotonic())
+        self._board = Board(state=state)
+
+    def state(self) -> BackendState:
+        """Return the latest state."""
+        return self._board.read()
+
+    def connect(self) -> bool:
+        """Set up a connection; return whether it may stay."""
+        time.sleep(CONNECT_S)
+        return self._board.transact(decisions.connect)
+
+    def disconnect(self) -> None:
+        """Release an admitted connection."""
+        self._board.transact(decisions.disconnect)
+
+    def set_draining(self, draining: bool) -> None:
+        """Start or stop to shed new work."""
+        self._board.transact(lambda state: decisions.set_draining(state, draining))
+
+    def set_mode(self, mode: Mode) -> None:
+        """Replace the gray mode."""
+        now_s = time.monotonic()
+        self._board.transact(lambda state: decisions.set_mode(state, mode, now_s=now_s))
+
+    def set_secrets(self, secrets: tuple[str, ...]) -> None:
+        """Replace the secrets that the run log looks for."""
+        self._board.transact(lambda state: decisions.set_secrets(state, secrets))
+
+    def perform(self, work: Work, conn: socket.socket) -> Outcome:
+        """Run the work in a slot and return how it is answered."""
+        match self._take_slot(work.timeout_s, conn):
+            case Shed():
+                return Shed()
+            case Abandoned():
+                return Abandoned()
+            case Started(ticket=ticket):
+                ending = self._run(work, ticket, conn)
+        return _outcome(ending, conn)
+
+    def probe(self, conn: socket.socket) -> Outcome:
+        """Hold a slot for a health probe, whatever the gray mode."""
+        match self._take_slot(None, conn):
+            case Shed():
+                return Shed()
+            case Abandoned():
+                return Abandoned()
+            case Started(ticket=ticket):
+                wait_for_peer(conn, timeout_s=PROBE_S)
+                self._leave(ticket)
+        return Completed()
+
+    def _take_slot(
+        self, timeout_s: float | None, conn: socket.socket
+    ) -> Started | Shed | Abandoned:
+        admission: Admission = self._board.transact(
+            lambda state: decisions.admit(state, timeout_s=timeout_s)
+        )
+        match admission:
+            case Queued(ticket=ticket):
+                return self._wait_in_queue(ticket, timeout_s, conn)
+            case Started() | Shed():
+                return admission
+
+    def _wait_in_queue(
+        self, ticket: int, timeout_s: float | None, conn: socket.socket
+    ) -> Started | Shed | Abandoned:
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            self._add_waker(ticket, theirs)
+            try:
+                end = wait_for_peer(conn, timeout_s=timeout_s, waker=ours)
+            finally:
+                self._remove_waker(ticket)
+        match end:
+            case Woken():
+                return Started(ticket=ticket)
+            case PeerClosed():
+                self._leave(ticket)
+                return Abandoned()
+            case TimedOut():
+                self._leave(ticket)
+                return Shed()
+
+    def _run(self, work: Work, ticket: int, conn: socket.socket) -> Ending:
+        try:
+            now_s = time.monotonic()
+            plan = self._board.transact(
+                lambda state: decisions.begin_run(state, work, now_s=now_s)
+            )
+            return self._hold(plan.run, plan.hold_s, plan.ending, conn)
+        finally:
+            self._leave(ticket)
+
+    def _hold(
+        self, run: int, hold_s: float, ending: Ending, conn: socket.socket
+    ) -> Ending:
+        match wait_for_peer(conn, timeout_s=hold_s), ending:
+            case (PeerClosed(), _) | (_, AnswerNever()):
+                return AnswerNever()
+            case _:
+                self._board.transact(lambda state: decisions.finish_run(state, run))
+                return ending
+
+    def _leave(self, ticket: int) -> None:
+        granted = self._board.transact(lambda state: decisions.leave(state, ticket))
+        if granted is not None:
+            self._wake(granted.ticket)
+
+    def _add_waker(self, ticket: int, waker: socket.socket) -> None:
+        with self._wakers_lock:
+            self._wakers[ticket] = waker
+        if ticket in self._board.read().running:
+            self._wake(ticket)
+
+    def _remove_waker(self, ticket: int) -> None:
+        with self._wakers_lock:
+            del self._wakers[ticket]
+
+    def _wake(self, ticket: int) -> None:
+        with self._wakers_lock:
+            waker = self._wakers.get(ticket)
+            if waker is not None:
+                waker.send(b"\0")
+
+
+def _outcome(ending: Ending, conn: socket.socket) -> Outcome:
+    match ending:
+        case AnswerWell():
+            return Completed()
+        case AnswerError():
+            return Failed()
+        case AnswerAfter(delay_s=delay_s):
+            return _answer_late(delay_s, conn)
+        case AnswerNever():
+            return Abandoned()
+        case AnswerTruncated():
+            return Truncated()
+        case AnswerForeign():
+            return Foreign()
+
+
+def _answer_late(delay_s: float, conn: socket.socket) -> Outcome:
+    match wait_for_peer(conn, timeout_s=delay_s):
+        case PeerClosed():
+            return Abandoned()
+        case _:
+            return Completed()
