--- a/snipespring/decisions/rules/__init__.py
+++ b/snipespring/decisions/rules/__init__.py
@@ -1,1 +1,55 @@
-"""Placeholder."""
+"""Decide what a rules text means."""
+
+from .check import check_address, check_rules
+from .configuration import make_configuration
+from .diff import diff_rules, render_difference
+from .identity import identify_rule
+from .lookup import find_route
+from .parse import parse_rules
+from .quantities import parse_duration_s
+from .records import (
+    Added,
+    Changed,
+    CheckedRules,
+    InvalidValue,
+    ParsedRules,
+    PlacedRule,
+    Removed,
+    RootRecord,
+    RuleDifference,
+    RuleIdentity,
+    RuleProblem,
+    RuleProblems,
+    Segment,
+)
+from .render import render_problem, render_rule, render_rules
+from .values import parse_address
+
+__all__ = [
+    "Added",
+    "Changed",
+    "CheckedRules",
+    "InvalidValue",
+    "ParsedRules",
+    "PlacedRule",
+    "Removed",
+    "RootRecord",
+    "RuleDifference",
+    "RuleIdentity",
+    "RuleProblem",
+    "RuleProblems",
+    "Segment",
+    "check_address",
+    "check_rules",
+    "diff_rules",
+    "find_route",
+    "identify_rule",
+    "make_configuration",
+    "parse_address",
+    "parse_duration_s",
+    "parse_rules",
+    "render_difference",
+    "render_problem",
+    "render_rule",
+    "render_rules",
+]
--- /dev/null
+++ b/snipespring/decisions/rules/parse.py
@@ -0,0 +1,246 @@
+"""Parse the text of a rules file."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from attrs import define, field
+
+from ...records import (
+    Access,
+    Address,
+    DomainName,
+    KeyAccess,
+    KeyRule,
+    OrganisationName,
+    OrganisationRule,
+    RouteRule,
+    Rule,
+    ServerId,
+    ServerRule,
+    ServiceName,
+    ServiceRule,
+)
+from .defaults import default_burst, default_run_policy
+from .quantities import (
+    parse_count,
+    parse_duration_s,
+    parse_number,
+    parse_rate_per_s,
+    parse_share,
+)
+from .records import InvalidValue, ParsedRules, PlacedRule, RuleProblem, RuleProblems
+from .values import (
+    parse_access,
+    parse_address,
+    parse_digest,
+    parse_ejection,
+    parse_methods,
+    parse_name,
+    parse_prefix,
+    parse_run_policy,
+)
+from .words import RuleLine, Word, split_line
+
+__all__ = ["parse_rules"]
+
+T = TypeVar("T")
+# Fallbacks stand in for words already reported, so that the rest is still read.
+_NO_ADDRESS = Address(ip="0.0.0.0", port=0)
+_NO_METHODS: tuple[str, ...] = ()
+_ACCESS_DEFAULT: Access = KeyAccess()
+_SERVICE_DEFAULT = ServiceRule(name=ServiceName(""), asked_by="")
+
+
+def parse_rules(content: bytes) -> ParsedRules | RuleProblems:
+    """Read all rules of a text, or report every bad line at once."""
+    rules: list[PlacedRule] = []
+    problems: list[RuleProblem] = []
+    for line, raw in enumerate(content.split(b"\n"), start=1):
+        match split_line(raw.removesuffix(b"\r"), line):
+            case RuleProblem() as problem:
+                problems.append(problem)
+            case RuleLine(words=()):
+                continue
+            case RuleLine() as rule_line:
+                match _parse_line(rule_line):
+                    case RuleProblems(problems=found):
+                        problems.extend(found)
+                    case PlacedRule() as placed:
+                        rules.append(placed)
+    if problems:
+        return RuleProblems(problems=tuple(problems))
+    return ParsedRules(rules=tuple(rules))
+
+
+def _parse_line(rule_line: RuleLine) -> PlacedRule | RuleProblems:
+    reader = _LineReader(rule_line=rule_line)
+    rule = _read_rule(reader)
+    reader.finish()
+    if rule is None or reader.problems:
+        return RuleProblems(problems=tuple(reader.problems))
+    return PlacedRule(rule=rule, line=rule_line.line)
+
+
+def _read_rule(reader: "_LineReader") -> Rule | None:
+    kind = reader.rule_line.words[0]
+    match kind.text:
+        case "service":
+            return _read_service(reader)
+        case "server":
+            return _read_server(reader)
+        case "route":
+            return _read_route(reader)
+        case "organisation":
+            return _read_organisation(reader)
+        case "key":
+            return _read_key(reader)
+        case _:
+            reader.reject_kind(kind)
+            return None
+
+
+def _read_service(reader: "_LineReader") -> ServiceRule:
+    name = reader.positional("NAME", parse_name, "")
+    reader.split_options()
+    default = _SERVICE_DEFAULT
+    return ServiceRule(
+        name=ServiceName(name),
+        slots=reader.option("slots", parse_count, default.slots),
+        connections=reader.option("connections", parse_count, default.connections),
+        floor=reader.option("floor", parse_share, default.floor),
+        deadline_s=reader.option("deadline", parse_duration_s, default.deadline_s),
+        retry_share=reader.option("retries", parse_share, default.retry_share),
+        ejection=reader.option("eject", parse_ejection, default.ejection),
+        asked_by=reader.rule_line.asked_by,
+    )
+
+
+def _read_server(reader: "_LineReader") -> ServerRule:
+    service = reader.positional("SERVICE", parse_name, "")
+    address = reader.positional("IP:PORT", parse_address, _NO_ADDRESS)
+    reader.split_options()
+    return ServerRule(
+        server=ServerId(service=ServiceName(service), address=address),
+        domain=DomainName(reader.required_option("domain", parse_name, "")),
+        asked_by=reader.rule_line.asked_by,
+    )
+
+
+def _read_route(reader: "_LineReader") -> RouteRule:
+    methods = reader.positional("METHODS", parse_methods, _NO_METHODS)
+    prefix = reader.positional("PREFIX", parse_prefix, "/")
+    reader.split_options()
+    return RouteRule(
+        methods=methods,
+        prefix=prefix,
+        service=ServiceName(reader.required_option("service", parse_name, "")),
+        access=reader.option("access", parse_access, _ACCESS_DEFAULT),
+        run=reader.option("run", parse_run_policy, default_run_policy(methods)),
+        asked_by=reader.rule_line.asked_by,
+    )
+
+
+def _read_organisation(reader: "_LineReader") -> OrganisationRule:
+    name = reader.positional("NAME", parse_name, "")
+    reader.split_options()
+    rate_per_s = reader.required_option("rate", parse_rate_per_s, 0.0)
+    return OrganisationRule(
+        name=OrganisationName(name),
+        rate_per_s=rate_per_s,
+        burst=reader.option("burst", parse_number, default_burst(rate_per_s)),
+        asked_by=reader.rule_line.asked_by,
+    )
+
+
+def _read_key(reader: "_LineReader") -> KeyRule:
+    organisation = reader.positional("ORGANISATION", parse_name, "")
+    digest = reader.positional("sha256:HEX64", parse_digest, "")
+    reader.split_options()
+    return KeyRule(
+        organisation=OrganisationName(organisation),
+        digest=digest,
+        asked_by=reader.rule_line.asked_by,
+    )
+
+
+@define(kw_only=True)
+class _LineReader:
+    """Take the words of one line in turn and collect what is wrong with them."""
+
+    rule_line: RuleLine
+    problems: list[RuleProblem] = field(factory=list)
+    _next: int = 1
+    _options: dict[str, Word] = field(factory=dict)
+
+    def positional(
+        self, name: str, parse: Callable[[str], T | InvalidValue], fallback: T
+    ) -> T:
+        """Read the next word by its place in the line."""
+        if self._next >= len(self.rule_line.words):
+            self._reject_line(f"{name} is missing")
+            return fallback
+        word = self.rule_line.words[self._next]
+        self._next += 1
+        return self._parse_word(word, word.text, parse, fallback)
+
+    def split_options(self) -> None:
+        """Sort the words that are left by option name."""
+        for word in self.rule_line.words[self._next :]:
+            name, equals, _ = word.text.partition("=")
+            if not equals:
+                self._reject_word(word, "expected an option name=value")
+            elif name in self._options:
+                self._reject_word(word, f"option {name} is given twice")
+            else:
+                self._options[name] = word
+
+    def option(
+        self, name: str, parse: Callable[[str], T | InvalidValue], default: T
+    ) -> T:
+        """Read an option that has a default."""
+        word = self._options.pop(name, None)
+        if word is None:
+            return default
+        value = word.text.partition("=")[2]
+        return self._parse_word(word, value, parse, default)
+
+    def required_option(
+        self, name: str, parse: Callable[[str], T | InvalidValue], fallback: T
+    ) -> T:
+        """Read an option that has no default."""
+        if name not in self._options:
+            self._reject_line(f"option {name}= is missing")
+            return fallback
+        return self.option(name, parse, fallback)
+
+    def reject_kind(self, kind: Word) -> None:
+        """Report a first word that starts no rule."""
+        self._reject_word(kind, "expected service, server, route, organisation or key")
+
+    def finish(self) -> None:
+        """Report options left over and a missing comment, in column order."""
+        for word in self._options.values():
+            self._reject_word(word, "unknown option for this rule")
+        if not self.rule_line.asked_by:
+            self._reject_line("a comment naming who asked for the rule is missing")
+        self.problems.sort(key=lambda problem: problem.column)
+
+    def _parse_word(
+        self,
+        word: Word,
+        text: str,
+        parse: Callable[[str], T | InvalidValue],
+        fallback: T,
+    ) -> T:
+        value = parse(text)
+        if isinstance(value, InvalidValue):
+            self._reject_word(word, value.reason)
+            return fallback
+        return value
+
+    def _reject_word(self, word: Word, reason: str) -> None:
+        self.problems.append(word.problem(self.rule_line.line, reason))
+
+    def _reject_line(self, reason: str) -> None:
+        end = Word(text="", column=self.rule_line.comment_column)
+        self._reject_word(end, reason)
--- /dev/null
+++ b/snipespring/decisions/rules/paths.py
@@ -0,0 +1,47 @@
+"""Split request paths and route prefixes into segments."""
+
+from collections.abc import Iterator
+from urllib.parse import unquote
+
+__all__ = ["first_segment", "list_prefixes", "normalise_path", "prefix_order"]
+
+_DOT_SEGMENTS = frozenset({".", ".."})
+
+
+def first_segment(path: str) -> str:
+    """Return the first segment of a path with its leading slash."""
+    return "/" + path[1:].partition("/")[0]
+
+
+def normalise_path(target: str) -> str | None:
+    """Decode a request target to a path without query or trailing slash.
+
+    Return None for paths that a server might resolve to another route.
+    """
+    path = unquote(target.partition("?")[0].partition("#")[0])
+    if not path.startswith("/"):
+        return None
+    if path == "/":
+        return path
+    segments = path.removesuffix("/").split("/")[1:]
+    if "" in segments or _DOT_SEGMENTS.intersection(segments):
+        return None
+    return "/" + "/".join(segments)
+
+
+def prefix_order(prefix: str) -> tuple[int, str]:
+    """Return the sort key that puts longer prefixes first."""
+    return (-len(prefix), prefix)
+
+
+def list_prefixes(path: str, length_max: int) -> Iterator[str]:
+    """Yield the prefixes of a path at segment boundaries, longest first.
+
+    Leave out those of more than `length_max` characters, and the empty one.
+    """
+    end = len(path)
+    if end > length_max:
+        end = path.rfind("/", 0, length_max + 1)
+    while end > 0:
+        yield path[:end]
+        end = path.rfind("/", 0, end)
