--- a/snipespring/decisions/rules/__init__.py
+++ b/snipespring/decisions/rules/__init__.py
@@ -23,6 +23,13 @@
     Segment,
 )
 from .render import render_problem, render_rule, render_rules
+from .segments import (
+    join_segments,
+    make_root,
+    missing_segments,
+    split_into_segments,
+    verify_segment,
+)
 from .values import parse_address
 
 __all__ = [
@@ -44,7 +51,10 @@
     "diff_rules",
     "find_route",
     "identify_rule",
+    "join_segments",
     "make_configuration",
+    "make_root",
+    "missing_segments",
     "parse_address",
     "parse_duration_s",
     "parse_rules",
@@ -52,4 +62,6 @@
     "render_problem",
     "render_rule",
     "render_rules",
+    "split_into_segments",
+    "verify_segment",
 ]
--- /dev/null
+++ b/snipespring/decisions/rules/segments.py
@@ -0,0 +1,88 @@
+"""Cut a rules text into segments that survive small edits elsewhere in it."""
+
+from collections.abc import Collection, Iterable, Iterator
+from hashlib import sha256
+
+from xxhash import xxh64_intdigest
+
+from .records import RootRecord, Segment
+
+__all__ = [
+    "join_segments",
+    "make_root",
+    "missing_segments",
+    "split_into_segments",
+    "verify_segment",
+]
+
+SEGMENT_LIMIT_BYTES = 900_000
+SEGMENT_MIN_BYTES = 16_384
+LINES_PER_CUT = 4096  # about 256 KiB of lines of 64 bytes
+
+
+def split_into_segments(
+    text: bytes, limit_bytes: int = SEGMENT_LIMIT_BYTES
+) -> tuple[Segment, ...]:
+    """Cut a text after lines whose hash marks a boundary, or at the limit in bytes."""
+    return tuple(
+        Segment(digest=_digest(content), content=content)
+        for content in _cut_text(text, limit_bytes)
+    )
+
+
+def join_segments(segments: Iterable[Segment]) -> bytes:
+    """Return the text that segments were cut from."""
+    return b"".join(segment.content for segment in segments)
+
+
+def verify_segment(segment: Segment) -> bool:
+    """Tell whether the content of a segment has its digest."""
+    return _digest(segment.content) == segment.digest
+
+
+def make_root(version: int, segments: Iterable[Segment]) -> RootRecord:
+    """Name the segments of one version in order."""
+    ordered = tuple(segments)
+    return RootRecord(
+        version=version,
+        digests=tuple(segment.digest for segment in ordered),
+        text_digest=_digest(join_segments(ordered)),
+    )
+
+
+def missing_segments(root: RootRecord, held: Collection[str]) -> tuple[str, ...]:
+    """List once each digest of a root that is not held."""
+    wanted = dict.fromkeys(root.digests)
+    return tuple(digest for digest in wanted if digest not in held)
+
+
+def _cut_text(text: bytes, limit_bytes: int) -> Iterator[bytes]:
+    start = 0
+    end = 0
+    for line in _split_lines(text, limit_bytes):
+        if end + len(line) - start > limit_bytes:
+            yield text[start:end]
+            start = end
+        end += len(line)
+        if end - start >= SEGMENT_MIN_BYTES and _marks_boundary(line):
+            yield text[start:end]
+            start = end
+    if start < end:
+        yield text[start:end]
+
+
+def _split_lines(text: bytes, limit_bytes: int) -> Iterator[bytes]:
+    start = 0
+    while start < len(text):
+        newline = text.find(b"\n", start, start + limit_bytes)
+        end = newline + 1 if newline >= 0 else start + limit_bytes
+        yield text[start:end]
+        start = end
+
+
+def _marks_boundary(line: bytes) -> bool:
+    return xxh64_intdigest(line) % LINES_PER_CUT == 0
+
+
+def _digest(content: bytes) -> str:
+    return sha256(content).hexdigest()
