--- /dev/null
+++ b/snipespring/settings/load.py
@@ -0,0 +1,155 @@
+"""Load the settings file of one process."""
+
+from collections.abc import Callable, Iterator, Mapping
+from pathlib import Path
+from typing import Any
+
+from attrs import Attribute, fields, has
+from cattrs import BaseValidationError, ClassValidationError, Converter
+from cattrs.errors import ForbiddenExtraKeysError
+from cattrs.gen import make_dict_structure_fn, override
+
+from ..exception import SettingsError
+from ..records import Address
+from .document import Document, FieldPath, read_document
+from .records import (
+    ByteCount,
+    Count,
+    HttpUrl,
+    LogLevel,
+    PeerSettings,
+    Seconds,
+    SecretSource,
+    Settings,
+    SettingsProblem,
+    SettingsProblems,
+)
+from .values import (
+    SecretFields,
+    read_address,
+    read_byte_count,
+    read_count,
+    read_log_level,
+    read_seconds,
+    read_secret_source,
+    read_text,
+    read_url,
+)
+
+__all__ = ["load_settings"]
+
+_SECRET_FILE = "secret_file"
+_SECRET_ENV = "secret_env"
+_READERS: tuple[tuple[Any, Callable[[Any], object]], ...] = (
+    (str, read_text),
+    (Address, read_address),
+    (Seconds, read_seconds),
+    (ByteCount, read_byte_count),
+    (Count, read_count),
+    (HttpUrl, read_url),
+    (LogLevel, read_log_level),
+    (SecretSource, read_secret_source),
+)
+
+
+def load_settings(path: Path) -> Settings | SettingsProblems:
+    """Read and validate a settings file, or report all of its problems."""
+    file = str(path)
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        problem = SettingsProblem(
+            file=file, line=0, field="", reason=f"cannot be read: {exc}"
+        )
+        return SettingsProblems(problems=(problem,))
+    document = read_document(text, file)
+    if isinstance(document, SettingsProblems):
+        return document
+    return _structure_settings(document)
+
+
+def _structure_settings(document: Document) -> Settings | SettingsProblems:
+    try:
+        return _make_converter().structure(document.content, Settings)
+    except (BaseValidationError, SettingsError) as exc:
+        problems = _list_problems(exc, (), document)
+        ordered = sorted(problems, key=lambda problem: (problem.line, problem.field))
+        return SettingsProblems(problems=tuple(ordered))
+
+
+def _make_converter() -> Converter:
+    converter = Converter(forbid_extra_keys=True, detailed_validation=True)
+    for kind, read in _READERS:
+        converter.register_structure_hook(kind, _ignore_type(read))
+    converter.register_structure_hook_factory(
+        _is_section, lambda kind: _make_section_hook(kind, converter)
+    )
+    return converter
+
+
+def _ignore_type(read: Callable[[Any], object]) -> Callable[[Any, Any], Any]:
+    return lambda raw, _: read(raw)
+
+
+def _is_section(kind: Any) -> bool:
+    return has(kind) and kind is not Address
+
+
+def _make_section_hook(kind: Any, converter: Converter) -> Callable[[Any, Any], Any]:
+    renames: dict[str, Any] = {
+        item.name: override(rename=_yaml_name(item)) for item in fields(kind)
+    }
+    structure = make_dict_structure_fn(
+        kind,
+        converter,
+        _cattrs_forbid_extra_keys=True,
+        _cattrs_detailed_validation=True,
+        **renames,
+    )
+
+    def read_section(raw: object, _: Any) -> Any:
+        if not isinstance(raw, Mapping):
+            raise SettingsError(f"expected a section of fields, got {raw!r}")
+        prepared = _merge_secret_fields(raw) if kind is PeerSettings else raw
+        return structure(prepared, kind)
+
+    return read_section
+
+
+def _merge_secret_fields(raw: Mapping[str, object]) -> Mapping[str, object]:
+    rest = {name: value for name, value in raw.items() if name != _SECRET_ENV}
+    secret = SecretFields(file=raw.get(_SECRET_FILE), env=raw.get(_SECRET_ENV))
+    return {**rest, _SECRET_FILE: secret}
+
+
+def _yaml_name(item: "Attribute[Any]") -> str:
+    if item.type is Seconds:
+        return item.name.removesuffix("_s")
+    if item.type is ByteCount:
+        return item.name.removesuffix("_bytes")
+    if item.type == SecretSource:
+        return _SECRET_FILE
+    return item.name
+
+
+def _list_problems(
+    exc: BaseException, path: FieldPath, document: Document
+) -> Iterator[SettingsProblem]:
+    match exc:
+        case ClassValidationError():
+            renames = {item.name: _yaml_name(item) for item in fields(exc.cl)}
+            noted, others = exc.group_exceptions()
+            for inner, note in noted:
+                inner_path = (*path, renames[note.name])
+                yield from _list_problems(inner, inner_path, document)
+            for inner in others:
+                yield from _list_problems(inner, path, document)
+        case ForbiddenExtraKeysError(extra_fields=names):
+            for name in names:
+                yield document.problem((*path, str(name)), "unknown field")
+        case KeyError():
+            yield document.problem(path, "missing")
+        case SettingsError():
+            yield document.problem(path, str(exc))
+        case _:
+            raise exc
--- /dev/null
+++ b/snipespring/settings/records.py
@@ -0,0 +1,141 @@
+"""Hold the settings of one process and what is wrong with a settings file."""
+
+from typing import NewType
+
+from attrs import field, frozen
+
+from ..records import Address, DomainName, HostId
+
+__all__ = [
+    "ByteCount",
+    "CallerSettings",
+    "Count",
+    "HostSettings",
+    "HttpUrl",
+    "ListenSettings",
+    "LogLevel",
+    "LogSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "SecretEnvironment",
+    "SecretFile",
+    "SecretSource",
+    "Seconds",
+    "Settings",
+    "SettingsProblem",
+    "SettingsProblems",
+]
+
+Seconds = NewType("Seconds", float)
+ByteCount = NewType("ByteCount", int)
+Count = NewType("Count", int)
+HttpUrl = NewType("HttpUrl", str)
+LogLevel = NewType("LogLevel", str)
+
+MEBIBYTE_BYTES = 1024 * 1024
+
+
+@frozen(kw_only=True)
+class SecretFile:
+    """Take the secret of the fleet from a file, relative to the settings file."""
+
+    path: str
+
+
+@frozen(kw_only=True)
+class SecretEnvironment:
+    """Take the secret of the fleet from an environment variable."""
+
+    name: str
+
+
+SecretSource = SecretFile | SecretEnvironment
+
+
+@frozen(kw_only=True)
+class HostSettings:
+    """Name this host and its place."""
+
+    id: HostId
+    domain: DomainName
+    region: str
+
+
+@frozen(kw_only=True)
+class ListenSettings:
+    """Give the addresses that this host listens on."""
+
+    callers: Address
+    peers: Address
+    operators: Address
+
+
+@frozen(kw_only=True)
+class PlatformSettings:
+    """Locate the platform's API."""
+
+    url: HttpUrl
+    timeout_s: Seconds = Seconds(0.5)
+
+
+@frozen(kw_only=True)
+class PeerSettings:
+    """Set how this host exchanges state with its peers."""
+
+    secret: SecretSource
+    fanout: Count = Count(4)
+    pull_interval_s: Seconds = Seconds(0.5)
+    lease_s: Seconds = Seconds(4.0)
+    drift_margin_s: Seconds = Seconds(0.4)
+
+
+@frozen(kw_only=True)
+class CallerSettings:
+    """Bound the work that callers may cause on this host."""
+
+    threads: Count = Count(32)
+    max_body_bytes: ByteCount = ByteCount(8 * MEBIBYTE_BYTES)
+    connections: Count = Count(500)
+    address_lifetime_s: Seconds = Seconds(10.0)
+    queue: Count = Count(64)
+
+
+@frozen(kw_only=True)
+class LogSettings:
+    """Set the least severe level that is logged."""
+
+    level: LogLevel = LogLevel("info")
+
+
+@frozen(kw_only=True)
+class Settings:
+    """Hold the settings of one process."""
+
+    host: HostSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    peers: PeerSettings
+    callers: CallerSettings = field(factory=CallerSettings)
+    log: LogSettings = field(factory=LogSettings)
+
+
+@frozen(kw_only=True)
+class SettingsProblem:
+    """State what is wrong at one line; line 0 stands for the file as a whole."""
+
+    file: str
+    line: int
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line for operators."""
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        return ": ".join(part for part in (place, self.field, self.reason) if part)
+
+
+@frozen(kw_only=True)
+class SettingsProblems:
+    """Hold every problem of a settings file in the order of its lines."""
+
+    problems: tuple[SettingsProblem, ...]
--- /dev/null
+++ b/snipespring/settings/values.py
@@ -0,0 +1,134 @@
+"""Read the value of one field, or raise `SettingsError` with what was expected."""
+
+import re
+from urllib.parse import urlsplit
+
+from attrs import frozen
+
+from ..decisions.rules import (
+    InvalidValue,
+    check_address,
+    parse_address,
+    parse_duration_s,
+)
+from ..exception import SettingsError
+from ..records import Address
+from .records import (
+    ByteCount,
+    Count,
+    HttpUrl,
+    LogLevel,
+    Seconds,
+    SecretEnvironment,
+    SecretFile,
+    SecretSource,
+)
+
+__all__ = [
+    "SecretFields",
+    "read_address",
+    "read_byte_count",
+    "read_count",
+    "read_log_level",
+    "read_seconds",
+    "read_secret_source",
+    "read_text",
+    "read_url",
+]
+
+_SIZE = re.compile(r"([0-9]{1,9})(B|KiB|MiB|GiB)")
+_BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3}
+_LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+@frozen(kw_only=True)
+class SecretFields:
+    """Hold the two fields that can name the secret; None stands for an absent one."""
+
+    file: object
+    env: object
+
+
+def read_text(raw: object) -> str:
+    """Read text that is not empty."""
+    if not isinstance(raw, str) or not raw:
+        raise SettingsError(f"expected text, got {raw!r}")
+    return raw
+
+
+def read_count(raw: object) -> Count:
+    """Read a whole number of at least one."""
+    if not isinstance(raw, int) or isinstance(raw, bool) or raw < 1:
+        raise SettingsError(f"expected a whole number from 1, got {raw!r}")
+    return Count(raw)
+
+
+def read_seconds(raw: object) -> Seconds:
+    """Read a duration with its unit; return seconds."""
+    expected = f"expected a duration such as 500ms, 2s or 10min, got {raw!r}"
+    if not isinstance(raw, str):
+        raise SettingsError(expected)
+    match parse_duration_s(raw):
+        case InvalidValue():
+            raise SettingsError(expected)
+        case duration_s if duration_s <= 0:
+            raise SettingsError(f"expected a duration above 0, got {raw!r}")
+        case duration_s:
+            return Seconds(duration_s)
+
+
+def read_byte_count(raw: object) -> ByteCount:
+    """Read a size with its unit; return bytes."""
+    found = _SIZE.fullmatch(raw) if isinstance(raw, str) else None
+    if found is None:
+        raise SettingsError(f"expected a size such as 64KiB or 8MiB, got {raw!r}")
+    return ByteCount(int(found[1]) * _BYTES_BY_UNIT[found[2]])
+
+
+def read_address(raw: object) -> Address:
+    """Read an IP number and a port."""
+    expected = f"expected IP:PORT, got {raw!r}"
+    if not isinstance(raw, str):
+        raise SettingsError(expected)
+    address = parse_address(raw)
+    if isinstance(address, InvalidValue):
+        raise SettingsError(expected)
+    invalid = check_address(address)
+    if invalid is not None:
+        raise SettingsError(f"{expected}: {invalid.reason}")
+    return address
+
+
+def read_url(raw: object) -> HttpUrl:
+    """Read an HTTP URL with a host."""
+    expected = f"expected a URL such as http://127.0.0.1:8500, got {raw!r}"
+    if not isinstance(raw, str):
+        raise SettingsError(expected)
+    try:
+        parts = urlsplit(raw)
+        has_host = parts.port != 0 and bool(parts.hostname)
+    except ValueError as exc:
+        raise SettingsError(f"{expected}: {exc}") from exc
+    if parts.scheme not in ("http", "https") or not has_host:
+        raise SettingsError(expected)
+    return HttpUrl(raw)
+
+
+def read_log_level(raw: object) -> LogLevel:
+    """Read the name of a log level."""
+    if raw not in _LOG_LEVELS:
+        raise SettingsError(f"expected one of {', '.join(_LOG_LEVELS)}, got {raw!r}")
+    return LogLevel(str(raw))
+
+
+def read_secret_source(fields: SecretFields) -> SecretSource:
+    """Read where the secret is, from exactly one of two fields."""
+    match fields:
+        case SecretFields(file=None, env=None):
+            raise SettingsError("expected secret_file or secret_env, got neither")
+        case SecretFields(file=raw, env=None):
+            return SecretFile(path=read_text(raw))
+        case SecretFields(file=None, env=raw):
+            return SecretEnvironment(name=read_text(raw))
+        case _:
+            raise SettingsError("expected secret_file or secret_env, got both")
