--- a/snipespring/decisions/rules/__init__.py
+++ b/snipespring/decisions/rules/__init__.py
@@ -1,1 +1,67 @@
-"""Placeholder."""
+"""Decide what a rules text means."""
+
+from .check import check_address, check_rules
+from .configuration import make_configuration
+from .diff import diff_rules, render_difference
+from .identity import identify_rule
+from .lookup import find_route
+from .parse import parse_rules
+from .quantities import parse_duration_s
+from .records import (
+    Added,
+    Changed,
+    CheckedRules,
+    InvalidValue,
+    ParsedRules,
+    PlacedRule,
+    Removed,
+    RootRecord,
+    RuleDifference,
+    RuleIdentity,
+    RuleProblem,
+    RuleProblems,
+    Segment,
+)
+from .render import render_problem, render_rule, render_rules
+from .segments import (
+    join_segments,
+    make_root,
+    missing_segments,
+    split_into_segments,
+    verify_segment,
+)
+from .values import parse_address
+
+__all__ = [
+    "Added",
+    "Changed",
+    "CheckedRules",
+    "InvalidValue",
+    "ParsedRules",
+    "PlacedRule",
+    "Removed",
+    "RootRecord",
+    "RuleDifference",
+    "RuleIdentity",
+    "RuleProblem",
+    "RuleProblems",
+    "Segment",
+    "check_address",
+    "check_rules",
+    "diff_rules",
+    "find_route",
+    "identify_rule",
+    "join_segments",
+    "make_configuration",
+    "make_root",
+    "missing_segments",
+    "parse_address",
+    "parse_duration_s",
+    "parse_rules",
+    "render_difference",
+    "render_problem",
+    "render_rule",
+    "render_rules",
+    "split_into_segments",
+    "verify_segment",
+]
