Serve a request from end to end in separate processes

Cause: every later part needs one whole path to grow in. Change: callers' and operators' listeners on waitress, pooled http.client to backend servers, peers over websockets with CBOR and sealed frames, watchers of the platform, lease, roster, configuration, command line, demonstration. Conclusion: the path holds; detection, limits and at-most-once come next.

--- /dev/null
+++ b/snipespring/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as a module."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/snipespring/cli/rules.py
@@ -0,0 +1,173 @@
+"""Run the commands that check, compare, apply and show rules."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from ..controllers.applier import (
+    Accepted,
+    Applier,
+    Conflicted,
+    NothingHeld,
+    RulesHeld,
+    Unreachable,
+)
+from ..decisions.rules import (
+    CheckedRules,
+    ParsedRules,
+    PlacedRule,
+    RuleProblem,
+    RuleProblems,
+    check_rules,
+    diff_rules,
+    parse_rules,
+    render_difference,
+    render_problem,
+)
+from ..frontends.platform import HttpPlatform
+from .commands import Apply, Check, Diff, Show
+from .exits import BAD_INPUT, OUT_OF_REACH, REFUSED, SUCCESS
+from .waiting import wait_in_force
+
+__all__ = ["apply", "check", "diff", "show"]
+
+PLATFORM_TIMEOUT_S = 5.0
+
+
+def check(command: Check) -> int:
+    """Report every problem and warning of a rules file."""
+    content = _read_file(command.file)
+    if content is None:
+        return BAD_INPUT
+    checked = _check_content(content)
+    if command.json:
+        print(json.dumps(_problem_fields(checked)))
+    else:
+        _print_problems(command.file, checked)
+    return BAD_INPUT if isinstance(checked, RuleProblems) else SUCCESS
+
+
+def diff(command: Diff) -> int:
+    """Print what applying a file would change."""
+    content = _read_file(command.file)
+    if content is None:
+        return BAD_INPUT
+    match _check_content(content):
+        case RuleProblems() as problems:
+            _print_problems(command.file, problems)
+            return BAD_INPUT
+        case CheckedRules(rules=rules):
+            return _print_difference(_applier(command.platform), rules)
+
+
+def apply(command: Apply) -> int:
+    """Write a file's rules to the platform."""
+    content = _read_file(command.file)
+    if content is None:
+        return BAD_INPUT
+    checked = _check_content(content)
+    _print_problems(command.file, checked)
+    if isinstance(checked, RuleProblems):
+        return BAD_INPUT
+    match _applier(command.platform).apply(content, expected=command.expect):
+        case Accepted(version=version):
+            print(f"accepted as version {version}")
+            return _wait(command, version) if command.wait else SUCCESS
+        case Conflicted(held=held):
+            return _report_conflict(held, checked.rules)
+        case Unreachable(reason=reason):
+            print(f"the platform is out of reach: {reason}", file=sys.stderr)
+            return OUT_OF_REACH
+
+
+def show(command: Show) -> int:
+    """Print the rules that the platform holds."""
+    match _applier(command.platform).read():
+        case RulesHeld(version=version, content=content):
+            print(f"version {version}", file=sys.stderr)
+            sys.stdout.write(content.decode())
+            return SUCCESS
+        case NothingHeld():
+            print("the platform holds no rules", file=sys.stderr)
+            return REFUSED
+        case Unreachable(reason=reason):
+            print(f"the platform is out of reach: {reason}", file=sys.stderr)
+            return OUT_OF_REACH
+
+
+def _applier(url: str) -> Applier:
+    return Applier(platform=HttpPlatform(url=url, timeout_s=PLATFORM_TIMEOUT_S))
+
+
+def _wait(command: Apply, version: int) -> int:
+    progress = wait_in_force(
+        command.operators, version=version, timeout_s=command.timeout_s
+    )
+    print(progress)
+    return SUCCESS if progress.complete else REFUSED
+
+
+def _read_file(name: str) -> bytes | None:
+    try:
+        return Path(name).read_bytes()
+    except OSError as exc:
+        print(f"{name}: {exc.strerror}", file=sys.stderr)
+        return None
+
+
+def _check_content(content: bytes) -> CheckedRules | RuleProblems:
+    match parse_rules(content):
+        case ParsedRules(rules=rules):
+            return check_rules(rules)
+        case RuleProblems() as problems:
+            return problems
+
+
+def _print_problems(name: str, checked: CheckedRules | RuleProblems) -> None:
+    for problem in _listed(checked):
+        print(f"{name}:{render_problem(problem)}", file=sys.stderr)
+
+
+def _listed(checked: CheckedRules | RuleProblems) -> tuple[RuleProblem, ...]:
+    match checked:
+        case CheckedRules(warnings=warnings):
+            return warnings
+        case RuleProblems(problems=problems):
+            return problems
+
+
+def _problem_fields(checked: CheckedRules | RuleProblems) -> dict[str, Any]:
+    listed = [attrs.asdict(problem) for problem in _listed(checked)]
+    return {"good": isinstance(checked, CheckedRules), "problems": listed}
+
+
+def _print_difference(applier: Applier, rules: tuple[PlacedRule, ...]) -> int:
+    match applier.read():
+        case Unreachable(reason=reason):
+            print(f"the platform is out of reach: {reason}", file=sys.stderr)
+            return OUT_OF_REACH
+        case NothingHeld():
+            return _print_changes(b"", rules)
+        case RulesHeld(content=content):
+            return _print_changes(content, rules)
+
+
+def _print_changes(held: bytes, rules: tuple[PlacedRule, ...]) -> int:
+    parsed = parse_rules(held)
+    old = parsed.rules if isinstance(parsed, ParsedRules) else ()
+    changes = diff_rules(
+        [placed.rule for placed in old], [placed.rule for placed in rules]
+    )
+    for change in changes:
+        print(render_difference(change))
+    return REFUSED if changes else SUCCESS
+
+
+def _report_conflict(held: RulesHeld, rules: tuple[PlacedRule, ...]) -> int:
+    print(f"conflict: the platform is at version {held.version}", file=sys.stderr)
+    print("applying this file on top of it would change:", file=sys.stderr)
+    _print_changes(held.content, rules)
+    return REFUSED
--- /dev/null
+++ b/snipespring/controllers/historian.py
@@ -0,0 +1,42 @@
+"""Keep the latest events and log changes of state."""
+
+import logging
+
+import attrs
+from attrs import define, evolve
+
+from ..blackboard import Board
+from ..blackboard.regions import EVENTS
+from ..records import Event, Events, RequestRefused
+
+__all__ = ["Historian"]
+
+KEPT_EVENTS = 2000
+
+log = logging.getLogger(__name__)
+
+
+@define(kw_only=True, eq=False)
+class Historian:
+    """Write the events region."""
+
+    board: Board
+    name: str = "historian"
+
+    def record(self, event: Event) -> None:
+        """Keep an event; log it unless it concerns a single request."""
+
+        def add(events: Events) -> Events:
+            return evolve(events, latest=(*events.latest, event)[-KEPT_EVENTS:])
+
+        self.board.update(EVENTS, add, writer=self.name)
+        match event:
+            case RequestRefused():
+                return
+            case _:
+                _log_event(event)
+
+
+def _log_event(event: Event) -> None:
+    fields = {key: str(val) for key, val in attrs.asdict(event, recurse=False).items()}
+    log.info(type(event).__name__, extra=fields)
--- /dev/null
+++ b/snipespring/controllers/lease_keeper.py
@@ -0,0 +1,70 @@
+"""Hold or drop this host's lease."""
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import (
+    CONFIGURATION,
+    HOST_STATUSES,
+    LEASE,
+    PEER_VIEW,
+    PLATFORM_CONFIGURATION,
+    PLATFORM_ROSTER,
+    ROSTER,
+)
+from ..decisions.membership import decide_lease, merge_sightings
+from ..records import HostId, LeaseHeld, LeaseLapsed, LeaseState, LeaseStep, Versions
+from ..utils import Clock
+from .historian import Historian
+
+__all__ = ["LeaseKeeper"]
+
+CHECK_INTERVAL_S = 0.25
+
+
+@define(kw_only=True, eq=False)
+class LeaseKeeper:
+    """Write the lease region; readers compare `until_s` with their own clock."""
+
+    board: Board
+    clock: Clock
+    historian: Historian
+    own: HostId
+    lease_s: float
+    name: str = "lease_keeper"
+    watches = (PLATFORM_CONFIGURATION, PLATFORM_ROSTER, PEER_VIEW, CONFIGURATION)
+
+    def step(self) -> float:
+        """Decide the lease anew; return seconds until the next check."""
+        board = self.board
+        view = board.read(PEER_VIEW)
+        roster = board.read(ROSTER)
+        cfg = board.read(CONFIGURATION)
+        state = decide_lease(
+            own=self.own,
+            in_force=Versions(configuration=cfg.version, roster=roster.version),
+            configuration=merge_sightings(
+                board.read(PLATFORM_CONFIGURATION), view.configuration
+            ),
+            roster_seen=merge_sightings(board.read(PLATFORM_ROSTER), view.roster),
+            roster=roster,
+            statuses=board.read(HOST_STATUSES),
+            lease_s=self.lease_s,
+            now_s=self.clock.monotonic_s(),
+        )
+        self._record_change(board.read(LEASE), state)
+        board.write(LEASE, state, writer=self.name)
+        return CHECK_INTERVAL_S
+
+    def _record_change(self, old: LeaseState, new: LeaseState) -> None:
+        match old, new:
+            case LeaseLapsed(), LeaseHeld():
+                self._record("lease held")
+            case LeaseHeld(), LeaseLapsed(reason=reason):
+                self._record(f"lease lapsed: {reason}")
+            case _:
+                return
+
+    def _record(self, evidence: str) -> None:
+        event = LeaseStep(at_wall_s=self.clock.wall_s(), evidence=evidence)
+        self.historian.record(event)
--- a/snipespring/daemons/__init__.py
+++ b/snipespring/daemons/__init__.py
@@ -1,1 +1,6 @@
-"""Placeholder."""
+"""Assemble a process from the board, the front ends and the controllers."""
+
+from .logs import configure_logs
+from .proxy import Proxy, build_proxy, run_proxy
+
+__all__ = ["Proxy", "build_proxy", "configure_logs", "run_proxy"]
--- /dev/null
+++ b/snipespring/daemons/proxy.py
@@ -0,0 +1,235 @@
+"""Run one host of the fleet: `snipespring proxy`."""
+
+import logging
+import signal
+import threading
+import uuid
+from random import Random
+from types import FrameType
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import (
+    CONFIGURATION,
+    HOST_STATUSES,
+    PLATFORM_CONFIGURATION,
+    PLATFORM_ROSTER,
+    ROSTER,
+    STOP,
+)
+from ..controllers import (
+    Accountant,
+    Configurator,
+    Controller,
+    Forwarder,
+    Historian,
+    LeaseKeeper,
+    Puller,
+    RosterKeeper,
+    Runner,
+    StatusKeeper,
+    Watcher,
+)
+from ..decisions.addresses import list_addresses
+from ..decisions.keys import digest_key, find_key
+from ..frontends.backends import HttpTransport
+from ..frontends.callers import CallersApp
+from ..frontends.http_server import HttpServer
+from ..frontends.operators import OperatorsApp
+from ..frontends.peers import PeerLinks, PeerServer
+from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT, HttpPlatform
+from ..records import AddressAnswer, Host, Incarnation, Leaving, Request
+from ..settings import Settings
+from ..utils import Clock, SystemClock
+
+__all__ = ["Proxy", "build_proxy", "run_proxy"]
+
+DRAIN_LIMIT_S = 30.0
+OPERATOR_THREADS = 2
+OPERATOR_CONNECTIONS = 50
+OPERATOR_BODY_BYTES = 65536
+WALL_DIGITS = 13
+MS_PER_S = 1000
+
+log = logging.getLogger(__name__)
+
+
+@define(kw_only=True, eq=False)
+class Proxy:
+    """Hold the parts of one running host."""
+
+    board: Board
+    clock: Clock
+    settings: Settings
+    runner: Runner
+    callers: HttpServer
+    operators: HttpServer
+    peers: PeerServer
+    links: PeerLinks
+    roster_keeper: RosterKeeper
+
+    def start(self) -> None:
+        """Open the listeners and start the controllers; raise OSError if taken."""
+        self.peers.start()
+        self.operators.start()
+        self.callers.start()
+        self.runner.start()
+
+    def stop(self) -> None:
+        """Leave the address answers, finish the requests, then close everything."""
+        lifetime_s = self.settings.callers.address_lifetime_s
+        until_s = self.clock.monotonic_s() + lifetime_s
+        self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
+        self.callers.drain()
+        threading.Event().wait(lifetime_s)
+        self.callers.stop_listening()
+        self.callers.wait_idle(DRAIN_LIMIT_S)
+        self.roster_keeper.leave()
+        self.callers.close()
+        self.runner.stop()
+        self.peers.close()
+        self.links.close()
+        self.operators.close()
+
+
+def build_proxy(settings: Settings, secret: bytes) -> Proxy:
+    """Return a host that is ready to start."""
+    board = Board()
+    clock = SystemClock()
+    rng = Random()
+    own = _describe_host(settings, clock)
+    platform = HttpPlatform(
+        url=settings.platform.url, timeout_s=settings.platform.timeout_s
+    )
+    links = PeerLinks(secret=secret)
+    historian = Historian(board=board)
+    puller = Puller(
+        board=board,
+        clock=clock,
+        client=links,
+        own=own,
+        fanout=settings.peers.fanout,
+        interval_s=settings.peers.pull_interval_s,
+    )
+    roster_keeper = RosterKeeper(
+        board=board,
+        clock=clock,
+        rng=rng,
+        platform=platform,
+        historian=historian,
+        own=own,
+    )
+    controllers: tuple[Controller, ...] = (
+        Watcher(
+            board=board,
+            clock=clock,
+            platform=platform,
+            object_name=CONFIGURATION_OBJECT,
+            region=PLATFORM_CONFIGURATION,
+        ),
+        Watcher(
+            board=board,
+            clock=clock,
+            platform=platform,
+            object_name=ROSTER_OBJECT,
+            region=PLATFORM_ROSTER,
+        ),
+        Configurator(board=board, clock=clock, historian=historian),
+        roster_keeper,
+        StatusKeeper(board=board, own=own),
+        puller,
+        LeaseKeeper(
+            board=board,
+            clock=clock,
+            historian=historian,
+            own=own.host_id,
+            lease_s=settings.peers.lease_s,
+        ),
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
+        rng=rng,
+        transport=HttpTransport(clock=clock),
+        historian=historian,
+        accountant=Accountant(board=board),
+        domain=own.domain,
+    )
+
+    def answer_addresses(request: Request) -> AddressAnswer:
+        return _answer_addresses(board, own, settings, request)
+
+    return Proxy(
+        board=board,
+        clock=clock,
+        settings=settings,
+        runner=Runner(board=board, controllers=controllers),
+        callers=HttpServer(
+            address=own.callers,
+            app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
+            threads=settings.callers.threads,
+            max_body_bytes=settings.callers.max_body_bytes,
+            connections=settings.callers.connections,
+        ),
+        operators=HttpServer(
+            address=own.operators,
+            app=OperatorsApp(board=board),
+            threads=OPERATOR_THREADS,
+            max_body_bytes=OPERATOR_BODY_BYTES,
+            connections=OPERATOR_CONNECTIONS,
+        ),
+        peers=PeerServer(address=own.peers, secret=secret, answer=puller.answer),
+        links=links,
+        roster_keeper=roster_keeper,
+    )
+
+
+def run_proxy(settings: Settings, secret: bytes) -> None:
+    """Run a host until SIGTERM or SIGINT, then stop it gracefully."""
+    stopping = threading.Event()
+
+    def on_signal(_signum: int, _frame: FrameType | None) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    proxy = build_proxy(settings, secret)
+    proxy.start()
+    log.info("started", extra={"callers": str(settings.listen.callers)})
+    stopping.wait()
+    log.info("stopping")
+    proxy.stop()
+    log.info("stopped")
+
+
+def _describe_host(settings: Settings, clock: Clock) -> Host:
+    started_ms = int(clock.wall_s() * MS_PER_S)
+    incarnation = f"{started_ms:0{WALL_DIGITS}d}-{uuid.uuid4().hex[:8]}"
+    return Host(
+        host_id=settings.host.id,
+        incarnation=Incarnation(incarnation),
+        domain=settings.host.domain,
+        callers=settings.listen.callers,
+        peers=settings.listen.peers,
+        operators=settings.listen.operators,
+    )
+
+
+def _answer_addresses(
+    board: Board, own: Host, settings: Settings, request: Request
+) -> AddressAnswer:
+    key = find_key(request)
+    keys = board.read(CONFIGURATION).keys
+    organisation = keys.get(digest_key(key)) if key is not None else None
+    statuses = board.read(HOST_STATUSES).by_host
+    leaving = frozenset(
+        host_id for host_id, view in statuses.items() if view.status.leaving
+    )
+    return list_addresses(
+        board.read(ROSTER).hosts.values(),
+        leaving=leaving,
+        organisation=organisation,
+        near=own.domain,
+        lifetime_s=settings.callers.address_lifetime_s,
+    )
--- a/snipespring/decisions/__init__.py
+++ b/snipespring/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Decide by plain functions from records and a clock reading to records."""
--- /dev/null
+++ b/snipespring/decisions/membership/statuses.py
@@ -0,0 +1,40 @@
+"""Merge the statuses that hosts report of themselves."""
+
+from attrs import evolve
+
+from ...records import AgedStatus, HostStatuses, HostView
+
+__all__ = ["age_statuses", "merge_status", "receive_statuses"]
+
+
+def merge_status(statuses: HostStatuses, view: HostView) -> HostStatuses:
+    """Return the statuses with a view taken in if it is newer than the one held."""
+    host_id = view.status.host_id
+    held = statuses.by_host.get(host_id)
+    if held is not None and _order(held) >= _order(view):
+        return statuses
+    return evolve(statuses, by_host=statuses.by_host.set(host_id, view))
+
+
+def receive_statuses(
+    statuses: HostStatuses, aged: tuple[AgedStatus, ...], *, sent_at_s: float
+) -> HostStatuses:
+    """Return the statuses with a peer's taken in, ages counted from the pull."""
+    for entry in aged:
+        if entry.age_s < 0:
+            continue
+        view = HostView(status=entry.status, as_of_s=sent_at_s - entry.age_s)
+        statuses = merge_status(statuses, view)
+    return statuses
+
+
+def age_statuses(statuses: HostStatuses, *, now_s: float) -> tuple[AgedStatus, ...]:
+    """Return every status with its age."""
+    return tuple(
+        AgedStatus(status=view.status, age_s=now_s - view.as_of_s)
+        for view in statuses.by_host.values()
+    )
+
+
+def _order(view: HostView) -> tuple[str, int]:
+    return view.status.incarnation, view.status.sequence
--- /dev/null
+++ b/snipespring/decisions/replies.py
@@ -0,0 +1,78 @@
+"""Build the reply that states an outcome truthfully."""
+
+from ..records import (
+    Answered,
+    BackendResult,
+    Header,
+    NotRun,
+    Outcome,
+    Ran,
+    Reply,
+    Unknown,
+)
+
+__all__ = ["answer_reply", "refusal_reply", "result_reply", "status_of"]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+INTERNAL = frozenset({"request-id", "load", "shed", "content-length", "date", "server"})
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
+
+def answer_reply(request_id: str, answer: Answered) -> Reply:
+    """Return a server's whole answer as the reply."""
+    dropped = HOP_BY_HOP | INTERNAL
+    headers = tuple(
+        header for header in answer.headers if header.name.lower() not in dropped
+    )
+    return Reply(
+        request_id=request_id,
+        status=answer.status,
+        outcome=Ran(),
+        headers=headers,
+        body=answer.body,
+    )
+
+
+def refusal_reply(
+    request_id: str, outcome: Outcome, *, status: int | None = None
+) -> Reply:
+    """Return a reply without a server's answer, with the reason as text."""
+    reason = outcome.reason if isinstance(outcome, NotRun | Unknown) else ""
+    return Reply(
+        request_id=request_id,
+        status=status if status is not None else status_of(outcome),
+        outcome=outcome,
+        headers=(Header(name="Content-Type", value="text/plain; charset=utf-8"),),
+        body=f"{reason}\n".encode(),
+    )
+
+
+def status_of(outcome: Outcome) -> int:
+    """Return the HTTP status for an outcome without an answer."""
+    match outcome:
+        case NotRun():
+            return STATUS_UNAVAILABLE
+        case Unknown() | Ran():
+            return STATUS_GATEWAY_TIMEOUT
+
+
+def result_reply(request_id: str, result: BackendResult, outcome: Outcome) -> Reply:
+    """Return the reply for the last attempt's result."""
+    match result:
+        case Answered() as answer:
+            return answer_reply(request_id, answer)
+        case _:
+            return refusal_reply(request_id, outcome)
--- a/snipespring/frontends/__init__.py
+++ b/snipespring/frontends/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Translate between records and the protocols of callers, hosts and services."""
--- /dev/null
+++ b/snipespring/frontends/http_server.py
@@ -0,0 +1,113 @@
+"""Run a WSGI application on one address and drain it without cutting requests."""
+
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from attrs import define, field
+from waitress.channel import HTTPChannel
+from waitress.server import TcpWSGIServer, create_server
+from waitress.task import WSGITask
+from waitress.wasyncore import dispatcher
+
+from ..records import Address
+
+__all__ = ["Environ", "HttpServer", "StartResponse", "WsgiApp"]
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+WsgiApp = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+NO_SPILL_BYTES = 1 << 31
+DRAIN_CHECK_S = 0.05
+
+
+class _DrainingTask(WSGITask):  # type: ignore[misc]
+    """Close the connection after the answer once the server drains."""
+
+    def service(self) -> None:
+        """Serve the request, with `Connection: close` while draining."""
+        if self.channel.server.adj.draining.is_set():
+            self.request.headers["CONNECTION"] = "close"
+        super().service()
+
+
+class _DrainingChannel(HTTPChannel):  # type: ignore[misc]
+    """Serve requests by tasks that know of the drain."""
+
+    task_class = _DrainingTask
+
+
+@define(kw_only=True, eq=False)
+class HttpServer:
+    """Serve an application with a bounded number of threads and connections."""
+
+    address: Address
+    app: WsgiApp
+    threads: int
+    max_body_bytes: int
+    connections: int
+    _server: TcpWSGIServer = field(init=False, default=None)
+    _thread: threading.Thread | None = field(init=False, default=None)
+    _draining: threading.Event = field(factory=threading.Event, init=False)
+
+    def start(self) -> None:
+        """Begin to listen; raise OSError if the address is taken."""
+        server = create_server(
+            self.app,
+            host=self.address.ip,
+            port=self.address.port,
+            threads=self.threads,
+            max_request_body_size=self.max_body_bytes,
+            connection_limit=self.connections,
+            inbuf_overflow=NO_SPILL_BYTES,
+            outbuf_overflow=NO_SPILL_BYTES,
+            channel_request_lookahead=1,
+            asyncore_use_poll=True,
+            ident=None,
+        )
+        server.adj.draining = self._draining
+        server.channel_class = _DrainingChannel
+        self._server = server
+        self._thread = threading.Thread(target=server.run, name="http", daemon=True)
+        self._thread.start()
+
+    def drain(self) -> None:
+        """Close each connection after its next answer."""
+        self._draining.set()
+
+    def stop_listening(self) -> None:
+        """Accept no new connection; those that are open go on."""
+        self.drain()
+        self._server.trigger.pull_trigger(self._close_listener)
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is under way; return whether that came."""
+        waiter = threading.Event()
+        for _ in range(max(1, int(timeout_s / DRAIN_CHECK_S))):
+            if not self._is_busy():
+                return True
+            waiter.wait(DRAIN_CHECK_S)
+        return not self._is_busy()
+
+    def close(self) -> None:
+        """Close every connection and stop the threads."""
+        self._server.task_dispatcher.shutdown(cancel_pending=False, timeout=1)
+        self._server.trigger.pull_trigger(self._close_all)
+        if self._thread is not None:
+            self._thread.join(1.0)
+
+    def _is_busy(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(
+            channel.requests or channel.request or channel.total_outbufs_len
+            for channel in channels
+        )
+
+    def _close_listener(self) -> None:
+        dispatcher.close(self._server)
+
+    def _close_all(self) -> None:
+        for channel in list(self._server.active_channels.values()):
+            channel.handle_close()
+        self._server.close()
--- /dev/null
+++ b/snipespring/frontends/operators/dump.py
@@ -0,0 +1,39 @@
+"""Turn records into JSON for operators."""
+
+import json
+from typing import Any
+
+import attrs
+from immutables import Map
+
+from ...blackboard import Board
+
+__all__ = ["dump_board", "dump_record"]
+
+
+def dump_board(board: Board) -> bytes:
+    """Return every region of the blackboard as JSON; digests stand for keys."""
+    return json.dumps(dump_record(board.dump()), indent=1).encode()
+
+
+def dump_record(record: Any) -> Any:
+    """Return a record as plain values, with the class name of each."""
+    if attrs.has(type(record)):
+        fields = {"kind": type(record).__name__}
+        for attribute in attrs.fields(type(record)):
+            if attribute.repr:
+                fields[attribute.name] = dump_record(getattr(record, attribute.name))
+        return fields
+    if isinstance(record, dict | Map):
+        return {_key_text(key): dump_record(val) for key, val in record.items()}
+    if isinstance(record, tuple | list | set | frozenset):
+        return [dump_record(val) for val in record]
+    if isinstance(record, str | int | float | bool) or record is None:
+        return record
+    return str(record)
+
+
+def _key_text(key: Any) -> str:
+    if isinstance(key, tuple):
+        return "/".join(str(part) for part in key)
+    return str(key)
--- a/snipespring/frontends/peers/__init__.py
+++ b/snipespring/frontends/peers/__init__.py
@@ -1,1 +1,7 @@
-"""Placeholder."""
+"""Exchange authenticated messages with other hosts over websockets and CBOR."""
+
+from .client import PeerClient, PeerLinks
+from .codec import decode_message, encode_message
+from .server import PeerServer
+
+__all__ = ["PeerClient", "PeerLinks", "PeerServer", "decode_message", "encode_message"]
--- /dev/null
+++ b/snipespring/frontends/peers/codec.py
@@ -0,0 +1,53 @@
+"""Encode messages as CBOR and refuse whatever does not decode to one."""
+
+from typing import Any, get_args
+
+import cattrs
+from attrs import frozen
+from cattrs.preconf.cbor2 import make_converter
+from cbor2 import CBORDecodeError, dumps, loads
+
+from ...records import Message
+
+__all__ = ["DecodeFailed", "decode_message", "encode_message"]
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+KINDS: dict[str, type[Any]] = {cls.__name__: cls for cls in get_args(Message)}
+
+_converter = make_converter(forbid_extra_keys=True, detailed_validation=False)
+
+
+@frozen(kw_only=True)
+class DecodeFailed:
+    """State why bytes from a peer are no message."""
+
+    reason: str
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the message as CBOR, tagged with its kind."""
+    content = _converter.unstructure(message)
+    return dumps([type(message).__name__, content])
+
+
+def decode_message(content: bytes) -> Message | DecodeFailed:
+    """Return the message in the bytes, or why there is none."""
+    if len(content) > MAX_MESSAGE_BYTES:
+        return DecodeFailed(reason="the message is too large")
+    try:
+        kind, fields = loads(content)
+        message: Message = _converter.structure(fields, KINDS[kind])
+    except (
+        CBORDecodeError,
+        cattrs.BaseValidationError,
+        cattrs.StructureHandlerNotFoundError,
+        cattrs.ForbiddenExtraKeysError,
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as exc:
+        return DecodeFailed(reason=f"{type(exc).__name__}: {exc}"[:200])
+    return message
--- /dev/null
+++ b/snipespring/frontends/peers/seal.py
@@ -0,0 +1,48 @@
+"""Authenticate frames between hosts by a shared secret, a nonce and a count."""
+
+import hashlib
+import hmac
+import secrets
+
+from attrs import define, field
+
+__all__ = ["NONCE_BYTES", "Seal", "new_nonce"]
+
+NONCE_BYTES = 16
+MAC_BYTES = 32
+
+
+def new_nonce() -> bytes:
+    """Return a nonce for one connection."""
+    return secrets.token_bytes(NONCE_BYTES)
+
+
+@define(kw_only=True, eq=False)
+class Seal:
+    """Seal and open the frames of one connection, each once and in order."""
+
+    secret: bytes = field(repr=False)
+    nonce: bytes
+    sending: bytes
+    receiving: bytes
+    _sent: int = field(default=0, init=False)
+    _received: int = field(default=0, init=False)
+
+    def close_frame(self, payload: bytes) -> bytes:
+        """Return the payload behind its authentication code."""
+        mac = self._mac(self.sending, self._sent, payload)
+        self._sent += 1
+        return mac + payload
+
+    def open_frame(self, frame: bytes) -> bytes | None:
+        """Return the payload, or None for a forged, replayed or reordered frame."""
+        mac, payload = frame[:MAC_BYTES], frame[MAC_BYTES:]
+        expected = self._mac(self.receiving, self._received, payload)
+        if not hmac.compare_digest(mac, expected):
+            return None
+        self._received += 1
+        return payload
+
+    def _mac(self, direction: bytes, count: int, payload: bytes) -> bytes:
+        prefix = self.nonce + direction + count.to_bytes(8, "big")
+        return hmac.new(self.secret, prefix + payload, hashlib.sha256).digest()
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -1,5 +1,9 @@
 """Hold the immutable records that controllers and decisions exchange."""
 
+from .addresses import (
+    AddressAnswer,
+    OfferedAddress,
+)
 from .backends import (
     AnswerBroken,
     Answered,
@@ -25,14 +29,15 @@
     ServerStep,
 )
 from .fleet import (
-    Confirmation,
     HostStatus,
     HostStatuses,
     HostView,
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
+    PeerView,
     Roster,
+    Sighting,
     Versions,
 )
 from .identity import (
@@ -46,8 +51,8 @@
     ServiceName,
 )
 from .messages import (
+    AgedSighting,
     AgedStatus,
-    ConfigurationPart,
     Message,
     PeerFailed,
     PeerResult,
@@ -55,6 +60,11 @@
     PullReply,
     Refused,
 )
+from .metrics import (
+    LATENCY_BOUNDS_S,
+    Counters,
+    LatencyBuckets,
+)
 from .platform import (
     ObjectAbsent,
     ObjectConflict,
@@ -95,11 +105,18 @@
     ServerRule,
     ServiceRule,
 )
+from .stops import (
+    Leaving,
+    Serving,
+    StopState,
+)
 
 __all__ = [
     "Access",
     "Address",
+    "AddressAnswer",
     "AdmittedRequest",
+    "AgedSighting",
     "AgedStatus",
     "AnswerBroken",
     "AnswerForeign",
@@ -108,10 +125,9 @@
     "BackendRequest",
     "BackendResult",
     "Configuration",
-    "ConfigurationPart",
     "ConfigurationStep",
-    "Confirmation",
     "ConnectFailed",
+    "Counters",
     "DomainName",
     "EjectCarefully",
     "EjectQuickly",
@@ -129,10 +145,13 @@
     "Incarnation",
     "KeyAccess",
     "KeyRule",
+    "LATENCY_BOUNDS_S",
+    "LatencyBuckets",
     "LeaseHeld",
     "LeaseLapsed",
     "LeaseState",
     "LeaseStep",
+    "Leaving",
     "Message",
     "NotRun",
     "ObjectAbsent",
@@ -140,12 +159,14 @@
     "ObjectRead",
     "ObjectUnchanged",
     "ObjectWritten",
+    "OfferedAddress",
     "OpenAccess",
     "OrganisationName",
     "OrganisationRule",
     "Outcome",
     "PeerFailed",
     "PeerResult",
+    "PeerView",
     "PlatformUnavailable",
     "Pull",
     "PullReply",
@@ -171,7 +192,10 @@
     "ServerStep",
     "ServiceName",
     "ServiceRule",
+    "Serving",
     "ShedByServer",
+    "Sighting",
+    "StopState",
     "Unknown",
     "Versions",
     "WriteResult",
--- /dev/null
+++ b/snipespring/records/addresses.py
@@ -0,0 +1,23 @@
+"""Hold the answer to a caller that asks which hosts to use."""
+
+from attrs import frozen
+
+from .identity import Address, DomainName
+
+__all__ = ["AddressAnswer", "OfferedAddress"]
+
+
+@frozen(kw_only=True)
+class OfferedAddress:
+    """Offer one host to a caller."""
+
+    address: Address
+    domain: DomainName
+
+
+@frozen(kw_only=True)
+class AddressAnswer:
+    """List hosts, best first, and how many seconds the list may be kept."""
+
+    offers: tuple[OfferedAddress, ...]
+    lifetime_s: float
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -1,19 +1,20 @@
 """Hold the shared view of the fleet: roster, confirmations, leases, statuses."""
 
-from attrs import frozen
+from attrs import field, frozen
 from immutables import Map
 
 from .identity import Host, HostId, Incarnation
 
 __all__ = [
-    "Confirmation",
     "HostStatus",
     "HostStatuses",
     "HostView",
     "LeaseHeld",
     "LeaseLapsed",
     "LeaseState",
+    "PeerView",
     "Roster",
+    "Sighting",
     "Versions",
 ]
 
@@ -35,16 +36,26 @@
 
 
 @frozen(kw_only=True)
-class Confirmation:
-    """State the latest platform versions as of a local monotonic time.
+class Sighting:
+    """Hold an object of the platform as seen at a local monotonic time.
 
-    `as_of_s` is never later than the true time of the platform's answer.
+    `as_of_s` is never later than the platform's answer: it is counted from the
+    moment the read, or the first pull on the way here, was sent.
     """
 
-    versions: Versions
+    version: int
+    content: bytes = field(repr=False)
     as_of_s: float
 
 
+@frozen(kw_only=True)
+class PeerView:
+    """Hold the freshest sightings that came from other hosts."""
+
+    configuration: Sighting | None = None
+    roster: Sighting | None = None
+
+
 @frozen(kw_only=True)
 class HostStatus:
     """State what one host reports of itself; `sequence` rises per incarnation."""
@@ -54,7 +65,6 @@
     sequence: int
     versions: Versions
     leaving: bool = False
-    confirmation_age_s: float | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -3,11 +3,11 @@
 from attrs import field, frozen
 
 from .fleet import HostStatus, Versions
-from .identity import HostId, Incarnation, OrganisationName
+from .identity import HostId
 
 __all__ = [
+    "AgedSighting",
     "AgedStatus",
-    "ConfigurationPart",
     "Message",
     "PeerFailed",
     "PeerResult",
@@ -26,35 +26,32 @@
 
 
 @frozen(kw_only=True)
-class Pull:
-    """Ask a peer for all that changed in its journal after a position."""
+class AgedSighting:
+    """Carry a sighting and an upper bound of its age in seconds.
 
-    sender: HostId
-    incarnation: Incarnation
-    journal: str
-    position: int
-    versions: Versions
+    The content is left out where the puller already holds that version.
+    """
+
+    version: int
+    age_s: float
+    content: bytes | None = field(default=None, repr=False)
 
 
 @frozen(kw_only=True)
-class ConfigurationPart:
-    """Carry the rules text of one configuration version."""
+class Pull:
+    """Ask a peer for what it knows, stating the versions already held."""
 
-    version: int
-    text: bytes = field(repr=False)
+    sender: HostId
+    held: Versions
 
 
 @frozen(kw_only=True)
 class PullReply:
-    """Answer a pull; ages are upper bounds in seconds at the time of sending."""
+    """Answer a pull; ages hold at the moment of sending."""
 
-    journal: str
-    position: int
-    confirmed: Versions | None
-    confirmed_age_s: float
+    configuration: AgedSighting | None
+    roster: AgedSighting | None
     statuses: tuple[AgedStatus, ...] = ()
-    configuration: ConfigurationPart | None = None
-    roster: bytes | None = None
 
 
 @frozen(kw_only=True)
@@ -62,7 +59,6 @@
     """Refuse a message and say why."""
 
     reason: str
-    organisation: OrganisationName | None = None
 
 
 Message = Pull | PullReply | Refused
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,110 @@
+"""Show a fleet through a gray failure, then stop it cleanly."""
+
+import hashlib
+import signal
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from .harness import Answer, Fleet, FleetPlan, call
+
+__all__ = ["main"]
+
+KEY = "demo-key-of-the-mobile-valeters"
+REQUESTS = 60
+BODY = b"deposit=40.00"
+
+
+def main() -> int:
+    """Run the demonstration; return 0 only if every step went as it should."""
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    rules = (
+        "service ledger floor=60% deadline=1s  # Aoife, Gleannan",
+        *(
+            f"server ledger 127.77.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
+            for n in (1, 2, 3)
+        ),
+        "route GET /ledger service=ledger  # Aoife, Gleannan",
+        "route POST /ledger service=ledger run=once  # Aoife, Gleannan",
+        "organisation valeters rate=500/s burst=500  # Aoife, for the valeters",
+        f"key valeters sha256:{digest}  # Aoife, for the valeters",
+    )
+    plan = FleetPlan(network="127.77", rules=rules)
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Fleet(plan=plan, folder=Path(folder)) as fleet,
+    ):
+        good = _show(fleet)
+        good = _stop(fleet) and good
+    print("all steps went as they should" if good else "a step FAILED")
+    return 0 if good else 1
+
+
+def _show(fleet: Fleet) -> bool:
+    print("started: 1 platform, 3 backend servers, 3 proxies, each a process")
+    host = _first_address(fleet)
+    healthy = _send(host, REQUESTS)
+    _print_answers("all servers healthy", healthy)
+    fleet.set_fault(0, mode="stall")
+    gray = _send(host, REQUESTS)
+    _print_answers("server 1 answers probes but times out on work", gray)
+    once = call(host, "POST", "/ledger/capture", body=BODY, headers={"Api-Key": KEY})
+    print(f"deposit capture: {once.status} {_outcome(once)}")
+    fleet.set_fault(0, mode="ok")
+    _explain(fleet)
+    succeeded = sum(1 for answer in healthy + gray if answer.status == 200)
+    return succeeded == 2 * REQUESTS and _runs_once(fleet)
+
+
+def _first_address(fleet: Fleet) -> str:
+    answer = call(fleet.callers(0), "GET", "/addresses", headers={"Api-Key": KEY})
+    offers = answer.json()["addresses"]
+    for offer in offers:
+        print(f"offered: {offer['address']} in {offer['domain']}")
+    address: str = offers[0]["address"]
+    return address
+
+
+def _send(host: str, count: int) -> list[Answer]:
+    return [
+        call(host, "GET", f"/ledger/accounts/{n}", headers={"Api-Key": KEY})
+        for n in range(count)
+    ]
+
+
+def _print_answers(title: str, answers: list[Answer]) -> None:
+    seen = Counter((answer.status, _outcome(answer)) for answer in answers)
+    parts = [f"{n} x {status} {outcome}" for (status, outcome), n in seen.items()]
+    print(f"{title}: {', '.join(parts)}")
+
+
+def _outcome(answer: Answer) -> str:
+    return answer.headers.get("snipespring-outcome", "none")
+
+
+def _explain(fleet: Fleet) -> None:
+    for index in range(fleet.plan.proxies):
+        result = fleet.run_command("explain", "--operators", fleet.operators(index))
+        print(f"proxy {index} explains:")
+        for line in result.stdout.decode().splitlines()[-6:]:
+            print(f"  {line}")
+
+
+def _runs_once(fleet: Fleet) -> bool:
+    captures = [run for run in fleet.runs() if run["path"] == "/ledger/capture"]
+    print(f"deposit capture ran {len(captures)} time(s)")
+    return len(captures) <= 1
+
+
+def _stop(fleet: Fleet) -> bool:
+    names = [name for name in fleet.processes if name.startswith("proxy")]
+    for name in names:
+        fleet.signal(name, signal.SIGTERM)
+    codes = [fleet.wait_exit(name) for name in names]
+    print(f"proxies stopped with exit codes {codes}")
+    return all(code == 0 for code in codes)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/harness.py
@@ -0,0 +1,270 @@
+"""Start a whole small fleet as separate processes on loopback addresses."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import Any
+
+import yaml
+from attrs import define, field, frozen
+
+__all__ = ["Answer", "Fleet", "FleetPlan", "call", "wait_until"]
+
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 30.0
+CHECK_INTERVAL_S = 0.05
+CALL_TIMEOUT_S = 15.0
+PLATFORM_PORT = 8500
+CALLERS_PORT = 8080
+PEERS_PORT = 7400
+OPERATORS_PORT = 9100
+BACKEND_PORT = 9001
+SECRET = "an example secret of a test fleet"
+
+
+@frozen(kw_only=True)
+class Answer:
+    """Hold an HTTP answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+@frozen(kw_only=True)
+class FleetPlan:
+    """Say how many processes to start and which rules to apply."""
+
+    network: str
+    proxies: int = 3
+    backends: int = 3
+    service: str = "ledger"
+    work_s: float = 0.01
+    rules: tuple[str, ...] = ()
+    address_lifetime: str = "1s"
+    proxy_options: dict[str, dict[str, Any]] = field(factory=dict)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Answer:
+    """Send one request on a new connection; raise OSError if it fails."""
+    ip, _, port = address.rpartition(":")
+    conn = HTTPConnection(ip, int(port), timeout=timeout_s)
+    try:
+        conn.request(method, path, body=body, headers=headers or {})
+        resp = conn.getresponse()
+        content = resp.read()
+    except HTTPException as exc:
+        raise OSError(f"{type(exc).__name__}: {exc}") from exc
+    finally:
+        conn.close()
+    fields = {name.lower(): val for name, val in resp.getheaders()}
+    return Answer(status=resp.status, headers=fields, body=content)
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Return once the condition holds; raise TimeoutError after a limit."""
+    pause = threading.Event()
+    end_s = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < end_s:
+        try:
+            if condition():
+                return
+        except (OSError, ValueError, KeyError):
+            pass
+        pause.wait(CHECK_INTERVAL_S)
+    raise TimeoutError(f"timed out waiting for {what}")
+
+
+@define(kw_only=True, eq=False)
+class Fleet:
+    """Own the processes of one fleet; use as a context manager."""
+
+    plan: FleetPlan
+    folder: Path
+    processes: dict[str, subprocess.Popen[bytes]] = field(factory=dict, init=False)
+
+    def __enter__(self) -> "Fleet":
+        """Start every process and wait until the rules are in force."""
+        try:
+            self._start_all()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Kill whatever still runs."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    @property
+    def platform(self) -> str:
+        """Return the platform's address."""
+        return f"{self.plan.network}.0.1:{PLATFORM_PORT}"
+
+    def callers(self, index: int) -> str:
+        """Return the callers' address of one proxy, counted from 0."""
+        return f"{self.plan.network}.1.{index + 1}:{CALLERS_PORT}"
+
+    def operators(self, index: int) -> str:
+        """Return the operators' address of one proxy."""
+        return f"{self.plan.network}.1.{index + 1}:{OPERATORS_PORT}"
+
+    def backend(self, index: int) -> str:
+        """Return the address of one backend server."""
+        return f"{self.plan.network}.2.{index + 1}:{BACKEND_PORT}"
+
+    def start_proxy(self, index: int) -> None:
+        """Start one proxy with its own settings file."""
+        path = self.folder / f"host-{index}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(index)))
+        (self.folder / "secret.txt").write_text(SECRET)
+        log_path = self.folder / f"host-{index}.log"
+        self._start(
+            f"proxy-{index}",
+            ["-m", "snipespring", "proxy", "--settings", str(path)],
+            log_path,
+        )
+
+    def start_backend(self, index: int) -> None:
+        """Start one backend server."""
+        arguments = ["-m", "standins.backend", "--listen", self.backend(index)]
+        arguments += ["--service", self.plan.service]
+        arguments += ["--work-s", str(self.plan.work_s)]
+        self._start(f"backend-{index}", arguments, self.folder / f"backend-{index}.log")
+
+    def signal(self, name: str, signum: int) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(signum)
+
+    def wait_exit(self, name: str) -> int:
+        """Wait for a process to end and return its exit code."""
+        return self.processes[name].wait(STOP_LIMIT_S)
+
+    def apply_rules(self, lines: tuple[str, ...]) -> int:
+        """Write rules through the command line; return its exit code."""
+        path = self.folder / "rules.txt"
+        path.write_text("\n".join(lines) + "\n")
+        return self.run_command(
+            "rules", "apply", str(path), "--platform", f"http://{self.platform}"
+        ).returncode
+
+    def run_command(self, *arguments: str) -> subprocess.CompletedProcess[bytes]:
+        """Run `snipespring` with arguments and return what it printed."""
+        command = [sys.executable, "-m", "snipespring", *arguments]
+        return subprocess.run(command, capture_output=True, check=False)
+
+    def status(self, index: int) -> Any:
+        """Return the status page of one proxy."""
+        return call(self.operators(index), "GET", "/status").json()
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Return the run logs of all backend servers that answer."""
+        logs: list[dict[str, Any]] = []
+        for index in range(self.plan.backends):
+            try:
+                logs += call(self.backend(index), "GET", "/-/runs").json()
+            except OSError:
+                continue
+        return logs
+
+    def set_fault(self, index: int, **fault: Any) -> None:
+        """Set the gray mode of one backend server."""
+        content = json.dumps(fault).encode()
+        call(self.backend(index), "POST", "/-/faults", body=content)
+
+    def set_platform(self, **fault: Any) -> None:
+        """Set the fault of the platform."""
+        content = json.dumps(fault).encode()
+        call(self.platform, "POST", "/control/faults", body=content)
+
+    def _start_all(self) -> None:
+        self._start(
+            "platform",
+            ["-m", "standins.platform", "--listen", self.platform],
+            self.folder / "platform.log",
+        )
+        for index in range(self.plan.backends):
+            self.start_backend(index)
+        self._wait_for_standins()
+        if self.apply_rules(self.plan.rules) != 0:
+            raise OSError("the rules of the plan were not accepted")
+        for index in range(self.plan.proxies):
+            self.start_proxy(index)
+        wait_until(self._all_ready, "every proxy to have its lease")
+
+    def _wait_for_standins(self) -> None:
+        wait_until(
+            lambda: call(self.platform, "GET", "/control/counts").status == 200,
+            "the platform",
+        )
+        for index in range(self.plan.backends):
+            address = self.backend(index)
+            wait_until(
+                lambda address=address: (  # type: ignore[misc]
+                    call(address, "GET", "/-/load").status == 200
+                ),
+                address,
+            )
+
+    def _all_ready(self) -> bool:
+        states = [self.status(index) for index in range(self.plan.proxies)]
+        return all(
+            state["lease"]["kind"] == "LeaseHeld"
+            and len(state["roster"]["hosts"]) == self.plan.proxies
+            for state in states
+        )
+
+    def _settings(self, index: int) -> dict[str, Any]:
+        ip = f"{self.plan.network}.1.{index + 1}"
+        settings: dict[str, Any] = {
+            "host": {
+                "id": f"host-{index}",
+                "domain": f"domain-{index % 3}",
+                "region": "region",
+            },
+            "listen": {
+                "callers": f"{ip}:{CALLERS_PORT}",
+                "peers": f"{ip}:{PEERS_PORT}",
+                "operators": f"{ip}:{OPERATORS_PORT}",
+            },
+            "platform": {"url": f"http://{self.platform}"},
+            "peers": {"secret_file": "secret.txt"},
+            "callers": {"address_lifetime": self.plan.address_lifetime},
+        }
+        for section, options in self.plan.proxy_options.items():
+            settings[section] = {**settings.get(section, {}), **options}
+        return settings
+
+    def _start(self, name: str, arguments: list[str], log_path: Path) -> None:
+        with log_path.open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=os.environ.copy(),
+            )
