Give limits, claims, health and fences their places on the path

Cause: four parts are to grow side by side; each needs a fixed place. Ruled out: plug-in classes with overriding, since behaviour varies by match. Change: records and regions for evidence, server states, admissions, claims and the fence; the forwarder asks the limiter and the claimant; a responder hands peers' messages on; regions split by topic; tests take a free loopback network. Conclusion: the parts can land one by one without touching each other.

--- a/snipespring/blackboard/regions.py
+++ b/snipespring/blackboard/regions/fleet.py
@@ -1,26 +1,21 @@
-"""List every region of a proxy's blackboard and the controller that writes it."""
+"""List the regions about the fleet: sightings, roster, statuses, lease, fence."""
 
-from ..records import (
+from ...records import (
     Configuration,
-    Counters,
-    Events,
+    Fence,
     HostStatus,
     HostStatuses,
     LeaseLapsed,
     LeaseState,
     PeerView,
     Roster,
-    ServerLoads,
-    Serving,
     Sighting,
-    StopState,
 )
-from .region import Region
+from ..region import Region
 
 __all__ = [
     "CONFIGURATION",
-    "COUNTERS",
-    "EVENTS",
+    "FENCE",
     "HOST_STATUSES",
     "LEASE",
     "OWN_STATUS",
@@ -28,8 +23,6 @@
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
     "ROSTER",
-    "SERVER_LOADS",
-    "STOP",
 ]
 
 PLATFORM_CONFIGURATION = Region[Sighting | None](
@@ -54,9 +47,4 @@
     writer="lease_keeper",
     initial=LeaseLapsed(reason="no confirmation since the start"),
 )
-SERVER_LOADS = Region[ServerLoads](
-    name="server_loads", writer="forwarder", initial=ServerLoads()
-)
-EVENTS = Region[Events](name="events", writer="historian", initial=Events())
-STOP = Region[StopState](name="stop", writer="stopper", initial=Serving())
-COUNTERS = Region[Counters](name="counters", writer="accountant", initial=Counters())
+FENCE = Region[Fence](name="fence", writer="fence_keeper", initial=Fence())
--- /dev/null
+++ b/snipespring/blackboard/regions/process.py
@@ -0,0 +1,10 @@
+"""List the regions about this process: events, counters and its stop."""
+
+from ...records import Counters, Events, Serving, StopState
+from ..region import Region
+
+__all__ = ["COUNTERS", "EVENTS", "STOP"]
+
+EVENTS = Region[Events](name="events", writer="historian", initial=Events())
+COUNTERS = Region[Counters](name="counters", writer="accountant", initial=Counters())
+STOP = Region[StopState](name="stop", writer="stopper", initial=Serving())
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,9 +11,15 @@
     RulesHeld,
     Unreachable,
 )
+from .claimant import (
+    Claimant,
+)
 from .configurator import (
     Configurator,
 )
+from .fence_keeper import (
+    FenceKeeper,
+)
 from .forwarder import (
     Forwarder,
 )
@@ -23,9 +29,15 @@
 from .lease_keeper import (
     LeaseKeeper,
 )
+from .limiter import (
+    Limiter,
+)
 from .puller import (
     Puller,
 )
+from .responder import (
+    Responder,
+)
 from .roster_keeper import (
     RosterKeeper,
 )
@@ -44,14 +56,18 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "Claimant",
     "Configurator",
     "Conflicted",
     "Controller",
+    "FenceKeeper",
     "Forwarder",
     "Historian",
     "LeaseKeeper",
+    "Limiter",
     "NothingHeld",
     "Puller",
+    "Responder",
     "RosterKeeper",
     "RulesHeld",
     "Runner",
--- /dev/null
+++ b/snipespring/controllers/fence_keeper.py
@@ -0,0 +1,40 @@
+"""Follow below which roster version every old lease has ended."""
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import FENCE, HOST_STATUSES, ROSTER
+from ..decisions.membership import advance_fence
+from ..records import HostId
+from ..utils import Clock
+
+__all__ = ["FenceKeeper"]
+
+CHECK_INTERVAL_S = 0.5
+
+
+@define(kw_only=True, eq=False)
+class FenceKeeper:
+    """Write the fence region."""
+
+    board: Board
+    clock: Clock
+    own: HostId
+    lease_s: float
+    drift_margin_s: float
+    name: str = "fence_keeper"
+    watches = (ROSTER,)
+
+    def step(self) -> float:
+        """Advance the fence; return seconds until the next check."""
+        fence = advance_fence(
+            self.board.read(FENCE),
+            own=self.own,
+            roster=self.board.read(ROSTER),
+            statuses=self.board.read(HOST_STATUSES),
+            lease_s=self.lease_s,
+            drift_margin_s=self.drift_margin_s,
+            now_s=self.clock.monotonic_s(),
+        )
+        self.board.write(FENCE, fence, writer=self.name)
+        return CHECK_INTERVAL_S
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -3,16 +3,17 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, LEASE, SERVER_LOADS
+from ..blackboard.regions import CONFIGURATION, EVIDENCE, LEASE, SERVER_LOADS
 from ..decisions.attempts import (
     Finish,
     TryAgain,
     attempt_timeout_s,
     decide_after_attempt,
 )
+from ..decisions.health import record_end, record_start
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
 from ..decisions.replies import refusal_reply, result_reply
 from ..decisions.routing import (
@@ -25,10 +26,14 @@
 from ..decisions.rules import find_route
 from ..frontends.backends import Transport
 from ..records import (
+    Admitted,
     AdmittedRequest,
     Answered,
     BackendRequest,
     BackendResult,
+    ClaimGranted,
+    ClaimRefused,
+    ClaimRepeated,
     Configuration,
     DomainName,
     KeyAccess,
@@ -37,6 +42,7 @@
     NotRun,
     OpenAccess,
     OrganisationName,
+    OverLimit,
     Reply,
     Request,
     RequestRefused,
@@ -45,10 +51,13 @@
     ServerLoads,
     ServiceRule,
     ShedByServer,
+    Unclaimed,
 )
 from ..utils import Clock
 from .accountant import Accountant
+from .claimant import Claimant
 from .historian import Historian
+from .limiter import Limiter
 
 __all__ = ["Forwarder"]
 
@@ -73,6 +82,8 @@
     transport: Transport
     historian: Historian
     accountant: Accountant
+    limiter: Limiter
+    claimant: Claimant
     domain: DomainName
     name: str = "forwarder"
 
@@ -96,7 +107,46 @@
                     organisation=organisation,
                     deadline_at_s=_deadline_at_s(cfg, route, request, started_s),
                 )
-                return self._forward(cfg, admitted, is_gone)
+                return self._admit(cfg, admitted, is_gone)
+
+    def _admit(
+        self, cfg: Configuration, admitted: AdmittedRequest, is_gone: Callable[[], bool]
+    ) -> Reply:
+        organisation = admitted.organisation
+        if organisation is None:
+            return self._claim(cfg, admitted, is_gone)
+        admission = self.limiter.admit(
+            organisation, deadline_at_s=admitted.deadline_at_s
+        )
+        match admission:
+            case Admitted():
+                return self._claim(cfg, admitted, is_gone)
+            case OverLimit() as over:
+                return self._refuse_over_limit(admitted, over)
+
+    def _claim(
+        self, cfg: Configuration, admitted: AdmittedRequest, is_gone: Callable[[], bool]
+    ) -> Reply:
+        claim = self.claimant.begin(admitted)
+        match claim:
+            case Unclaimed() | ClaimGranted():
+                reply = self._forward(cfg, admitted, is_gone)
+                self.claimant.finish(claim, reply)
+                return reply
+            case ClaimRepeated(reply=reply):
+                return evolve(reply, request_id=admitted.request.request_id)
+            case ClaimRefused(outcome=outcome, status=status):
+                reply = refusal_reply(
+                    admitted.request.request_id, outcome, status=status
+                )
+                return self._finish(admitted, reply)
+
+    def _refuse_over_limit(self, admitted: AdmittedRequest, over: OverLimit) -> Reply:
+        request = admitted.request
+        self.accountant.count("refusals", "limits")
+        self._record(request, admitted.organisation, over.reason, "limits")
+        outcome = NotRun(reason=over.reason, retry_after_s=over.retry_after_s)
+        return refusal_reply(request.request_id, outcome, status=429)
 
     def _lapsed_lease(self, route: RouteRule) -> LeaseLapsed | None:
         match route.access, self.board.read(LEASE):
@@ -173,8 +223,10 @@
                 last=count + 1 == MAX_ATTEMPTS,
             ),
         )
+        self._record_start(server, attempt.request_id)
         result = self.transport.send(server, attempt)
         self._release(server, result)
+        self._record_end(server, attempt.request_id, result)
         self.accountant.count("attempts", type(result).__name__)
         return _Tried(result=result, server=server)
 
@@ -191,6 +243,24 @@
             writer=self.name,
         )
 
+    def _record_start(self, server: ServerId, attempt_id: str) -> None:
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            EVIDENCE,
+            lambda held: record_start(held, server, attempt_id, now_s),
+            writer=self.name,
+        )
+
+    def _record_end(
+        self, server: ServerId, attempt_id: str, result: BackendResult
+    ) -> None:
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            EVIDENCE,
+            lambda held: record_end(held, server, attempt_id, result, now_s),
+            writer=self.name,
+        )
+
     def _has_time(self, admitted: AdmittedRequest) -> bool:
         return admitted.deadline_at_s - self.clock.monotonic_s() > MIN_ATTEMPT_S
 
--- a/snipespring/controllers/puller.py
+++ b/snipespring/controllers/puller.py
@@ -13,12 +13,12 @@
     PLATFORM_ROSTER,
     ROSTER,
 )
-from ..decisions.addresses import rank_hosts
 from ..decisions.membership import (
     age_sighting,
     age_statuses,
     merge_sightings,
     merge_status,
+    rank_hosts,
     receive_sighting,
     receive_statuses,
 )
@@ -27,11 +27,9 @@
     Host,
     HostStatuses,
     HostView,
-    Message,
     PeerView,
     Pull,
     PullReply,
-    Refused,
     Sighting,
     Versions,
 )
@@ -66,13 +64,9 @@
             fut.result()
         return self.interval_s
 
-    def answer(self, message: Message) -> Message:
-        """Answer a message from another host."""
-        match message:
-            case Pull(held=held):
-                return self._reply(held)
-            case PullReply() | Refused():
-                return Refused(reason="a reply came where a call was expected")
+    def answer(self, pull: Pull) -> PullReply:
+        """Answer another host's pull."""
+        return self._reply(pull.held)
 
     def _neighbours(self) -> list[Host]:
         hosts = self.board.read(ROSTER).hosts.values()
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -20,12 +20,16 @@
 )
 from ..controllers import (
     Accountant,
+    Claimant,
     Configurator,
     Controller,
+    FenceKeeper,
     Forwarder,
     Historian,
     LeaseKeeper,
+    Limiter,
     Puller,
+    Responder,
     RosterKeeper,
     Runner,
     StatusKeeper,
@@ -146,7 +150,15 @@
             own=own.host_id,
             lease_s=settings.peers.lease_s,
         ),
+        FenceKeeper(
+            board=board,
+            clock=clock,
+            own=own.host_id,
+            lease_s=settings.peers.lease_s,
+            drift_margin_s=settings.peers.drift_margin_s,
+        ),
     )
+    responder = Responder(puller=puller)
     forwarder = Forwarder(
         board=board,
         clock=clock,
@@ -154,6 +166,8 @@
         transport=HttpTransport(clock=clock),
         historian=historian,
         accountant=Accountant(board=board),
+        limiter=Limiter(board=board, clock=clock),
+        claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
     )
 
@@ -179,7 +193,7 @@
             max_body_bytes=OPERATOR_BODY_BYTES,
             connections=OPERATOR_CONNECTIONS,
         ),
-        peers=PeerServer(address=own.peers, secret=secret, answer=puller.answer),
+        peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
         links=links,
         roster_keeper=roster_keeper,
     )
--- a/snipespring/decisions/addresses.py
+++ b/snipespring/decisions/addresses.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
 from ..records import (
     AddressAnswer,
     DomainName,
@@ -12,21 +10,13 @@
     OfferedAddress,
     OrganisationName,
 )
+from .membership import rank_hosts
 
-__all__ = ["list_addresses", "rank_hosts"]
+__all__ = ["list_addresses"]
 
 OFFERED_HOSTS = 4
 
 
-def rank_hosts(hosts: Iterable[Host], name: str) -> list[Host]:
-    """Return the hosts in the order in which they serve the name."""
-
-    def weight(host: Host) -> int:
-        return xxhash.xxh3_64_intdigest(f"{name}\0{host.host_id}".encode())
-
-    return sorted(hosts, key=weight, reverse=True)
-
-
 def list_addresses(
     hosts: Iterable[Host],
     *,
--- a/snipespring/decisions/membership/__init__.py
+++ b/snipespring/decisions/membership/__init__.py
@@ -1,8 +1,15 @@
 """Decide what the hosts know of each other and of the platform."""
 
+from .fences import (
+    advance_fence,
+)
 from .leases import (
     decide_lease,
 )
+from .placement import (
+    holder_of,
+    rank_hosts,
+)
 from .sightings import (
     age_sighting,
     merge_sightings,
@@ -15,11 +22,14 @@
 )
 
 __all__ = [
+    "advance_fence",
     "age_sighting",
     "age_statuses",
     "decide_lease",
+    "holder_of",
     "merge_sightings",
     "merge_status",
+    "rank_hosts",
     "receive_sighting",
     "receive_statuses",
 ]
--- /dev/null
+++ b/snipespring/decisions/membership/placement.py
@@ -0,0 +1,24 @@
+"""Place roles on hosts by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from ...records import Host, Roster
+
+__all__ = ["holder_of", "rank_hosts"]
+
+
+def rank_hosts(hosts: Iterable[Host], name: str) -> list[Host]:
+    """Return the hosts in the order in which they serve the name."""
+
+    def weight(host: Host) -> int:
+        return xxhash.xxh3_64_intdigest(f"{name}\0{host.host_id}".encode())
+
+    return sorted(hosts, key=weight, reverse=True)
+
+
+def holder_of(roster: Roster, role: str) -> Host | None:
+    """Return the host that holds a role, or None for an empty roster."""
+    ranked = rank_hosts(roster.hosts.values(), role)
+    return ranked[0] if ranked else None
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -18,6 +18,13 @@
     ServerLoads,
     ShedByServer,
 )
+from .claims import (
+    ClaimGranted,
+    ClaimRefused,
+    ClaimRepeated,
+    ClaimResult,
+    Unclaimed,
+)
 from .events import (
     ConfigurationStep,
     Event,
@@ -29,6 +36,7 @@
     ServerStep,
 )
 from .fleet import (
+    Fence,
     HostStatus,
     HostStatuses,
     HostView,
@@ -36,10 +44,21 @@
     LeaseLapsed,
     LeaseState,
     PeerView,
+    PendingFence,
     Roster,
     Sighting,
     Versions,
 )
+from .health import (
+    Evidence,
+    ServerAvoided,
+    ServerEjected,
+    ServerEvidence,
+    ServerHealthy,
+    ServerOnTrial,
+    ServerState,
+    ServerStates,
+)
 from .identity import (
     Address,
     DomainName,
@@ -50,6 +69,11 @@
     ServerId,
     ServiceName,
 )
+from .limits import (
+    Admission,
+    Admitted,
+    OverLimit,
+)
 from .messages import (
     AgedSighting,
     AgedStatus,
@@ -115,6 +139,8 @@
     "Access",
     "Address",
     "AddressAnswer",
+    "Admission",
+    "Admitted",
     "AdmittedRequest",
     "AgedSighting",
     "AgedStatus",
@@ -124,6 +150,10 @@
     "Answered",
     "BackendRequest",
     "BackendResult",
+    "ClaimGranted",
+    "ClaimRefused",
+    "ClaimRepeated",
+    "ClaimResult",
     "Configuration",
     "ConfigurationStep",
     "ConnectFailed",
@@ -134,6 +164,8 @@
     "EjectionPreference",
     "Event",
     "Events",
+    "Evidence",
+    "Fence",
     "GrantMoved",
     "Header",
     "Host",
@@ -164,9 +196,11 @@
     "OrganisationName",
     "OrganisationRule",
     "Outcome",
+    "OverLimit",
     "PeerFailed",
     "PeerResult",
     "PeerView",
+    "PendingFence",
     "PlatformUnavailable",
     "Pull",
     "PullReply",
@@ -185,10 +219,17 @@
     "RunOnce",
     "RunPolicy",
     "SendBroken",
+    "ServerAvoided",
+    "ServerEjected",
+    "ServerEvidence",
+    "ServerHealthy",
     "ServerId",
     "ServerLoad",
     "ServerLoads",
+    "ServerOnTrial",
     "ServerRule",
+    "ServerState",
+    "ServerStates",
     "ServerStep",
     "ServiceName",
     "ServiceRule",
@@ -196,6 +237,7 @@
     "ShedByServer",
     "Sighting",
     "StopState",
+    "Unclaimed",
     "Unknown",
     "Versions",
     "WriteResult",
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -6,6 +6,7 @@
 from .identity import Host, HostId, Incarnation
 
 __all__ = [
+    "Fence",
     "HostStatus",
     "HostStatuses",
     "HostView",
@@ -13,6 +14,7 @@
     "LeaseLapsed",
     "LeaseState",
     "PeerView",
+    "PendingFence",
     "Roster",
     "Sighting",
     "Versions",
@@ -97,3 +99,23 @@
 
 
 LeaseState = LeaseHeld | LeaseLapsed
+
+
+@frozen(kw_only=True)
+class PendingFence:
+    """Hold a roster version that enough hosts reported at a local time."""
+
+    version: int
+    reported_at_s: float
+
+
+@frozen(kw_only=True)
+class Fence:
+    """Hold the roster version below which no host can still hold a lease.
+
+    A host that became a role's holder at this version or an earlier one may
+    begin; `pending` holds later versions whose waiting time runs.
+    """
+
+    version: int = 0
+    pending: tuple[PendingFence, ...] = ()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from pathlib import Path
 
-from .harness import Answer, Fleet, FleetPlan, call
+from .harness import Answer, Fleet, FleetPlan, call, free_network
 
 __all__ = ["main"]
 
@@ -18,11 +18,12 @@
 
 def main() -> int:
     """Run the demonstration; return 0 only if every step went as it should."""
+    network = free_network()
     digest = hashlib.sha256(KEY.encode()).hexdigest()
     rules = (
         "service ledger floor=60% deadline=1s  # Aoife, Gleannan",
         *(
-            f"server ledger 127.77.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
+            f"server ledger {network}.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
             for n in (1, 2, 3)
         ),
         "route GET /ledger service=ledger  # Aoife, Gleannan",
@@ -30,7 +31,7 @@
         "organisation valeters rate=500/s burst=500  # Aoife, for the valeters",
         f"key valeters sha256:{digest}  # Aoife, for the valeters",
     )
-    plan = FleetPlan(network="127.77", rules=rules)
+    plan = FleetPlan(network=network, rules=rules)
     with (
         tempfile.TemporaryDirectory() as folder,
         Fleet(plan=plan, folder=Path(folder)) as fleet,
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -15,7 +16,7 @@
 import yaml
 from attrs import define, field, frozen
 
-__all__ = ["Answer", "Fleet", "FleetPlan", "call", "wait_until"]
+__all__ = ["Answer", "Fleet", "FleetPlan", "call", "free_network", "wait_until"]
 
 START_LIMIT_S = 20.0
 STOP_LIMIT_S = 30.0
@@ -26,6 +27,8 @@
 PEERS_PORT = 7400
 OPERATORS_PORT = 9100
 BACKEND_PORT = 9001
+FIRST_NETWORK = 60
+NETWORKS = 180
 SECRET = "an example secret of a test fleet"
 
 
@@ -94,6 +97,19 @@
     raise TimeoutError(f"timed out waiting for {what}")
 
 
+def free_network() -> str:
+    """Return the first two numbers of a loopback network that nobody uses."""
+    for offset in range(NETWORKS):
+        network = f"127.{FIRST_NETWORK + (os.getpid() + offset) % NETWORKS}"
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"{network}.0.1", PLATFORM_PORT))
+            except OSError:
+                continue
+            return network
+    raise OSError("every loopback network is in use")
+
+
 @define(kw_only=True, eq=False)
 class Fleet:
     """Own the processes of one fleet; use as a context manager."""
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,13 +5,14 @@
 
 import pytest
 
-from standins.harness import Answer, Fleet, FleetPlan, call, wait_until
+from standins.harness import Answer, Fleet, FleetPlan, call, free_network, wait_until
 
+NETWORK = free_network()
 KEY = "the-test-key-of-valeters"
 RULES = (
     "service ledger floor=60% deadline=1s  # Aoife",
     *(
-        f"server ledger 127.78.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
+        f"server ledger {NETWORK}.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
         for n in (1, 2, 3)
     ),
     "route GET /ledger service=ledger  # Aoife",
@@ -25,7 +26,7 @@
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
     folder: Path = tmp_path_factory.mktemp("fleet")
-    plan = FleetPlan(network="127.78", rules=RULES, address_lifetime="300ms")
+    plan = FleetPlan(network=NETWORK, rules=RULES, address_lifetime="300ms")
     with Fleet(plan=plan, folder=folder) as running:
         yield running
 
