--- a/snipespring/cli/commands.py
+++ b/snipespring/cli/commands.py
@@ -132,7 +132,9 @@
     Exits 0 if any is found, 1 if none is.
     """
 
-    subject: Annotated[str, Arg(help="Server, organisation or request id")] = ""
+    subject: Annotated[
+        str | None, Arg(help="Server, organisation, host or request id")
+    ] = None
     operators: Annotated[str, Arg(long=True, help="Operators' address of a host")] = (
         DEFAULT_OPERATORS
     )
--- a/snipespring/cli/reads.py
+++ b/snipespring/cli/reads.py
@@ -75,7 +75,8 @@
             return _fail(reason)
         case Fetched(content=content):
             events = json.loads(content)
-            found = [event for event in events if command.subject in json.dumps(event)]
+            subject = command.subject or ""
+            found = [event for event in events if subject in json.dumps(event)]
             for event in found:
                 print(json.dumps(event) if command.json else _event_line(event))
             return SUCCESS if found else REFUSED
