Fence a roster only when no earlier one can be attested

Cause: a majority of the new roster said nothing about rosters several changes older, so a cut majority of an old roster kept its leases past the fence. Ruled out: majorities of the new and the last fenced roster; rosters between the two still attest themselves (scripted case fails). Change: the roster object keeps the changes since the last fenced version. A version counts when half of every earlier kept roster reports it, left after its work, or has a later incarnation on the same peer address. A host counts itself for its lease only by the incarnation in the roster; a stopping host gives up its lease before it leaves; statuses of another incarnation are ordered by time, not by the wall clock in the incarnation; a full list of pending fences keeps its oldest entries, so it always ripens.

--- a/snipespring/controllers/fence_keeper.py
+++ b/snipespring/controllers/fence_keeper.py
@@ -5,7 +5,7 @@
 from ..blackboard import Board
 from ..blackboard.regions import FENCE, HOST_STATUSES, ROSTER
 from ..decisions.membership import advance_fence
-from ..records import HostId
+from ..records import Host
 from ..utils import Clock
 
 __all__ = ["FenceKeeper"]
@@ -19,7 +19,7 @@
 
     board: Board
     clock: Clock
-    own: HostId
+    own: Host
     lease_s: float
     drift_margin_s: float
     name: str = "fence_keeper"
--- a/snipespring/controllers/lease_keeper.py
+++ b/snipespring/controllers/lease_keeper.py
@@ -11,9 +11,18 @@
     PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
     ROSTER,
+    STOP,
 )
 from ..decisions.membership import decide_lease, merge_sightings
-from ..records import HostId, LeaseHeld, LeaseLapsed, LeaseState, LeaseStep, Versions
+from ..records import (
+    Host,
+    LeaseHeld,
+    LeaseLapsed,
+    LeaseState,
+    LeaseStep,
+    Leaving,
+    Versions,
+)
 from ..utils import Clock
 from .historian import Historian
 
@@ -29,18 +38,30 @@
     board: Board
     clock: Clock
     historian: Historian
-    own: HostId
+    own: Host
     lease_s: float
     name: str = "lease_keeper"
-    watches = (PLATFORM_CONFIGURATION, PLATFORM_ROSTER, PEER_VIEW, CONFIGURATION)
+    watches = (PLATFORM_CONFIGURATION, PLATFORM_ROSTER, PEER_VIEW, CONFIGURATION, STOP)
 
     def step(self) -> float:
         """Decide the lease anew; return seconds until the next check."""
         board = self.board
+        state = self._decide()
+        self._record_change(board.read(LEASE), state)
+        board.write(LEASE, state, writer=self.name)
+        return CHECK_INTERVAL_S
+
+    def _decide(self) -> LeaseState:
+        board = self.board
+        match board.read(STOP):
+            case Leaving(finished=True):
+                return LeaseLapsed(reason="the host has finished its work")
+            case _:
+                pass
         view = board.read(PEER_VIEW)
         roster = board.read(ROSTER)
         cfg = board.read(CONFIGURATION)
-        state = decide_lease(
+        return decide_lease(
             own=self.own,
             in_force=Versions(configuration=cfg.version, roster=roster.version),
             configuration=merge_sightings(
@@ -52,9 +73,6 @@
             lease_s=self.lease_s,
             now_s=self.clock.monotonic_s(),
         )
-        self._record_change(board.read(LEASE), state)
-        board.write(LEASE, state, writer=self.name)
-        return CHECK_INTERVAL_S
 
     def _record_change(self, old: LeaseState, new: LeaseState) -> None:
         match old, new:
--- a/snipespring/controllers/roster_keeper.py
+++ b/snipespring/controllers/roster_keeper.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from random import Random
 
-from attrs import define, evolve
+from attrs import define
 
 from ..blackboard import Board
-from ..blackboard.regions import PEER_VIEW, PLATFORM_ROSTER, ROSTER, STOP
-from ..decisions.membership import merge_sightings
+from ..blackboard.regions import FENCE, PEER_VIEW, PLATFORM_ROSTER, ROSTER, STOP
+from ..decisions.membership import change_roster, compact_roster, merge_sightings
 from ..frontends.platform import (
     ROSTER_OBJECT,
     Platform,
@@ -85,7 +85,8 @@
                 return
         if roster is None:
             return
-        changed = change(roster)
+        fenced = self.board.read(FENCE).version
+        changed = change(compact_roster(roster, fenced=fenced))
         if changed.hosts == roster.hosts:
             return
         self.platform.write(
@@ -93,12 +94,12 @@
         )
 
     def _joined(self, roster: Roster) -> Roster:
-        return evolve(roster, hosts=roster.hosts.set(self.own.host_id, self.own))
+        return change_roster(roster, joined=(self.own,))
 
     def _left(self, roster: Roster) -> Roster:
         if roster.hosts.get(self.own.host_id) != self.own:
             return roster
-        return evolve(roster, hosts=roster.hosts.delete(self.own.host_id))
+        return change_roster(roster, left=(self.own.host_id,))
 
     def _record(self, evidence: str) -> None:
         event = HostStep(
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -72,6 +72,7 @@
     peers: PeerServer
     links: PeerLinks
     roster_keeper: RosterKeeper
+    lease_keeper: LeaseKeeper
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -89,8 +90,11 @@
         threading.Event().wait(lifetime_s)
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
-        self.roster_keeper.leave()
         self.callers.close()
+        finished = Leaving(until_s=until_s, finished=True)
+        self.board.write(STOP, finished, writer="stopper")
+        self.lease_keeper.step()
+        self.roster_keeper.leave()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -124,6 +128,13 @@
         historian=historian,
         own=own,
     )
+    lease_keeper = LeaseKeeper(
+        board=board,
+        clock=clock,
+        historian=historian,
+        own=own,
+        lease_s=settings.peers.lease_s,
+    )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -143,17 +154,11 @@
         roster_keeper,
         StatusKeeper(board=board, own=own),
         puller,
-        LeaseKeeper(
-            board=board,
-            clock=clock,
-            historian=historian,
-            own=own.host_id,
-            lease_s=settings.peers.lease_s,
-        ),
+        lease_keeper,
         FenceKeeper(
             board=board,
             clock=clock,
-            own=own.host_id,
+            own=own,
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
@@ -196,6 +201,7 @@
         peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
         links=links,
         roster_keeper=roster_keeper,
+        lease_keeper=lease_keeper,
     )
 
 
--- a/snipespring/decisions/membership/fences.py
+++ b/snipespring/decisions/membership/fences.py
@@ -1,18 +1,23 @@
 """Decide below which roster version every old lease has certainly ended."""
 
+from itertools import islice
+
 from attrs import evolve
+from immutables import Map
 
-from ...records import Fence, HostId, HostStatuses, PendingFence, Roster
+from ...records import Fence, Host, HostId, HostStatuses, PendingFence, Roster
+from .rosters import base_version, list_ended_incarnations, list_rosters
 
 __all__ = ["advance_fence"]
 
 MAX_PENDING = 16
+MAX_COUNTED_ROSTERS = 64
 
 
 def advance_fence(
     fence: Fence,
     *,
-    own: HostId,
+    own: Host,
     roster: Roster,
     statuses: HostStatuses,
     lease_s: float,
@@ -21,33 +26,62 @@
 ) -> Fence:
     """Return the fence after the statuses heard; its version only rises.
 
-    A version counts from the moment more than half of the roster reports it;
-    any other half that still attests an older one shares a host with these.
+    A version counts from the moment when half of each earlier roster that is
+    not fenced yet can no longer attest that earlier roster.
     """
-    reported = _majority_version(own, roster, statuses)
-    pending = fence.pending
-    newest = pending[-1].version if pending else fence.version
-    if reported > newest:
-        added = PendingFence(version=reported, reported_at_s=now_s)
-        pending = (*pending, added)[-MAX_PENDING:]
+    base = max(fence.version, base_version(roster))
+    settled = _settled_version(base, own, roster, statuses)
+    pending = tuple(entry for entry in fence.pending if entry.version > base)
+    newest = pending[-1].version if pending else base
+    if settled > newest and len(pending) < MAX_PENDING:
+        pending = (*pending, PendingFence(version=settled, reported_at_s=now_s))
     wait_s = lease_s + drift_margin_s
     ripe = [entry for entry in pending if entry.reported_at_s + wait_s <= now_s]
     if not ripe:
-        return evolve(fence, pending=pending)
-    version = max(fence.version, ripe[-1].version)
+        return evolve(fence, version=base, pending=pending)
+    version = ripe[-1].version
     left = tuple(entry for entry in pending if entry.version > version)
     return Fence(version=version, pending=left)
 
 
-def _majority_version(own: HostId, roster: Roster, statuses: HostStatuses) -> int:
-    versions = [roster.version]
-    for host_id, host in roster.hosts.items():
-        view = statuses.by_host.get(host_id)
-        if host_id == own or view is None:
-            continue
-        if view.status.incarnation == host.incarnation:
-            versions.append(view.status.versions.roster)
-    majority = len(roster.hosts) // 2 + 1
-    if len(versions) < majority:
-        return 0
-    return sorted(versions, reverse=True)[majority - 1]
+def _settled_version(
+    base: int, own: Host, roster: Roster, statuses: HostStatuses
+) -> int:
+    """Return the newest version that no attestation of an older roster survives."""
+    ended = list_ended_incarnations(roster)
+    reached = _reached_versions(own, roster, statuses)
+    bound = roster.version
+    settled = base
+    unfenced = (entry for entry in list_rosters(roster) if entry[0] >= base)
+    for version, hosts in islice(unfenced, MAX_COUNTED_ROSTERS):
+        if version > bound:
+            return settled
+        settled = version
+        bound = min(bound, _blocking_version(hosts, ended, reached, roster.version))
+    return settled
+
+
+def _blocking_version(
+    hosts: Map[HostId, Host],
+    ended: frozenset[tuple[HostId, str]],
+    reached: dict[tuple[HostId, str], int],
+    latest: int,
+) -> int:
+    """Return the highest version that half of the hosts have come to."""
+    versions = [
+        latest if ident in ended else reached.get(ident, 0)
+        for ident in ((host.host_id, host.incarnation) for host in hosts.values())
+    ]
+    half = (len(versions) + 1) // 2
+    return sorted(versions, reverse=True)[half - 1] if half else latest
+
+
+def _reached_versions(
+    own: Host, roster: Roster, statuses: HostStatuses
+) -> dict[tuple[HostId, str], int]:
+    reached: dict[tuple[HostId, str], int] = {
+        (host_id, view.status.incarnation): view.status.versions.roster
+        for host_id, view in statuses.by_host.items()
+    }
+    reached[own.host_id, own.incarnation] = roster.version
+    return reached
--- a/snipespring/decisions/membership/leases.py
+++ b/snipespring/decisions/membership/leases.py
@@ -1,7 +1,7 @@
 """Decide whether this host may serve keyed routes and spend shares."""
 
 from ...records import (
-    HostId,
+    Host,
     HostStatuses,
     LeaseHeld,
     LeaseLapsed,
@@ -16,7 +16,7 @@
 
 def decide_lease(
     *,
-    own: HostId,
+    own: Host,
     in_force: Versions,
     configuration: Sighting | None,
     roster_seen: Sighting | None,
@@ -28,7 +28,8 @@
     """Return the lease from the freshest of two grounds.
 
     The first is a sighting of both platform objects at the versions in force;
-    the second is more than half of the roster at no newer versions.
+    the second is more than half of the roster at no newer versions. This host
+    counts among these only with the incarnation that the roster names.
     """
     times = [
         _sighted_at_s(in_force, configuration, roster_seen),
@@ -56,18 +57,18 @@
 
 
 def _attested_at_s(
-    own: HostId,
+    own: Host,
     in_force: Versions,
     roster: Roster,
     statuses: HostStatuses,
     now_s: float,
 ) -> float | None:
-    if in_force.configuration == 0 or own not in roster.hosts:
+    if in_force.configuration == 0:
         return None
-    times_s = [now_s]
+    times_s = [now_s] if roster.hosts.get(own.host_id) == own else []
     for host_id, host in roster.hosts.items():
         view = statuses.by_host.get(host_id)
-        if host_id == own or view is None:
+        if host_id == own.host_id or view is None:
             continue
         if view.status.incarnation != host.incarnation:
             continue
--- a/snipespring/decisions/membership/statuses.py
+++ b/snipespring/decisions/membership/statuses.py
@@ -11,7 +11,7 @@
     """Return the statuses with a view taken in if it is newer than the one held."""
     host_id = view.status.host_id
     held = statuses.by_host.get(host_id)
-    if held is not None and _order(held) >= _order(view):
+    if held is not None and not _is_newer(view, held):
         return statuses
     return evolve(statuses, by_host=statuses.by_host.set(host_id, view))
 
@@ -36,5 +36,8 @@
     )
 
 
-def _order(view: HostView) -> tuple[str, int]:
-    return view.status.incarnation, view.status.sequence
+def _is_newer(view: HostView, held: HostView) -> bool:
+    if view.status.incarnation == held.status.incarnation:
+        return view.status.sequence > held.status.sequence
+    # The time decides, as wall clocks in incarnations may step back.
+    return view.as_of_s > held.as_of_s
--- /dev/null
+++ b/snipespring/decisions/membership/tests/test_fences.py
@@ -0,0 +1,287 @@
+from attrs import define
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from snipespring.records import PullReply
+
+from .fleet_model import ModelHost, ModelPlatform, make_host
+
+HOSTS = 6
+STARTED = 3
+ROUND_S = 0.5
+numbers = st.integers(0, HOSTS - 1)
+groups = st.sets(numbers, min_size=1)
+
+
+@define(kw_only=True)
+class Delayed:
+    puller: int
+    incarnation: str
+    sent_s: float
+    reply: PullReply
+
+
+class FleetMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 100.0
+        self.platform = ModelPlatform()
+        self.hosts: dict[int, ModelHost] = {}
+        self.started = 0
+        self.fenced = 0
+        self.delayed: list[Delayed] = []
+        self.side: set[int] = set()
+        self.cut: set[int] = set()
+
+    @initialize(rates=st.lists(st.floats(0.98, 1.02), min_size=HOSTS, max_size=HOSTS))
+    def start_some(self, rates: list[float]) -> None:
+        self.rates = rates
+        self.start(set(range(STARTED)))
+        self.run_for(10)
+
+    @rule(group=groups)
+    def start(self, group: set[int]) -> None:
+        """Start or restart hosts and let them join."""
+        for number in sorted(group):
+            self.started += 1
+            host = ModelHost(
+                own=make_host(number, self.started),
+                rate=self.rates[number],
+                offset_s=10.0 * self.started,
+            )
+            self.hosts[number] = host
+            if number not in self.cut:
+                host.see_platform(self.platform, self.now_s)
+                host.join(self.platform)
+
+    @rule(group=groups)
+    def kill(self, group: set[int]) -> None:
+        for number in group:
+            self.hosts.pop(number, None)
+
+    @rule(number=numbers)
+    def leave(self, number: int) -> None:
+        host = self.hosts.get(number)
+        held = self.platform.roster().hosts
+        if host is None or held.get(host.own.host_id) != host.own:
+            return
+        host.leave(self.platform)
+        del self.hosts[number]
+
+    @rule(group=groups)
+    def remove(self, group: set[int]) -> None:
+        """Remove hosts from the roster, dead or not."""
+        editors = [number for number in self.running() if number not in self.cut]
+        held = self.platform.roster().hosts
+        host_ids = tuple(
+            make_host(number).host_id
+            for number in sorted(group)
+            if make_host(number).host_id in held
+        )
+        if editors and host_ids:
+            self.hosts[editors[0]].remove(self.platform, host_ids)
+
+    @rule()
+    def remove_cut(self) -> None:
+        """Remove the hosts that are cut from the platform, as a fleet would."""
+        if self.cut:
+            self.remove(self.cut)
+
+    @rule(group=groups, count=st.integers(0, HOSTS), rounds=st.integers(8, 14))
+    def replace_cut(self, group: set[int], count: int, rounds: int) -> None:
+        """Cut a group off, start hosts in its place and remove it."""
+        self.split(group, cut_from_platform=True)
+        self.start_absent(count)
+        self.remove_cut()
+        self.run_for(rounds)
+
+    @rule(count=st.integers(1, HOSTS))
+    def start_absent(self, count: int) -> None:
+        """Start hosts that do not run and can reach the platform."""
+        absent = set(range(HOSTS)) - set(self.hosts) - self.cut
+        self.start(set(sorted(absent)[:count]))
+
+    @rule(group=st.sets(numbers, max_size=2))
+    def freeze(self, group: set[int]) -> None:
+        """Freeze these hosts and thaw all others."""
+        for number, host in self.hosts.items():
+            host.frozen = number in group
+
+    @rule(group=st.sets(numbers), cut_from_platform=st.booleans())
+    def split(self, group: set[int], cut_from_platform: bool) -> None:
+        """Cut a group of hosts from the others and perhaps from the platform."""
+        self.side = group
+        self.cut = set(group) if cut_from_platform else set()
+
+    @rule(rounds=st.integers(8, 14))
+    def run_past_a_lease(self, rounds: int) -> None:
+        self.run_for(rounds)
+
+    @rule(group=st.sets(numbers))
+    def cut_platform(self, group: set[int]) -> None:
+        self.cut = group
+
+    @rule(rounds=st.integers(1, 14), delay_s=st.sampled_from([0.0, 0.4]))
+    def run_for(self, rounds: int, delay_s: float = 0.0) -> None:
+        """Let every host work for rounds of half a second."""
+        for _ in range(rounds):
+            sent_s = self.now_s
+            self.advance(ROUND_S)
+            running = self.running()
+            for number in running:
+                if number not in self.cut:
+                    self.hosts[number].see_platform(self.platform, sent_s + delay_s)
+                self.hosts[number].step(self.now_s)
+            for puller in running:
+                self.pull_side(puller, sent_s + delay_s)
+            self.no_lease_outlives_a_fence()
+
+    def pull_side(self, puller: int, sent_s: float) -> None:
+        for peer in self.running():
+            if peer != puller and (peer in self.side) == (puller in self.side):
+                self.hosts[puller].take(self._ask(puller, peer), sent_s)
+        self.hosts[puller].step(self.now_s)
+
+    @rule(puller=numbers, peer=numbers, delay_s=st.floats(0.0, 3.0))
+    def send_pull(self, puller: int, peer: int, delay_s: float) -> None:
+        if {puller, peer} <= set(self.running()) and puller != peer:
+            sent_s = self.now_s
+            self.advance(delay_s)
+            self.delayed.append(
+                Delayed(
+                    puller=puller,
+                    incarnation=self.hosts[puller].own.incarnation,
+                    sent_s=sent_s,
+                    reply=self._ask(puller, peer),
+                )
+            )
+
+    @precondition(lambda self: self.delayed)
+    @rule(position=st.integers(0, 100), lost=st.booleans())
+    def deliver(self, position: int, lost: bool) -> None:
+        entry = self.delayed.pop(position % len(self.delayed))
+        host = self.hosts.get(entry.puller)
+        if lost or host is None or host.own.incarnation != entry.incarnation:
+            return
+        if not host.frozen:
+            host.take(entry.reply, entry.sent_s)
+            host.step(self.now_s)
+
+    @rule(delta_s=st.sampled_from([0.1, 1.0, 4.1, 4.5, 9.0]))
+    def advance(self, delta_s: float) -> None:
+        self.now_s += delta_s
+
+    @invariant()
+    def no_lease_outlives_a_fence(self) -> None:
+        fences = [host.fence.version for host in self.hosts.values()]
+        self.fenced = max([self.fenced, *fences])
+        for host in self.hosts.values():
+            if host.roster.version < self.fenced:
+                assert not host.holds_lease(self.now_s)
+
+    def running(self) -> list[int]:
+        return [number for number in sorted(self.hosts) if self.is_awake(number)]
+
+    def is_awake(self, number: int) -> bool:
+        return not self.hosts[number].frozen
+
+    def _ask(self, puller: int, peer: int) -> PullReply:
+        seen = self.hosts[puller].seen
+        held = seen.version if seen is not None else 0
+        return self.hosts[peer].reply(held, self.now_s)
+
+
+TestFleetMachine = FleetMachine.TestCase
+TestFleetMachine.settings = settings(max_examples=150, stateful_step_count=20)
+
+
+def started_machine(rate: float = 1.0) -> FleetMachine:
+    machine = FleetMachine()
+    machine.start_some(rates=[rate] * HOSTS)
+    return machine
+
+
+def test_cut_majority_of_the_old_roster_blocks_the_fence() -> None:
+    machine = started_machine()
+    machine.split(group={0, 1}, cut_from_platform=True)
+    machine.start({3, 4, 5})
+    machine.remove_cut()
+    machine.run_for(30)
+    assert machine.hosts[0].holds_lease(machine.now_s)
+    assert machine.hosts[2].fence.version < machine.platform.version
+    machine.split(group=set(), cut_from_platform=False)
+    machine.run_for(12)
+    assert machine.hosts[2].fence.version == machine.platform.version
+
+
+def test_hosts_of_a_roster_between_two_others_block_the_fence() -> None:
+    machine = started_machine()
+    machine.start({3, 4, 5})
+    machine.start({3, 4, 5})
+    machine.run_for(1)
+    machine.split(group={2, 3, 4, 5}, cut_from_platform=True)
+    machine.remove_cut()
+    machine.run_for(30)
+    assert machine.hosts[4].holds_lease(machine.now_s)
+
+
+def test_first_start_reaches_a_fence() -> None:
+    machine = started_machine()
+    assert {host.fence.version for host in machine.hosts.values()} == {3}
+
+
+def test_restart_of_every_host_reaches_a_fence() -> None:
+    machine = started_machine()
+    machine.kill({0, 1, 2})
+    machine.start({0, 1, 2})
+    machine.run_for(12)
+    assert {host.fence.version for host in machine.hosts.values()} == {6}
+
+
+def test_hosts_that_left_leave_no_lease_behind() -> None:
+    machine = started_machine()
+    machine.start({3, 4, 5})
+    for number in (0, 1, 2):
+        machine.leave(number)
+    machine.run_for(12)
+    assert {host.fence.version for host in machine.hosts.values()} == {9}
+
+
+def test_half_of_the_hosts_replaced_at_once_reaches_a_fence() -> None:
+    machine = started_machine()
+    machine.start({3})
+    machine.run_for(12)
+    machine.kill({0, 1})
+    machine.start({4, 5})
+    machine.remove({0, 1})
+    machine.run_for(12)
+    assert machine.hosts[4].fence.version == machine.platform.version
+
+
+def test_restart_with_the_platform_away_keeps_the_leases() -> None:
+    machine = started_machine()
+    machine.cut_platform(group=set(range(HOSTS)))
+    machine.run_for(20)
+    machine.start({0})
+    machine.run_for(4)
+    assert all(host.holds_lease(machine.now_s) for host in machine.hosts.values())
+
+
+def test_restarted_hosts_do_not_attest_for_their_earlier_incarnations() -> None:
+    machine = started_machine()
+    machine.split(group={2}, cut_from_platform=True)
+    machine.start({3})
+    machine.run_for(12)
+    assert machine.hosts[0].fence.version == machine.platform.version
+    machine.kill({0, 1})
+    machine.split(group={0, 1, 2}, cut_from_platform=True)
+    machine.start({0, 1})
+    machine.run_for(4)
+    assert not machine.hosts[2].holds_lease(machine.now_s)
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -46,6 +46,7 @@
     PeerView,
     PendingFence,
     Roster,
+    RosterChange,
     Sighting,
     Versions,
 )
@@ -212,6 +213,7 @@
     "Request",
     "RequestRefused",
     "Roster",
+    "RosterChange",
     "RouteRule",
     "Rule",
     "RunAsUpload",
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -16,6 +16,7 @@
     "PeerView",
     "PendingFence",
     "Roster",
+    "RosterChange",
     "Sighting",
     "Versions",
 ]
@@ -29,12 +30,31 @@
     roster: int = 0
 
 
+@frozen(kw_only=True)
+class RosterChange:
+    """Hold the step from the roster at version `before` to the next one.
+
+    A host is in `left` if it removed itself after it had finished its work.
+    """
+
+    before: int
+    joined: tuple[Host, ...] = ()
+    removed: tuple[HostId, ...] = ()
+    left: tuple[HostId, ...] = ()
+
+
 @frozen(kw_only=True)
 class Roster:
-    """List the hosts that hold shares of the fleet's work at one version."""
+    """List the hosts that hold shares of the fleet's work at one version.
+
+    `changes` lead from `base_hosts`, whose version some host has fenced, to
+    `hosts`; they are empty where the version itself is fenced.
+    """
 
     version: int = 0
     hosts: Map[HostId, Host] = Map()
+    base_hosts: Map[HostId, Host] = field(default=Map(), repr=False)
+    changes: tuple[RosterChange, ...] = field(default=(), repr=False)
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/stops.py
+++ b/snipespring/records/stops.py
@@ -14,10 +14,12 @@
 class Leaving:
     """State that the host is stopping and when it stops listening.
 
-    `until_s` is a reading of the monotonic clock.
+    `until_s` is a reading of the monotonic clock; a host that is `finished` has
+    no request left and gives up its lease.
     """
 
     until_s: float
+    finished: bool = False
 
 
 StopState = Serving | Leaving
