Remove silent hosts, choose watchers and spread the links

Cause: dead hosts stayed in the roster, every host watched the platform, and links were ranked without regard to domains. Change: one editor removes hosts whose observers agree; two watchers a domain, others take over late and with jitter; links over a ring and all domains; joins back off and wait for the configuration; the own status carries the time before its versions were read; seeds for hosts without a roster.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -3,6 +3,7 @@
 from .fleet import (
     CONFIGURATION,
     FENCE,
+    HEARD_HOSTS,
     HOST_STATUSES,
     LEASE,
     OWN_STATUS,
@@ -30,6 +31,7 @@
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HEARD_HOSTS",
     "HOST_STATUSES",
     "LEASE",
     "OWN_STATUS",
--- a/snipespring/blackboard/regions/fleet.py
+++ b/snipespring/blackboard/regions/fleet.py
@@ -3,8 +3,9 @@
 from ...records import (
     Configuration,
     Fence,
-    HostStatus,
+    HeardHosts,
     HostStatuses,
+    HostView,
     LeaseLapsed,
     LeaseState,
     PeerView,
@@ -16,6 +17,7 @@
 __all__ = [
     "CONFIGURATION",
     "FENCE",
+    "HEARD_HOSTS",
     "HOST_STATUSES",
     "LEASE",
     "OWN_STATUS",
@@ -32,12 +34,15 @@
     name="platform_roster", writer="roster_watcher", initial=None
 )
 PEER_VIEW = Region[PeerView](name="peer_view", writer="puller", initial=PeerView())
-OWN_STATUS = Region[HostStatus | None](
+OWN_STATUS = Region[HostView | None](
     name="own_status", writer="status_keeper", initial=None
 )
 HOST_STATUSES = Region[HostStatuses](
     name="host_statuses", writer="puller", initial=HostStatuses()
 )
+HEARD_HOSTS = Region[HeardHosts](
+    name="heard_hosts", writer="puller", initial=HeardHosts()
+)
 CONFIGURATION = Region[Configuration](
     name="configuration", writer="configurator", initial=Configuration()
 )
--- a/snipespring/controllers/puller.py
+++ b/snipespring/controllers/puller.py
@@ -2,10 +2,12 @@
 
 from concurrent.futures import ThreadPoolExecutor
 
-from attrs import define, field
+from attrs import define, evolve, field
+from immutables import Map
 
 from ..blackboard import Board
 from ..blackboard.regions import (
+    HEARD_HOSTS,
     HOST_STATUSES,
     OWN_STATUS,
     PEER_VIEW,
@@ -16,20 +18,26 @@
 from ..decisions.membership import (
     age_sighting,
     age_statuses,
+    choose_neighbours,
+    forget_statuses,
+    list_rosters,
     merge_sightings,
     merge_status,
-    rank_hosts,
     receive_sighting,
     receive_statuses,
 )
 from ..frontends.peers import PeerClient
 from ..records import (
+    Address,
+    AgedStatus,
+    HeardHosts,
     Host,
+    HostId,
     HostStatuses,
-    HostView,
     PeerView,
     Pull,
     PullReply,
+    Roster,
     Sighting,
     Versions,
 )
@@ -37,6 +45,8 @@
 
 __all__ = ["Puller"]
 
+FORGET_AFTER_S = 60.0
+
 
 @define(kw_only=True, eq=False)
 class Puller:
@@ -48,41 +58,66 @@
     own: Host
     fanout: int
     interval_s: float
+    seeds: tuple[Address, ...] = ()
     name: str = "puller"
     watches = ()
     _pool: ThreadPoolExecutor = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Make the threads that wait for peers."""
-        self._pool = ThreadPoolExecutor(self.fanout, thread_name_prefix="pull")
+        self._pool = ThreadPoolExecutor(
+            self.fanout + len(self.seeds), thread_name_prefix="pull"
+        )
 
     def step(self) -> float:
         """Pull from each neighbour once; return the interval in seconds."""
+        self._tidy()
         self._take_own_status()
-        futs = [self._pool.submit(self._pull, host) for host in self._neighbours()]
+        futs = [self._pool.submit(self._pull, address) for address in self._targets()]
         for fut in futs:
             fut.result()
         return self.interval_s
 
     def answer(self, pull: Pull) -> PullReply:
         """Answer another host's pull."""
+        self._mark_heard(pull.sender)
         return self._reply(pull.held)
 
-    def _neighbours(self) -> list[Host]:
-        hosts = self.board.read(ROSTER).hosts.values()
-        others = [host for host in hosts if host.host_id != self.own.host_id]
-        return rank_hosts(others, self.own.host_id)[: self.fanout]
+    def _targets(self) -> list[Address]:
+        roster = self.board.read(ROSTER)
+        neighbours = choose_neighbours(roster, self.own, self.fanout)
+        if neighbours:
+            return [host.peers for host in neighbours]
+        return [seed for seed in self.seeds if seed != self.own.peers]
+
+    def _tidy(self) -> None:
+        roster = self.board.read(ROSTER)
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            HEARD_HOSTS,
+            lambda heard: _list_hosts(heard, roster, now_s),
+            writer=self.name,
+        )
+        kept = frozenset(
+            host_id for _, hosts in list_rosters(roster) for host_id in hosts
+        )
+        self.board.update(
+            HOST_STATUSES,
+            lambda held: forget_statuses(held, kept, before_s=now_s - FORGET_AFTER_S),
+            writer=self.name,
+        )
 
-    def _pull(self, host: Host) -> None:
+    def _pull(self, address: Address) -> None:
         configuration, roster = self._sightings()
         held = Versions(configuration=_version(configuration), roster=_version(roster))
         pull = Pull(sender=self.own.host_id, held=held)
         sent_at_s = self.clock.monotonic_s()
-        reply = self.client.call(host.peers, pull, timeout_s=self.interval_s)
+        reply = self.client.call(address, pull, timeout_s=self.interval_s)
         match reply:
             case PullReply():
                 self._take_sightings(reply, sent_at_s)
-                self._take_statuses(reply, sent_at_s)
+                self._take_statuses(reply.statuses, sent_at_s)
+                self._mark_address_heard(address)
             case _:
                 return
 
@@ -100,17 +135,34 @@
 
         self.board.update(PEER_VIEW, take, writer=self.name)
 
-    def _take_statuses(self, reply: PullReply, sent_at_s: float) -> None:
+    def _take_statuses(self, aged: tuple[AgedStatus, ...], sent_at_s: float) -> None:
+        # What others say of this host itself is never news.
+        others = tuple(
+            entry for entry in aged if entry.status.host_id != self.own.host_id
+        )
+
         def take(statuses: HostStatuses) -> HostStatuses:
-            return receive_statuses(statuses, reply.statuses, sent_at_s=sent_at_s)
+            return receive_statuses(statuses, others, sent_at_s=sent_at_s)
 
         self.board.update(HOST_STATUSES, take, writer=self.name)
 
+    def _mark_address_heard(self, address: Address) -> None:
+        for host in self.board.read(ROSTER).hosts.values():
+            if host.peers == address:
+                self._mark_heard(host.host_id)
+
+    def _mark_heard(self, host_id: HostId) -> None:
+        now_s = self.clock.monotonic_s()
+
+        def mark(heard: HeardHosts) -> HeardHosts:
+            return evolve(heard, direct_at_s=heard.direct_at_s.set(host_id, now_s))
+
+        self.board.update(HEARD_HOSTS, mark, writer=self.name)
+
     def _take_own_status(self) -> None:
-        status = self.board.read(OWN_STATUS)
-        if status is None:
+        view = self.board.read(OWN_STATUS)
+        if view is None:
             return
-        view = HostView(status=status, as_of_s=self.clock.monotonic_s())
         self.board.update(
             HOST_STATUSES, lambda held: merge_status(held, view), writer=self.name
         )
@@ -137,3 +189,22 @@
 
 def _version(seen: Sighting | None) -> int:
     return seen.version if seen is not None else 0
+
+
+def _list_hosts(heard: HeardHosts, roster: Roster, now_s: float) -> HeardHosts:
+    """Note hosts that are new in the roster and forget those that are gone."""
+    listed = heard.listed_at_s
+    if listed.keys() == roster.hosts.keys():
+        return heard
+    return HeardHosts(
+        listed_at_s=Map(
+            {host_id: listed.get(host_id, now_s) for host_id in roster.hosts}
+        ),
+        direct_at_s=Map(
+            {
+                host_id: at_s
+                for host_id, at_s in heard.direct_at_s.items()
+                if host_id in roster.hosts
+            }
+        ),
+    )
--- a/snipespring/controllers/roster_keeper.py
+++ b/snipespring/controllers/roster_keeper.py
@@ -1,14 +1,32 @@
 """Keep this host in the platform's roster and follow the roster."""
 
+import threading
 from collections.abc import Callable
 from random import Random
 
-from attrs import define
+from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import FENCE, PEER_VIEW, PLATFORM_ROSTER, ROSTER, STOP
-from ..decisions.membership import change_roster, compact_roster, merge_sightings
+from ..blackboard.regions import (
+    FENCE,
+    HEARD_HOSTS,
+    HOST_STATUSES,
+    PEER_VIEW,
+    PLATFORM_CONFIGURATION,
+    PLATFORM_ROSTER,
+    ROSTER,
+    STOP,
+)
+from ..decisions.membership import (
+    SilenceLimits,
+    backoff_s,
+    change_roster,
+    compact_roster,
+    list_silent_hosts,
+    merge_sightings,
+)
 from ..frontends.platform import (
+    CONFIGURATION_OBJECT,
     ROSTER_OBJECT,
     Platform,
     decode_roster,
@@ -16,51 +34,119 @@
 )
 from ..records import (
     Host,
+    HostId,
     HostStep,
     Leaving,
     ObjectAbsent,
+    ObjectConflict,
     ObjectRead,
+    ObjectWritten,
+    PlatformUnavailable,
     Roster,
     Serving,
+    WriteUncertain,
 )
 from ..utils import Clock
+from .accountant import Accountant
 from .historian import Historian
 
 __all__ = ["RosterKeeper"]
 
-JOIN_RETRY_MIN_S = 0.05
-JOIN_RETRY_MAX_S = 0.5
+CHECK_INTERVAL_S = 1.0
+JOIN_BACKOFF_MAX_S = 10.0
+LEAVE_TRIES = 8
+LEAVE_BACKOFF_MAX_S = 0.5
 
 
 @define(kw_only=True, eq=False)
 class RosterKeeper:
-    """Write the roster region; enter this host at start and remove it at stop."""
+    """Write the roster region; enter, leave and remove silent hosts."""
 
     board: Board
     clock: Clock
     rng: Random
     platform: Platform
+    accountant: Accountant
     historian: Historian
     own: Host
+    fanout: int
+    limits: SilenceLimits = SilenceLimits()
     name: str = "roster_keeper"
     watches = (PLATFORM_ROSTER, PEER_VIEW, STOP)
+    _failures: int = field(default=0, init=False)
+    _next_join_s: float = field(default=0.0, init=False)
 
     def step(self) -> float | None:
-        """Follow the newest roster, then join it if this incarnation is absent."""
+        """Follow the newest roster, then join it or edit it."""
         self._follow()
-        roster = self.board.read(ROSTER)
         match self.board.read(STOP):
             case Leaving():
                 return None
+            case Serving() if self._is_listed():
+                self._failures = 0
+                self._remove_silent()
+                return CHECK_INTERVAL_S
             case Serving():
-                if roster.hosts.get(self.own.host_id) == self.own:
-                    return None
-                self._change(self._joined)
-                return self.rng.uniform(JOIN_RETRY_MIN_S, JOIN_RETRY_MAX_S)
+                return self._join()
 
     def leave(self) -> None:
-        """Remove this host from the roster; one try, others remove it later."""
-        self._change(self._left)
+        """Remove this host from the roster; where that fails, others do so later."""
+        pause = threading.Event()
+        for tries in range(LEAVE_TRIES):
+            if self._change(self._left):
+                return
+            max_s = LEAVE_BACKOFF_MAX_S
+            pause.wait(backoff_s(tries, max_s=max_s, rng=self.rng))
+
+    def _is_listed(self) -> bool:
+        return self.board.read(ROSTER).hosts.get(self.own.host_id) == self.own
+
+    def _join(self) -> float:
+        """Try to join unless a failed try is too recent; return the pause."""
+        left_s = self._next_join_s - self.clock.monotonic_s()
+        if left_s > 0:
+            return left_s
+        joined = self._knows_configuration() and self._change(self._joined)
+        self._failures = 0 if joined else self._failures + 1
+        # A host that has joined waits for the roster to show it.
+        pause_s = CHECK_INTERVAL_S if joined else self._backoff_s()
+        self._next_join_s = self.clock.monotonic_s() + pause_s
+        return pause_s
+
+    def _backoff_s(self) -> float:
+        return backoff_s(self._failures, max_s=JOIN_BACKOFF_MAX_S, rng=self.rng)
+
+    def _knows_configuration(self) -> bool:
+        """Return whether this host has seen what the platform holds now.
+
+        Before that it must not join, or its reports would attest too little.
+        """
+        self.accountant.count("platform_calls", "read")
+        seen = merge_sightings(
+            self.board.read(PLATFORM_CONFIGURATION),
+            self.board.read(PEER_VIEW).configuration,
+        )
+        match self.platform.read(CONFIGURATION_OBJECT):
+            case ObjectAbsent():
+                return True
+            case ObjectRead(version=version):
+                return seen is not None and seen.version >= version
+            case _:
+                return False
+
+    def _remove_silent(self) -> None:
+        silent = list_silent_hosts(
+            own=self.own,
+            roster=self.board.read(ROSTER),
+            statuses=self.board.read(HOST_STATUSES),
+            heard=self.board.read(HEARD_HOSTS),
+            fanout=self.fanout,
+            limits=self.limits,
+            now_s=self.clock.monotonic_s(),
+        )
+        if silent and self._change(lambda roster: self._without(roster, silent)):
+            for host_id in silent:
+                self._record(f"removed {host_id}: silent")
 
     def _follow(self) -> None:
         seen = merge_sightings(
@@ -71,27 +157,40 @@
             return
         roster = decode_roster(seen.content, version=seen.version)
         if roster is None:
+            self.accountant.count("malformed", "roster")
             return
         self.board.write(ROSTER, roster, writer=self.name)
         self._record(f"roster {roster.version} has {len(roster.hosts)} hosts")
 
-    def _change(self, change: Callable[[Roster], Roster]) -> None:
-        match self.platform.read(ROSTER_OBJECT):
-            case ObjectRead(version=version, content=content):
-                roster = decode_roster(content, version=version)
-            case ObjectAbsent():
-                roster = Roster()
-            case _:
-                return
+    def _change(self, change: Callable[[Roster], Roster]) -> bool:
+        """Write a changed roster; return whether the platform holds the change."""
+        roster = self._read_roster()
         if roster is None:
-            return
+            return False
         fenced = self.board.read(FENCE).version
         changed = change(compact_roster(roster, fenced=fenced))
         if changed.hosts == roster.hosts:
-            return
-        self.platform.write(
+            return True
+        self.accountant.count("platform_calls", "write")
+        result = self.platform.write(
             ROSTER_OBJECT, encode_roster(changed), expected=roster.version
         )
+        match result:
+            case ObjectWritten():
+                return True
+            case ObjectConflict() | PlatformUnavailable() | WriteUncertain():
+                # The next try reads again and so settles a lost answer.
+                return False
+
+    def _read_roster(self) -> Roster | None:
+        self.accountant.count("platform_calls", "read")
+        match self.platform.read(ROSTER_OBJECT):
+            case ObjectRead(version=version, content=content):
+                return decode_roster(content, version=version)
+            case ObjectAbsent():
+                return Roster()
+            case _:
+                return None
 
     def _joined(self, roster: Roster) -> Roster:
         return change_roster(roster, joined=(self.own,))
@@ -101,6 +200,17 @@
             return roster
         return change_roster(roster, left=(self.own.host_id,))
 
+    def _without(self, roster: Roster, silent: tuple[HostId, ...]) -> Roster:
+        # A host that joined anew since this host's roster is no longer silent.
+        known = self.board.read(ROSTER).hosts
+        removed = tuple(
+            host_id
+            for host_id in silent
+            if host_id in roster.hosts
+            and roster.hosts.get(host_id) == known.get(host_id)
+        )
+        return change_roster(roster, removed=removed) if removed else roster
+
     def _record(self, evidence: str) -> None:
         event = HostStep(
             at_wall_s=self.clock.wall_s(), host_id=self.own.host_id, evidence=evidence
--- a/snipespring/controllers/status_keeper.py
+++ b/snipespring/controllers/status_keeper.py
@@ -3,8 +3,10 @@
 from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, OWN_STATUS, ROSTER, STOP
-from ..records import Host, HostStatus, Leaving, StopState, Versions
+from ..blackboard.regions import CONFIGURATION, HEARD_HOSTS, OWN_STATUS, ROSTER, STOP
+from ..decisions.membership import SilenceLimits, list_unheard_hosts
+from ..records import Host, HostId, HostStatus, HostView, Leaving, StopState, Versions
+from ..utils import Clock
 
 __all__ = ["StatusKeeper"]
 
@@ -16,7 +18,9 @@
     """Write this host's status with a sequence that rises each round."""
 
     board: Board
+    clock: Clock
     own: Host
+    limits: SilenceLimits = SilenceLimits()
     name: str = "status_keeper"
     watches = (CONFIGURATION, ROSTER, STOP)
     _sequence: int = field(default=0, init=False)
@@ -24,6 +28,8 @@
     def step(self) -> float:
         """Write the status; return seconds until the next report."""
         self._sequence += 1
+        # The time is read before the versions, which may rise meanwhile.
+        as_of_s = self.clock.monotonic_s()
         versions = Versions(
             configuration=self.board.read(CONFIGURATION).version,
             roster=self.board.read(ROSTER).version,
@@ -34,10 +40,20 @@
             sequence=self._sequence,
             versions=versions,
             leaving=_is_leaving(self.board.read(STOP)),
+            unheard=self._unheard(),
         )
-        self.board.write(OWN_STATUS, status, writer=self.name)
+        view = HostView(status=status, as_of_s=as_of_s)
+        self.board.write(OWN_STATUS, view, writer=self.name)
         return REPORT_INTERVAL_S
 
+    def _unheard(self) -> tuple[HostId, ...]:
+        return list_unheard_hosts(
+            self.board.read(HEARD_HOSTS),
+            self.board.read(ROSTER),
+            silence_s=self.limits.silence_s,
+            now_s=self.clock.monotonic_s(),
+        )
+
 
 def _is_leaving(stop: StopState) -> bool:
     return isinstance(stop, Leaving)
--- a/snipespring/controllers/watcher.py
+++ b/snipespring/controllers/watcher.py
@@ -1,10 +1,15 @@
-"""Watch one object of the platform."""
+"""Watch one object of the platform where this host is a watcher."""
 
-from attrs import define, evolve
+from random import Random
+
+from attrs import define, evolve, field
 
 from ..blackboard import Board, Region
-from ..frontends.platform import Platform
+from ..blackboard.regions import PEER_VIEW, ROSTER
+from ..decisions.membership import Relay, Watch, backoff_s, decide_watch
+from ..frontends.platform import CONFIGURATION_OBJECT, Platform
 from ..records import (
+    Host,
     ObjectAbsent,
     ObjectRead,
     ObjectUnchanged,
@@ -13,11 +18,11 @@
     Sighting,
 )
 from ..utils import Clock
+from .accountant import Accountant
 
 __all__ = ["Watcher"]
 
-WATCH_WAIT_S = 1.0
-RETRY_DELAY_S = 0.5
+WATCH_WAIT_S = 0.5
 
 
 @define(kw_only=True, eq=False)
@@ -26,9 +31,13 @@
 
     board: Board
     clock: Clock
+    rng: Random
     platform: Platform
+    accountant: Accountant
+    own: Host
     object_name: str
     region: Region[Sighting | None]
+    _failures: int = field(default=0, init=False)
 
     @property
     def name(self) -> str:
@@ -41,19 +50,39 @@
         return ()
 
     def step(self) -> float:
-        """Wait for a newer version once; return the pause in seconds."""
+        """Wait for a newer version if on duty; return the pause in seconds."""
+        duty = decide_watch(
+            own=self.own,
+            roster=self.board.read(ROSTER),
+            relayed=self._relayed(),
+            now_s=self.clock.monotonic_s(),
+            rng=self.rng,
+        )
+        match duty:
+            case Relay(pause_s=pause_s):
+                return pause_s
+            case Watch(max_backoff_s=max_s):
+                return self._watch(max_s)
+
+    def _watch(self, max_backoff_s: float) -> float:
         held = self.board.read(self.region)
         sent_at_s = self.clock.monotonic_s()
-        result = self._call(held)
+        after = held.version if held is not None else -1
+        result = self.platform.watch(self.object_name, after=after, wait_s=WATCH_WAIT_S)
+        self.accountant.count("platform_calls", "watch")
         seen = _see(result, held, sent_at_s)
         if seen is None:
-            return RETRY_DELAY_S
+            self._failures += 1
+            return backoff_s(self._failures, max_s=max_backoff_s, rng=self.rng)
+        self._failures = 0
         self.board.write(self.region, seen, writer=self.name)
         return 0.0
 
-    def _call(self, held: Sighting | None) -> ReadResult:
-        after = held.version if held is not None else -1
-        return self.platform.watch(self.object_name, after=after, wait_s=WATCH_WAIT_S)
+    def _relayed(self) -> Sighting | None:
+        view = self.board.read(PEER_VIEW)
+        if self.object_name == CONFIGURATION_OBJECT:
+            return view.configuration
+        return view.roster
 
 
 def _see(
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -112,6 +112,7 @@
     )
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
+    accountant = Accountant(board=board)
     puller = Puller(
         board=board,
         clock=clock,
@@ -119,14 +120,17 @@
         own=own,
         fanout=settings.peers.fanout,
         interval_s=settings.peers.pull_interval_s,
+        seeds=settings.peers.seeds,
     )
     roster_keeper = RosterKeeper(
         board=board,
         clock=clock,
         rng=rng,
         platform=platform,
+        accountant=accountant,
         historian=historian,
         own=own,
+        fanout=settings.peers.fanout,
     )
     lease_keeper = LeaseKeeper(
         board=board,
@@ -139,20 +143,26 @@
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=CONFIGURATION_OBJECT,
             region=PLATFORM_CONFIGURATION,
         ),
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=ROSTER_OBJECT,
             region=PLATFORM_ROSTER,
         ),
         Configurator(board=board, clock=clock, historian=historian),
         roster_keeper,
-        StatusKeeper(board=board, own=own),
+        StatusKeeper(board=board, clock=clock, own=own),
         puller,
         lease_keeper,
         FenceKeeper(
@@ -170,7 +180,7 @@
         rng=rng,
         transport=HttpTransport(clock=clock),
         historian=historian,
-        accountant=Accountant(board=board),
+        accountant=accountant,
         limiter=Limiter(board=board, clock=clock),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
--- a/snipespring/decisions/membership/__init__.py
+++ b/snipespring/decisions/membership/__init__.py
@@ -6,6 +6,9 @@
 from .leases import (
     decide_lease,
 )
+from .neighbours import (
+    choose_neighbours,
+)
 from .placement import (
     holder_of,
     rank_hosts,
@@ -23,23 +26,46 @@
     merge_sightings,
     receive_sighting,
 )
+from .silence import (
+    SilenceLimits,
+    list_silent_hosts,
+    list_unheard_hosts,
+)
 from .statuses import (
     age_statuses,
+    forget_statuses,
     merge_status,
     receive_statuses,
 )
+from .watching import (
+    Relay,
+    Watch,
+    WatchDuty,
+    backoff_s,
+    decide_watch,
+)
 
 __all__ = [
+    "Relay",
+    "SilenceLimits",
+    "Watch",
+    "WatchDuty",
     "advance_fence",
     "age_sighting",
     "age_statuses",
+    "backoff_s",
     "base_version",
     "change_roster",
+    "choose_neighbours",
     "compact_roster",
     "decide_lease",
+    "decide_watch",
+    "forget_statuses",
     "holder_of",
     "list_ended_incarnations",
     "list_rosters",
+    "list_silent_hosts",
+    "list_unheard_hosts",
     "merge_sightings",
     "merge_status",
     "rank_hosts",
--- a/snipespring/decisions/membership/statuses.py
+++ b/snipespring/decisions/membership/statuses.py
@@ -2,9 +2,9 @@
 
 from attrs import evolve
 
-from ...records import AgedStatus, HostStatuses, HostView
+from ...records import AgedStatus, HostId, HostStatuses, HostView
 
-__all__ = ["age_statuses", "merge_status", "receive_statuses"]
+__all__ = ["age_statuses", "forget_statuses", "merge_status", "receive_statuses"]
 
 
 def merge_status(statuses: HostStatuses, view: HostView) -> HostStatuses:
@@ -36,6 +36,19 @@
     )
 
 
+def forget_statuses(
+    statuses: HostStatuses, kept: frozenset[HostId], *, before_s: float
+) -> HostStatuses:
+    """Return the statuses without old ones of hosts that are not kept."""
+    by_host = statuses.by_host
+    for host_id, view in statuses.by_host.items():
+        if host_id not in kept and view.as_of_s < before_s:
+            by_host = by_host.delete(host_id)
+    if by_host is statuses.by_host:
+        return statuses
+    return evolve(statuses, by_host=by_host)
+
+
 def _is_newer(view: HostView, held: HostView) -> bool:
     if view.status.incarnation == held.status.incarnation:
         return view.status.sequence > held.status.sequence
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -37,6 +37,7 @@
 )
 from .fleet import (
     Fence,
+    HeardHosts,
     HostStatus,
     HostStatuses,
     HostView,
@@ -169,6 +170,7 @@
     "Fence",
     "GrantMoved",
     "Header",
+    "HeardHosts",
     "Host",
     "HostId",
     "HostStatus",
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Fence",
+    "HeardHosts",
     "HostStatus",
     "HostStatuses",
     "HostView",
@@ -80,13 +81,18 @@
 
 @frozen(kw_only=True)
 class HostStatus:
-    """State what one host reports of itself; `sequence` rises per incarnation."""
+    """State what one host reports of itself; `sequence` rises per incarnation.
+
+    `unheard` names hosts that this one exchanged messages with and that have
+    fallen silent towards it.
+    """
 
     host_id: HostId
     incarnation: Incarnation
     sequence: int
     versions: Versions
     leaving: bool = False
+    unheard: tuple[HostId, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -104,6 +110,18 @@
     by_host: Map[HostId, HostView] = Map()
 
 
+@frozen(kw_only=True)
+class HeardHosts:
+    """Hold local times at which hosts of the roster were met.
+
+    `listed_at_s` is when the roster first showed a host, `direct_at_s` when a
+    message last came from it over a link of this host.
+    """
+
+    listed_at_s: Map[HostId, float] = Map()
+    direct_at_s: Map[HostId, float] = Map()
+
+
 @frozen(kw_only=True)
 class LeaseHeld:
     """Allow this host to serve keyed routes and spend shares until a local time."""
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -13,6 +13,7 @@
 from ..records import Address
 from .document import Document, FieldPath, read_document
 from .records import (
+    AddressList,
     ByteCount,
     Count,
     HttpUrl,
@@ -27,6 +28,7 @@
 from .values import (
     SecretFields,
     read_address,
+    read_address_list,
     read_byte_count,
     read_count,
     read_log_level,
@@ -43,6 +45,7 @@
 _READERS: tuple[tuple[Any, Callable[[Any], object]], ...] = (
     (str, read_text),
     (Address, read_address),
+    (AddressList, read_address_list),
     (Seconds, read_seconds),
     (ByteCount, read_byte_count),
     (Count, read_count),
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -7,6 +7,7 @@
 from ..records import Address, DomainName, HostId
 
 __all__ = [
+    "AddressList",
     "ByteCount",
     "CallerSettings",
     "Count",
@@ -32,6 +33,8 @@
 HttpUrl = NewType("HttpUrl", str)
 LogLevel = NewType("LogLevel", str)
 
+AddressList = NewType("AddressList", tuple[Address, ...])
+
 MEBIBYTE_BYTES = 1024 * 1024
 
 
@@ -87,6 +90,7 @@
     pull_interval_s: Seconds = Seconds(0.5)
     lease_s: Seconds = Seconds(4.0)
     drift_margin_s: Seconds = Seconds(0.4)
+    seeds: AddressList = AddressList(())
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/values.py
+++ b/snipespring/settings/values.py
@@ -14,6 +14,7 @@
 from ..exception import SettingsError
 from ..records import Address
 from .records import (
+    AddressList,
     ByteCount,
     Count,
     HttpUrl,
@@ -27,6 +28,7 @@
 __all__ = [
     "SecretFields",
     "read_address",
+    "read_address_list",
     "read_byte_count",
     "read_count",
     "read_log_level",
@@ -99,6 +101,13 @@
     return address
 
 
+def read_address_list(raw: object) -> AddressList:
+    """Read a list of addresses."""
+    if not isinstance(raw, list):
+        raise SettingsError(f"expected a list of IP:PORT, got {raw!r}")
+    return AddressList(tuple(read_address(item) for item in raw))
+
+
 def read_url(raw: object) -> HttpUrl:
     """Read an HTTP URL with a host."""
     expected = f"expected a URL such as http://127.0.0.1:8500, got {raw!r}"
