--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import uuid
+from functools import partial
 from random import Random
 from types import FrameType
 
@@ -72,6 +73,7 @@
     peers: PeerServer
     links: PeerLinks
     roster_keeper: RosterKeeper
+    lease_keeper: LeaseKeeper
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -89,8 +91,11 @@
         threading.Event().wait(lifetime_s)
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
-        self.roster_keeper.leave()
         self.callers.close()
+        finished = Leaving(until_s=until_s, finished=True)
+        self.board.write(STOP, finished, writer="stopper")
+        self.lease_keeper.step()
+        self.roster_keeper.leave()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -108,6 +113,7 @@
     )
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
+    accountant = Accountant(board=board)
     puller = Puller(
         board=board,
         clock=clock,
@@ -115,45 +121,55 @@
         own=own,
         fanout=settings.peers.fanout,
         interval_s=settings.peers.pull_interval_s,
+        seeds=settings.peers.seeds,
     )
     roster_keeper = RosterKeeper(
         board=board,
         clock=clock,
         rng=rng,
         platform=platform,
+        accountant=accountant,
         historian=historian,
         own=own,
+        fanout=settings.peers.fanout,
+    )
+    lease_keeper = LeaseKeeper(
+        board=board,
+        clock=clock,
+        historian=historian,
+        own=own,
+        lease_s=settings.peers.lease_s,
     )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=CONFIGURATION_OBJECT,
             region=PLATFORM_CONFIGURATION,
         ),
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=ROSTER_OBJECT,
             region=PLATFORM_ROSTER,
         ),
         Configurator(board=board, clock=clock, historian=historian),
         roster_keeper,
-        StatusKeeper(board=board, own=own),
+        StatusKeeper(board=board, clock=clock, own=own),
         puller,
-        LeaseKeeper(
-            board=board,
-            clock=clock,
-            historian=historian,
-            own=own.host_id,
-            lease_s=settings.peers.lease_s,
-        ),
+        lease_keeper,
         FenceKeeper(
             board=board,
             clock=clock,
-            own=own.host_id,
+            own=own,
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
@@ -165,7 +181,7 @@
         rng=rng,
         transport=HttpTransport(clock=clock),
         historian=historian,
-        accountant=Accountant(board=board),
+        accountant=accountant,
         limiter=Limiter(board=board, clock=clock),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
@@ -193,9 +209,15 @@
             max_body_bytes=OPERATOR_BODY_BYTES,
             connections=OPERATOR_CONNECTIONS,
         ),
-        peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
+        peers=PeerServer(
+            address=own.peers,
+            secret=secret,
+            answer=responder.answer,
+            count_refused=partial(accountant.count, "peer_frames_refused"),
+        ),
         links=links,
         roster_keeper=roster_keeper,
+        lease_keeper=lease_keeper,
     )
 
 
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -37,6 +37,7 @@
 )
 from .fleet import (
     Fence,
+    HeardHosts,
     HostStatus,
     HostStatuses,
     HostView,
@@ -46,6 +47,7 @@
     PeerView,
     PendingFence,
     Roster,
+    RosterChange,
     Sighting,
     Versions,
 )
@@ -168,6 +170,7 @@
     "Fence",
     "GrantMoved",
     "Header",
+    "HeardHosts",
     "Host",
     "HostId",
     "HostStatus",
@@ -212,6 +215,7 @@
     "Request",
     "RequestRefused",
     "Roster",
+    "RosterChange",
     "RouteRule",
     "Rule",
     "RunAsUpload",
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "Fence",
+    "HeardHosts",
     "HostStatus",
     "HostStatuses",
     "HostView",
@@ -16,6 +17,7 @@
     "PeerView",
     "PendingFence",
     "Roster",
+    "RosterChange",
     "Sighting",
     "Versions",
 ]
@@ -29,12 +31,31 @@
     roster: int = 0
 
 
+@frozen(kw_only=True)
+class RosterChange:
+    """Hold the step from the roster at version `before` to the next one.
+
+    A host is in `left` if it removed itself after it had finished its work.
+    """
+
+    before: int
+    joined: tuple[Host, ...] = ()
+    removed: tuple[HostId, ...] = ()
+    left: tuple[HostId, ...] = ()
+
+
 @frozen(kw_only=True)
 class Roster:
-    """List the hosts that hold shares of the fleet's work at one version."""
+    """List the hosts that hold shares of the fleet's work at one version.
+
+    `changes` lead from `base_hosts`, whose version some host has fenced, to
+    `hosts`; they are empty where the version itself is fenced.
+    """
 
     version: int = 0
     hosts: Map[HostId, Host] = Map()
+    base_hosts: Map[HostId, Host] = field(default=Map(), repr=False)
+    changes: tuple[RosterChange, ...] = field(default=(), repr=False)
 
 
 @frozen(kw_only=True)
@@ -60,13 +81,18 @@
 
 @frozen(kw_only=True)
 class HostStatus:
-    """State what one host reports of itself; `sequence` rises per incarnation."""
+    """State what one host reports of itself; `sequence` rises per incarnation.
+
+    `unheard` names hosts that this one exchanged messages with and that have
+    fallen silent towards it.
+    """
 
     host_id: HostId
     incarnation: Incarnation
     sequence: int
     versions: Versions
     leaving: bool = False
+    unheard: tuple[HostId, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -84,6 +110,18 @@
     by_host: Map[HostId, HostView] = Map()
 
 
+@frozen(kw_only=True)
+class HeardHosts:
+    """Hold local times at which hosts of the roster were met.
+
+    `listed_at_s` is when the roster first showed a host, `direct_at_s` when a
+    message last came from it over a link of this host.
+    """
+
+    listed_at_s: Map[HostId, float] = Map()
+    direct_at_s: Map[HostId, float] = Map()
+
+
 @frozen(kw_only=True)
 class LeaseHeld:
     """Allow this host to serve keyed routes and spend shares until a local time."""
