Share organisations' limits among hosts by slots, loans and handovers

Cause: every host admitted every request; nothing held the fleet-wide rate. Ruled out: loans that move a part of the rate, since a lender that mints all and lends plain credit needs no second minter to be switched off, and a borrower's next request says exactly how much it can still spend. Change: each organisation's rate and burst are cut into four slots, placed by hashing over the roster in turn over the failure domains. The holder lends credit that ends counted from the borrower's request. A new holder begins after the fence and the longest loan, or when the old one hands over; a host that skipped a roster version begins anew; while no host ever left, hosts begin once all the others have said that they follow the same roster. A payment counts only if lease and credit still hold after it. Wired into the proxy.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -15,6 +15,10 @@
     EVIDENCE,
     SERVER_STATES,
 )
+from .limits import (
+    CREDIT_NEEDS,
+    SHARE_LEDGER,
+)
 from .process import (
     COUNTERS,
     EVENTS,
@@ -27,6 +31,7 @@
 __all__ = [
     "CONFIGURATION",
     "COUNTERS",
+    "CREDIT_NEEDS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
@@ -39,5 +44,6 @@
     "ROSTER",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SHARE_LEDGER",
     "STOP",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -45,6 +45,15 @@
     Controller,
     Runner,
 )
+from .share_book import (
+    ShareBook,
+)
+from .share_borrower import (
+    ShareBorrower,
+)
+from .share_mover import (
+    ShareMover,
+)
 from .status_keeper import (
     StatusKeeper,
 )
@@ -71,6 +80,9 @@
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "ShareBook",
+    "ShareBorrower",
+    "ShareMover",
     "StatusKeeper",
     "Unreachable",
     "Watcher",
--- a/snipespring/controllers/limiter.py
+++ b/snipespring/controllers/limiter.py
@@ -3,22 +3,80 @@
 from attrs import define
 
 from ..blackboard import Board
-from ..records import Admission, Admitted, OrganisationName
+from ..blackboard.regions import CONFIGURATION
+from ..decisions.limits import Paid, Short, retry_after_s
+from ..records import (
+    Admission,
+    Admitted,
+    OrganisationName,
+    OrganisationRule,
+    OverLimit,
+)
 from ..utils import Clock
+from .accountant import Accountant
+from .share_book import ShareBook
 
 __all__ = ["Limiter"]
 
+MAX_WAIT_S = 0.2
+NO_RULE_RETRY_S = 1.0
+
 
 @define(kw_only=True, eq=False)
 class Limiter:
-    """Pay for requests from this host's shares."""
+    """Pay for requests on the callers' threads, waiting briefly for credit."""
 
     board: Board
     clock: Clock
-    name: str = "limiter"
+    book: ShareBook
+    accountant: Accountant
 
     def admit(
         self, organisation: OrganisationName, *, deadline_at_s: float
     ) -> Admission:
         """Pay for one request or say why it is refused."""
+        rule = self.board.read(CONFIGURATION).organisations.get(organisation)
+        if rule is None:
+            reason = "the organisation has no rate"
+            return OverLimit(reason=reason, retry_after_s=NO_RULE_RETRY_S)
+        end_s = min(deadline_at_s, self.clock.monotonic_s() + MAX_WAIT_S)
+        seen = self.book.arrivals()
+        match self.book.pay(rule):
+            case Paid() as paid:
+                return self._admitted(organisation, paid)
+            case Short(may_wait=False):
+                return self._refused(rule)
+            case Short() as short:
+                try:
+                    return self._wait(rule, short, seen, end_s)
+                finally:
+                    self.book.end_wait(organisation)
+
+    def _wait(
+        self, rule: OrganisationRule, short: Short, seen: int, end_s: float
+    ) -> Admission:
+        self.book.request_credit(rule.name)
+        while True:
+            left_s = end_s - self.clock.monotonic_s()
+            if left_s <= 0:
+                return self._refused(rule)
+            self.book.wait_for_credit(seen, min(left_s, short.ready_in_s))
+            seen = self.book.arrivals()
+            match self.book.pay(rule, is_waiting=True):
+                case Paid() as paid:
+                    return self._admitted(rule.name, paid)
+                case Short(may_wait=False):
+                    return self._refused(rule)
+                case Short() as short:
+                    continue
+
+    def _admitted(self, organisation: OrganisationName, paid: Paid) -> Admitted:
+        if paid.is_low:
+            self.book.request_credit(organisation)
+        self.accountant.count("admissions", "admitted")
         return Admitted()
+
+    def _refused(self, rule: OrganisationRule) -> OverLimit:
+        self.accountant.count("admissions", "refused")
+        reason = f"over the rate of {rule.rate_per_s:g} requests a second"
+        return OverLimit(reason=reason, retry_after_s=retry_after_s(rule))
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -2,8 +2,18 @@
 
 from attrs import define
 
-from ..records import Message, Pull, PullReply, Refused
+from ..records import (
+    CreditAsks,
+    CreditGrants,
+    Message,
+    Pull,
+    PullReply,
+    Refused,
+    ShareHandovers,
+    SharesTaken,
+)
 from .puller import Puller
+from .share_book import ShareBook
 
 __all__ = ["Responder"]
 
@@ -13,11 +23,16 @@
     """Answer the calls of other hosts."""
 
     puller: Puller
+    shares: ShareBook
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
         match message:
             case Pull():
                 return self.puller.answer(message)
-            case PullReply() | Refused():
+            case CreditAsks():
+                return self.shares.lend(message)
+            case ShareHandovers():
+                return self.shares.take(message)
+            case PullReply() | Refused() | CreditGrants() | SharesTaken():
                 return Refused(reason="a reply came where a call was expected")
--- /dev/null
+++ b/snipespring/controllers/share_book.py
@@ -0,0 +1,229 @@
+"""Keep the ledger of shares and apply to it what requests and peers do."""
+
+import threading
+from collections.abc import Callable
+from typing import TypeVar
+
+from attrs import define, evolve, field
+from immutables import Map
+
+from ..blackboard import Board
+from ..blackboard.regions import (
+    CONFIGURATION,
+    CREDIT_NEEDS,
+    FENCE,
+    LEASE,
+    ROSTER,
+    SHARE_LEDGER,
+)
+from ..decisions.limits import (
+    AskPlan,
+    OutgoingAsks,
+    Paid,
+    Short,
+    adopt_roster,
+    end_wait,
+    handover_message,
+    is_ahead_of_roster,
+    leave_roster,
+    lend_credit,
+    pay_for_request,
+    plan_borrowing,
+    receive_grants,
+    take_handovers,
+)
+from ..records import (
+    CreditAsks,
+    CreditGrants,
+    CreditNeeds,
+    LeaseHeld,
+    OrganisationName,
+    OrganisationRule,
+    Peer,
+    Refused,
+    ShareHandovers,
+    ShareLedger,
+    ShareRelease,
+    SharesTaken,
+)
+from ..utils import Clock
+
+__all__ = ["ShareBook"]
+
+T = TypeVar("T")
+
+
+@define(kw_only=True, eq=False)
+class ShareBook:
+    """Write the share ledger and the credit needs."""
+
+    board: Board
+    clock: Clock
+    own: Peer
+    name: str = "share_book"
+    _arrived: threading.Condition = field(factory=threading.Condition, init=False)
+    _arrivals: int = field(default=0, init=False)
+
+    def pay(self, rule: OrganisationRule, *, is_waiting: bool = False) -> Paid | Short:
+        """Pay for one request; the payment holds if the lease still does after it."""
+        lease_until_s = self._lease_until_s()
+
+        def step(ledger: ShareLedger, now_s: float) -> tuple[ShareLedger, Paid | Short]:
+            if now_s >= lease_until_s:
+                return ledger, Short(may_wait=False, ready_in_s=float("inf"))
+            return pay_for_request(
+                ledger, rule, self.own, is_waiting=is_waiting, now_s=now_s
+            )
+
+        result = self._transact(step)
+        match result:
+            case Paid(until_s=until_s):
+                if self.clock.monotonic_s() < min(lease_until_s, until_s):
+                    return result
+                return Short(may_wait=False, ready_in_s=float("inf"))
+            case Short():
+                return result
+
+    def end_wait(self, organisation: OrganisationName) -> None:
+        """Note that a request no longer waits for credit."""
+        self.board.update(
+            SHARE_LEDGER, lambda held: end_wait(held, organisation), writer=self.name
+        )
+
+    def arrivals(self) -> int:
+        """Return how often credit has arrived."""
+        return self._arrivals
+
+    def wait_for_credit(self, seen: int, timeout_s: float) -> None:
+        """Block until credit arrives after the arrivals seen, or the timeout."""
+        with self._arrived:
+            self._arrived.wait_for(lambda: self._arrivals != seen, timeout_s)
+
+    def request_credit(self, organisation: OrganisationName) -> None:
+        """Note that an organisation's credit runs low."""
+
+        def add(needs: CreditNeeds) -> CreditNeeds:
+            names = needs.organisations | {organisation}
+            return CreditNeeds(organisations=names, change=needs.change + 1)
+
+        self.board.update(CREDIT_NEEDS, add, writer=self.name)
+
+    def plan_borrowing(self, busy: frozenset[Peer]) -> AskPlan:
+        """Plan what to ask of which holders for the organisations in need."""
+        needs = self.board.read(CREDIT_NEEDS)
+        rules = self._rules()
+        wanted = {name: rules[name] for name in needs.organisations if name in rules}
+        if self.clock.monotonic_s() >= self._lease_until_s():
+            return AskPlan(needing=needs.organisations)
+        plan = self._transact(
+            lambda ledger, now_s: plan_borrowing(
+                ledger, wanted, self.own, busy=busy, now_s=now_s
+            )
+        )
+        self._drop_needs(needs, plan.needing)
+        return plan
+
+    def receive(self, sent: OutgoingAsks, reply: CreditGrants | None) -> None:
+        """Take in a holder's reply, None if no valid one came."""
+        rules = self._rules()
+        self._transact(
+            lambda ledger, now_s: (
+                receive_grants(ledger, sent, reply, rules, now_s=now_s),
+                None,
+            )
+        )
+        with self._arrived:
+            self._arrivals += 1
+            self._arrived.notify_all()
+
+    def lend(self, asks: CreditAsks) -> CreditGrants | Refused:
+        """Lend from the shares held here while the lease is held."""
+        lease_until_s = self._lease_until_s()
+        rules = self._rules()
+
+        def step(
+            ledger: ShareLedger, now_s: float
+        ) -> tuple[ShareLedger, CreditGrants | Refused]:
+            if now_s >= lease_until_s:
+                return ledger, Refused(reason="the lease is not held")
+            return lend_credit(ledger, asks, rules, self.own, now_s=now_s)
+
+        return self._transact(step)
+
+    def take(self, handovers: ShareHandovers) -> SharesTaken | Refused:
+        """Take shares that another host gave up."""
+        rules = self._rules()
+
+        def step(
+            ledger: ShareLedger, now_s: float
+        ) -> tuple[ShareLedger, SharesTaken | Refused]:
+            if is_ahead_of_roster(ledger, handovers):
+                return ledger, Refused(reason="the roster version is not known yet")
+            taken = take_handovers(ledger, handovers, rules, self.own, now_s=now_s)
+            return taken, SharesTaken()
+
+        return self._transact(step)
+
+    def take_releases(self) -> tuple[ShareRelease, ...]:
+        """Adopt the newest roster and return what other hosts are to be told."""
+        return self._transact(
+            lambda ledger, _: (evolve(ledger, releases=()), ledger.releases)
+        )
+
+    def describe(self, release: ShareRelease) -> ShareHandovers:
+        """Return the message that tells a host which shares passed to it."""
+        return handover_message(
+            release,
+            self.own,
+            loans_until_s=self.board.read(SHARE_LEDGER).loans_until_s,
+            now_s=self.clock.monotonic_s(),
+        )
+
+    def release_all(self) -> tuple[ShareRelease, ...]:
+        """Give up every share and return what other hosts are to be told."""
+        rules = self._rules()
+
+        def step(
+            ledger: ShareLedger, now_s: float
+        ) -> tuple[ShareLedger, tuple[ShareRelease, ...]]:
+            left = leave_roster(ledger, rules, self.own, now_s=now_s)
+            return evolve(left, releases=()), left.releases
+
+        return self._transact(step)
+
+    def _transact(
+        self, step: Callable[[ShareLedger, float], tuple[ShareLedger, T]]
+    ) -> T:
+        def adopt(ledger: ShareLedger) -> tuple[ShareLedger, T]:
+            now_s = self.clock.monotonic_s()
+            ledger = adopt_roster(
+                ledger,
+                self.board.read(ROSTER),
+                self.board.read(FENCE),
+                self._rules(),
+                self.own,
+                now_s=now_s,
+            )
+            return step(ledger, now_s)
+
+        return self.board.transact(SHARE_LEDGER, adopt, writer=self.name)
+
+    def _drop_needs(self, planned: CreditNeeds, needing: frozenset[str]) -> None:
+        met = planned.organisations - needing
+
+        def drop(needs: CreditNeeds) -> CreditNeeds:
+            if needs.change != planned.change or not met:
+                return needs
+            return evolve(needs, organisations=needs.organisations - met)
+
+        self.board.update(CREDIT_NEEDS, drop, writer=self.name)
+
+    def _lease_until_s(self) -> float:
+        match self.board.read(LEASE):
+            case LeaseHeld(until_s=until_s):
+                return until_s
+            case _:
+                return float("-inf")
+
+    def _rules(self) -> Map[OrganisationName, OrganisationRule]:
+        return self.board.read(CONFIGURATION).organisations
--- /dev/null
+++ b/snipespring/controllers/share_borrower.py
@@ -0,0 +1,66 @@
+"""Borrow credit from the holders of shares before or when it runs out."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from attrs import define, field
+
+from ..blackboard.regions import CREDIT_NEEDS
+from ..decisions.limits import OutgoingAsks, peer_of
+from ..frontends.peers import PeerClient
+from ..records import CreditGrants, Peer
+from .accountant import Accountant
+from .share_book import ShareBook
+
+__all__ = ["ShareBorrower"]
+
+CALL_TIMEOUT_S = 0.15
+MAX_CALLS = 8
+AHEAD_REPEAT_S = 0.05
+
+
+@define(kw_only=True, eq=False)
+class ShareBorrower:
+    """Ask each holder with at most one message under way."""
+
+    book: ShareBook
+    client: PeerClient
+    accountant: Accountant
+    name: str = "share_borrower"
+    watches = (CREDIT_NEEDS,)
+    _pool: ThreadPoolExecutor = field(init=False)
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+    _busy: set[Peer] = field(factory=set, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the threads that wait for holders."""
+        self._pool = ThreadPoolExecutor(MAX_CALLS, thread_name_prefix="borrow")
+
+    def step(self) -> float | None:
+        """Send what is due; return seconds until more may be."""
+        with self._lock:
+            busy = frozenset(self._busy)
+        plan = self.book.plan_borrowing(busy)
+        for outgoing in plan.outgoing:
+            with self._lock:
+                self._busy.add(peer_of(outgoing.host))
+            self._pool.submit(self._ask, outgoing)
+        return plan.again_in_s
+
+    def _ask(self, outgoing: OutgoingAsks) -> None:
+        try:
+            reply = self.client.call(
+                outgoing.host.peers, outgoing.message, timeout_s=CALL_TIMEOUT_S
+            )
+        finally:
+            with self._lock:
+                self._busy.discard(peer_of(outgoing.host))
+        match reply:
+            case CreditGrants() as grants:
+                self.accountant.count("credit_calls", "answered")
+                self.book.receive(outgoing, grants)
+            case _:
+                self.accountant.count("credit_calls", "failed")
+                self.book.receive(outgoing, None)
+        for ask in outgoing.message.asks:
+            self.book.request_credit(ask.organisation)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -32,11 +32,15 @@
     Responder,
     RosterKeeper,
     Runner,
+    ShareBook,
+    ShareBorrower,
+    ShareMover,
     StatusKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
 from ..decisions.keys import digest_key, find_key
+from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
 from ..frontends.http_server import HttpServer
@@ -72,6 +76,7 @@
     peers: PeerServer
     links: PeerLinks
     roster_keeper: RosterKeeper
+    share_mover: ShareMover
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -90,7 +95,9 @@
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.roster_keeper.leave()
+        self.share_mover.hand_over_all()
         self.callers.close()
+        self.share_mover.close()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -108,6 +115,15 @@
     )
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
+    accountant = Accountant(board=board)
+    book = ShareBook(board=board, clock=clock, own=peer_of(own))
+    share_mover = ShareMover(
+        book=book,
+        client=links,
+        clock=clock,
+        historian=historian,
+        accountant=accountant,
+    )
     puller = Puller(
         board=board,
         clock=clock,
@@ -157,16 +173,18 @@
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
+        ShareBorrower(book=book, client=links, accountant=accountant),
+        share_mover,
     )
-    responder = Responder(puller=puller)
+    responder = Responder(puller=puller, shares=book)
     forwarder = Forwarder(
         board=board,
         clock=clock,
         rng=rng,
         transport=HttpTransport(clock=clock),
         historian=historian,
-        accountant=Accountant(board=board),
-        limiter=Limiter(board=board, clock=clock),
+        accountant=accountant,
+        limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
     )
@@ -196,6 +214,7 @@
         peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
         links=links,
         roster_keeper=roster_keeper,
+        share_mover=share_mover,
     )
 
 
--- /dev/null
+++ b/snipespring/decisions/limits/accounts.py
@@ -0,0 +1,222 @@
+"""Compute what one host may spend for one organisation."""
+
+from math import exp
+
+from attrs import evolve, frozen
+from immutables import Map
+
+from ...records import (
+    Account,
+    Credit,
+    Host,
+    Lender,
+    LostShare,
+    OrganisationName,
+    Peer,
+    RosterStep,
+    Share,
+    SlotLimit,
+)
+from .placement import slot_holders
+from .shares import grow_share, take_from_share
+from .tenure import begin_time_s, peer_of
+
+__all__ = [
+    "Synced",
+    "current_demand_per_s",
+    "grow_account",
+    "record_demand",
+    "spend_one",
+    "spendable",
+    "sync_account",
+]
+
+DEMAND_WINDOW_S = 1.0
+
+
+@frozen(kw_only=True)
+class Synced:
+    """Hold an account at the newest roster and the shares that it lost."""
+
+    account: Account
+    lost: tuple[LostShare, ...] = ()
+
+
+def sync_account(
+    account: Account,
+    organisation: OrganisationName,
+    steps: tuple[RosterStep, ...],
+    own: Peer,
+) -> Synced:
+    """Return the account at the newest of the roster's steps.
+
+    A share is kept only if this host holds its slot at every version since.
+    """
+    if not steps:
+        return Synced(account=evolve(account, shares=Map()))
+    if account.roster_version == steps[-1].roster.version:
+        return Synced(account=_begin_shares(account, organisation, steps))
+    lost: list[LostShare] = []
+    versions = [step.roster.version for step in steps]
+    if account.roster_version not in versions:
+        holders = slot_holders(steps[0].roster, organisation)
+        lost += _lost_shares(account, holders, frozenset())
+        account = _enter_step(account, steps[0], holders, own, frozenset())
+    for step in steps[versions.index(account.roster_version) + 1 :]:
+        holders = slot_holders(step.roster, organisation)
+        kept = _held_slots(account.holders, own) & _held_slots(holders, own)
+        lost += _lost_shares(account, holders, kept)
+        account = _enter_step(account, step, holders, own, kept)
+    account = _begin_shares(account, organisation, steps)
+    return Synced(account=account, lost=tuple(lost))
+
+
+def grow_account(account: Account, limit: SlotLimit, *, now_s: float) -> Account:
+    """Return the account with grown levels and without ended credit."""
+    shares = account.shares
+    for slot, share in account.shares.items():
+        shares = shares.set(slot, grow_share(share, limit, now_s=now_s))
+    borrowed = account.credits
+    for lender, held in account.credits.items():
+        valid = tuple(credit for credit in held if credit.until_s > now_s)
+        if len(valid) == len(held):
+            continue
+        borrowed = borrowed.set(lender, valid) if valid else borrowed.delete(lender)
+    return evolve(account, shares=shares, credits=borrowed)
+
+
+def spendable(account: Account) -> float:
+    """Return the credit in requests of an account grown to the present."""
+    levels = sum(share.level for share in account.shares.values())
+    borrowed = sum(
+        credit.amount for held in account.credits.values() for credit in held
+    )
+    return levels + borrowed
+
+
+def spend_one(account: Account) -> Account | None:
+    """Pay for one request, borrowed credit first, or return None if short."""
+    if spendable(account) < 1.0:
+        return None
+    account, due = _spend_borrowed(account, 1.0)
+    shares = account.shares
+    for slot, share in shares.items():
+        part = min(share.level, due)
+        shares = shares.set(slot, take_from_share(share, part))
+        due -= part
+    return evolve(account, shares=shares)
+
+
+def record_demand(account: Account, *, now_s: float) -> Account:
+    """Return the account with one more request in its demand."""
+    demand_per_s = current_demand_per_s(account, now_s=now_s) + 1.0 / DEMAND_WINDOW_S
+    return evolve(account, demand_per_s=demand_per_s, demand_at_s=now_s)
+
+
+def current_demand_per_s(account: Account, *, now_s: float) -> float:
+    """Return the recent requests per second, older ones weighing less."""
+    elapsed_s = max(0.0, now_s - account.demand_at_s)
+    return account.demand_per_s * exp(-elapsed_s / DEMAND_WINDOW_S)
+
+
+def _spend_borrowed(account: Account, due: float) -> tuple[Account, float]:
+    borrowed = account.credits
+    by_end = sorted(
+        (
+            (credit.until_s, lender)
+            for lender in borrowed
+            for credit in borrowed[lender]
+        ),
+        key=lambda entry: entry[0],
+    )
+    for until_s, lender in by_end:
+        if due <= 0:
+            break
+        borrowed, due = _spend_credit(borrowed, lender, until_s, due)
+    return evolve(account, credits=borrowed), due
+
+
+def _spend_credit(
+    borrowed: Map[Lender, tuple[Credit, ...]],
+    lender: Lender,
+    until_s: float,
+    due: float,
+) -> tuple[Map[Lender, tuple[Credit, ...]], float]:
+    kept: list[Credit] = []
+    for credit in borrowed[lender]:
+        part = min(credit.amount, due) if credit.until_s == until_s else 0.0
+        due -= part
+        if credit.amount > part:
+            kept.append(evolve(credit, amount=credit.amount - part))
+    if not kept:
+        return borrowed.delete(lender), due
+    return borrowed.set(lender, tuple(kept)), due
+
+
+def _begin_shares(
+    account: Account,
+    organisation: OrganisationName,
+    steps: tuple[RosterStep, ...],
+) -> Account:
+    shares = account.shares
+    for slot, share in account.shares.items():
+        if share.begins_at_s is not None:
+            continue
+        begun = _begin_share(share, slot, organisation, steps)
+        shares = shares.set(slot, begun)
+    return evolve(account, shares=shares) if shares is not account.shares else account
+
+
+def _begin_share(
+    share: Share,
+    slot: int,
+    organisation: OrganisationName,
+    steps: tuple[RosterStep, ...],
+) -> Share:
+    versions = [step.roster.version for step in steps]
+    if share.since_version not in versions:
+        return share
+    index = versions.index(share.since_version)
+    previous = None
+    if index > 0 and steps[index].released:
+        holders = slot_holders(steps[index - 1].roster, organisation)
+        previous = peer_of(holders[slot]) if holders else None
+    begins_at_s = begin_time_s(steps[index], previous)
+    if begins_at_s is None:
+        return share
+    return evolve(share, begins_at_s=begins_at_s, as_of_s=begins_at_s)
+
+
+def _enter_step(
+    account: Account,
+    step: RosterStep,
+    holders: tuple[Host, ...],
+    own: Peer,
+    kept: frozenset[int],
+) -> Account:
+    version = step.roster.version
+    new = Share(since_version=version, begins_at_s=None, as_of_s=step.adopted_at_s)
+    shares = {
+        slot: account.shares[slot] if slot in kept else new
+        for slot in _held_slots(holders, own)
+    }
+    return evolve(account, roster_version=version, holders=holders, shares=Map(shares))
+
+
+def _held_slots(holders: tuple[Host, ...], own: Peer) -> frozenset[int]:
+    return frozenset(slot for slot, host in enumerate(holders) if peer_of(host) == own)
+
+
+def _lost_shares(
+    account: Account, holders: tuple[Host, ...], kept: frozenset[int]
+) -> list[LostShare]:
+    return [
+        LostShare(
+            slot=slot,
+            share=share,
+            last_held_version=account.roster_version,
+            holder=holders[slot],
+        )
+        for slot, share in account.shares.items()
+        if slot not in kept and slot < len(holders)
+    ]
--- /dev/null
+++ b/snipespring/decisions/limits/handovers.py
@@ -0,0 +1,253 @@
+"""Move shares between hosts when the roster changes."""
+
+from collections.abc import Mapping
+
+from attrs import evolve
+
+from ...records import (
+    Account,
+    Fence,
+    Host,
+    HostId,
+    Loan,
+    LostShare,
+    OrganisationName,
+    OrganisationRule,
+    Peer,
+    Roster,
+    RosterStep,
+    Share,
+    ShareHandover,
+    ShareHandovers,
+    ShareLedger,
+    ShareRelease,
+    SlotLimit,
+)
+from .accounts import grow_account, sync_account
+from .ledger import open_account
+from .shares import lent_amount, slot_limit
+from .tenure import (
+    follow_fence,
+    follow_roster,
+    has_all_shares,
+    is_unshrunk,
+    peer_of,
+    record_stop,
+)
+
+__all__ = [
+    "adopt_roster",
+    "handover_message",
+    "is_ahead_of_roster",
+    "leave_roster",
+    "take_handovers",
+]
+
+MAX_TOLD_HOSTS = 64
+
+Rules = Mapping[OrganisationName, OrganisationRule]
+
+
+def adopt_roster(
+    ledger: ShareLedger,
+    roster: Roster,
+    fence: Fence,
+    rules: Rules,
+    own: Peer,
+    *,
+    now_s: float,
+) -> ShareLedger:
+    """Return the ledger at a roster and fence; lost shares become releases."""
+    old = ledger.steps
+    steps = follow_roster(old, roster, own, now_s=now_s)
+    if steps is not old:
+        ledger = _grow_accounts(ledger, rules, now_s)
+        ledger = _enter_roster(evolve(ledger, steps=steps), old, own, now_s)
+    return evolve(ledger, steps=follow_fence(ledger.steps, fence, now_s=now_s))
+
+
+def leave_roster(
+    ledger: ShareLedger, rules: Rules, own: Peer, *, now_s: float
+) -> ShareLedger:
+    """Return the ledger as if the next roster no longer listed this host."""
+    if not ledger.steps:
+        return ledger
+    last = ledger.steps[-1].roster
+    hosts = last.hosts
+    if own.host_id in hosts:
+        hosts = hosts.delete(own.host_id)
+    roster = Roster(version=last.version + 1, hosts=hosts)
+    return adopt_roster(ledger, roster, Fence(), rules, own, now_s=now_s)
+
+
+def handover_message(
+    release: ShareRelease, own: Peer, *, loans_until_s: float, now_s: float
+) -> ShareHandovers:
+    """Return the message that tells a host which shares passed to it."""
+    return ShareHandovers(
+        sender=own,
+        roster_version=release.roster_version,
+        last_held_version=release.last_held_version,
+        complete=release.complete,
+        lent_for_s=max(0.0, loans_until_s - now_s),
+        shares=tuple(
+            _describe_share(organisation, lost, now_s)
+            for organisation, lost in release.lost
+        ),
+    )
+
+
+def is_ahead_of_roster(ledger: ShareLedger, message: ShareHandovers) -> bool:
+    """Return whether the message speaks of a roster not yet known here."""
+    if not ledger.steps:
+        return True
+    return ledger.steps[-1].roster.version < message.roster_version
+
+
+def take_handovers(
+    ledger: ShareLedger,
+    message: ShareHandovers,
+    rules: Rules,
+    own: Peer,
+    *,
+    now_s: float,
+) -> ShareLedger:
+    """Begin the shares that the message hands over, each at most once."""
+    for handed in message.shares:
+        rule = rules.get(handed.organisation)
+        if rule is None:
+            continue
+        account = open_account(ledger, handed.organisation, rule, own, now_s=now_s)
+        account = _take_share(
+            account, handed, slot_limit(rule), message.last_held_version + 1, now_s
+        )
+        accounts = ledger.accounts.set(handed.organisation, account)
+        ledger = evolve(ledger, accounts=accounts)
+    steps = record_stop(ledger.steps, message, now_s=now_s)
+    return evolve(ledger, steps=steps)
+
+
+def _grow_accounts(ledger: ShareLedger, rules: Rules, now_s: float) -> ShareLedger:
+    accounts = ledger.accounts
+    for name, account in ledger.accounts.items():
+        if name in rules:
+            limit = slot_limit(rules[name])
+            accounts = accounts.set(name, grow_account(account, limit, now_s=now_s))
+    return evolve(ledger, accounts=accounts)
+
+
+def _enter_roster(
+    ledger: ShareLedger, old: tuple[RosterStep, ...], own: Peer, now_s: float
+) -> ShareLedger:
+    lost: list[tuple[OrganisationName, LostShare]] = []
+    accounts = ledger.accounts
+    for name, account in ledger.accounts.items():
+        synced = sync_account(account, name, ledger.steps, own)
+        accounts = accounts.set(name, synced.account)
+        lost += [(name, entry) for entry in synced.lost if _has_begun(entry, now_s)]
+    releases = _releases(ledger, old, lost, own, now_s)
+    return evolve(ledger, accounts=accounts, releases=ledger.releases + releases)
+
+
+def _releases(
+    ledger: ShareLedger,
+    old: tuple[RosterStep, ...],
+    lost: list[tuple[OrganisationName, LostShare]],
+    own: Peer,
+    now_s: float,
+) -> tuple[ShareRelease, ...]:
+    newest = ledger.steps[-1].roster
+    last_held = old[-1].roster.version if old else newest.version - 1
+    complete = bool(old) and has_all_shares(old, own, now_s=now_s)
+    recipients: dict[HostId, Host] = {}
+    if is_unshrunk(newest):
+        recipients.update(_few_others(newest, own))
+    if complete:
+        recipients.update(_gaining_hosts(old[-1].roster, newest, own))
+    recipients.update({entry.holder.host_id: entry.holder for _, entry in lost})
+    recipients.pop(own.host_id, None)
+    return tuple(
+        ShareRelease(
+            recipient=host,
+            roster_version=newest.version,
+            last_held_version=last_held,
+            complete=complete,
+            lost=tuple(item for item in lost if item[1].holder == host),
+        )
+        for host in recipients.values()
+    )
+
+
+def _gaining_hosts(old: Roster, new: Roster, own: Peer) -> dict[HostId, Host]:
+    before = {peer_of(host) for host in old.hosts.values()}
+    if own not in before:
+        return {}
+    stays = own in {peer_of(host) for host in new.hosts.values()}
+    if not stays:
+        return dict(new.hosts)
+    if _domains(old) != _domains(new):
+        return _few_others(new, own)
+    return {
+        host_id: host
+        for host_id, host in new.hosts.items()
+        if peer_of(host) not in before
+    }
+
+
+def _few_others(roster: Roster, own: Peer) -> dict[HostId, Host]:
+    if len(roster.hosts) > MAX_TOLD_HOSTS:
+        return {}
+    return {
+        host_id: host
+        for host_id, host in roster.hosts.items()
+        if host_id != own.host_id
+    }
+
+
+def _domains(roster: Roster) -> set[str]:
+    return {host.domain for host in roster.hosts.values()}
+
+
+def _has_begun(entry: LostShare, now_s: float) -> bool:
+    begins_at_s = entry.share.begins_at_s
+    return begins_at_s is not None and begins_at_s <= now_s
+
+
+def _describe_share(
+    organisation: OrganisationName, lost: LostShare, now_s: float
+) -> ShareHandover:
+    share = lost.share
+    ends_s = [loan.until_s for held in share.lent.values() for loan in held.loans]
+    ends_s += [loan.until_s for loan in share.inherited]
+    return ShareHandover(
+        organisation=organisation,
+        slot=lost.slot,
+        level=share.level,
+        lent=lent_amount(share),
+        lent_for_s=max(0.0, max(ends_s, default=now_s) - now_s),
+    )
+
+
+def _take_share(
+    account: Account,
+    handed: ShareHandover,
+    limit: SlotLimit,
+    since_version: int,
+    now_s: float,
+) -> Account:
+    share = account.shares.get(handed.slot)
+    if share is None or share.since_version != since_version:
+        return account
+    if share.begins_at_s is not None and share.begins_at_s <= now_s:
+        return account
+    lent = max(0.0, handed.lent)
+    level = min(max(0.0, handed.level), max(0.0, limit.capacity - lent))
+    inherited = (Loan(amount=lent, until_s=now_s + handed.lent_for_s),)
+    begun = Share(
+        since_version=since_version,
+        begins_at_s=now_s,
+        as_of_s=now_s,
+        level=level,
+        inherited=inherited if lent > 0 else (),
+    )
+    return evolve(account, shares=account.shares.set(handed.slot, begun))
--- /dev/null
+++ b/snipespring/decisions/limits/ledger.py
@@ -0,0 +1,319 @@
+"""Apply one event to a host's ledger of shares: spend, borrow, lend, receive."""
+
+from collections.abc import Mapping
+
+from attrs import evolve, frozen
+
+from ...records import (
+    Account,
+    Credit,
+    CreditAsk,
+    CreditAsks,
+    CreditGrant,
+    CreditGrants,
+    Host,
+    Lender,
+    OrganisationName,
+    OrganisationRule,
+    Peer,
+    ShareLedger,
+)
+from .accounts import (
+    grow_account,
+    record_demand,
+    spend_one,
+    spendable,
+    sync_account,
+)
+from .asks import (
+    credit_need,
+    may_wait,
+    next_ask_delay_s,
+    note_lender,
+    plan_asks,
+)
+from .shares import (
+    AHEAD_HOLD_S,
+    LOAN_WAIT_S,
+    URGENT_HOLD_S,
+    Lent,
+    StaleAsk,
+    lend_from_share,
+    slot_limit,
+)
+
+__all__ = [
+    "AskPlan",
+    "OutgoingAsks",
+    "Paid",
+    "Short",
+    "end_wait",
+    "lend_credit",
+    "open_account",
+    "pay_for_request",
+    "plan_borrowing",
+    "receive_grants",
+    "retry_after_s",
+]
+
+Rules = Mapping[OrganisationName, OrganisationRule]
+
+
+@frozen(kw_only=True)
+class Paid:
+    """State that one request was paid for, and whether credit runs low.
+
+    The payment counts only if it is made before `until_s`.
+    """
+
+    is_low: bool
+    until_s: float
+
+
+@frozen(kw_only=True)
+class Short:
+    """State that the credit does not cover one request.
+
+    `ready_in_s` is when this host's own shares will, if nothing else comes.
+    """
+
+    may_wait: bool
+    ready_in_s: float
+
+
+@frozen(kw_only=True)
+class OutgoingAsks:
+    """Hold a request for credit and the host to send it to."""
+
+    host: Host
+    message: CreditAsks
+    sent_at_s: float
+
+
+@frozen(kw_only=True)
+class AskPlan:
+    """Hold the requests to send, who still needs credit and when to plan again."""
+
+    outgoing: tuple[OutgoingAsks, ...] = ()
+    needing: frozenset[OrganisationName] = frozenset()
+    again_in_s: float | None = None
+
+
+def open_account(
+    ledger: ShareLedger,
+    organisation: OrganisationName,
+    rule: OrganisationRule,
+    own: Peer,
+    *,
+    now_s: float,
+) -> Account:
+    """Return the organisation's account at the newest roster and the present."""
+    account = ledger.accounts.get(organisation, Account())
+    account = sync_account(account, organisation, ledger.steps, own).account
+    return grow_account(account, slot_limit(rule), now_s=now_s)
+
+
+def pay_for_request(
+    ledger: ShareLedger,
+    rule: OrganisationRule,
+    own: Peer,
+    *,
+    is_waiting: bool,
+    now_s: float,
+) -> tuple[ShareLedger, Paid | Short]:
+    """Pay for one request; a request that finds no credit may begin to wait."""
+    limit = slot_limit(rule)
+    account = open_account(ledger, rule.name, rule, own, now_s=now_s)
+    if not is_waiting:
+        account = record_demand(account, now_s=now_s)
+    paid = spend_one(account)
+    if paid is not None:
+        need = credit_need(paid, now_s=now_s)
+        is_low = need.urgent > 0 or need.ahead > 0
+        until_s = _soonest_end_s(account)
+        return _put(ledger, rule.name, paid), Paid(is_low=is_low, until_s=until_s)
+    allowed = is_waiting or may_wait(account, limit, own, now_s=now_s)
+    if allowed and not is_waiting:
+        account = evolve(account, waiting=account.waiting + 1)
+    short = Short(may_wait=allowed, ready_in_s=_ready_in_s(account, rule))
+    return _put(ledger, rule.name, account), short
+
+
+def end_wait(ledger: ShareLedger, organisation: OrganisationName) -> ShareLedger:
+    """Return the ledger with one request fewer that waits for credit."""
+    account = ledger.accounts.get(organisation)
+    if account is None:
+        return ledger
+    waiting = max(0, account.waiting - 1)
+    return _put(ledger, organisation, evolve(account, waiting=waiting))
+
+
+def plan_borrowing(
+    ledger: ShareLedger,
+    rules: Rules,
+    own: Peer,
+    *,
+    busy: frozenset[Peer],
+    now_s: float,
+) -> tuple[ShareLedger, AskPlan]:
+    """Plan one message to each holder for all organisations that need credit."""
+    by_host: dict[Host, list[CreditAsk]] = {}
+    needing: set[OrganisationName] = set()
+    delays_s: list[float] = []
+    for name, rule in rules.items():
+        limit = slot_limit(rule)
+        account = open_account(ledger, name, rule, own, now_s=now_s)
+        ledger = _put(ledger, name, account)
+        need = credit_need(account, now_s=now_s)
+        if need.urgent <= 0 and need.ahead <= 0:
+            continue
+        needing.add(name)
+        delays_s.append(next_ask_delay_s(account, limit, own, now_s=now_s))
+        for planned in plan_asks(account, need, limit, own, busy=busy, now_s=now_s):
+            ask = CreditAsk(
+                organisation=name,
+                slot=planned.slot,
+                unspent=_unspent(account, planned.host, planned.slot),
+                urgent=planned.urgent,
+                ahead=planned.ahead,
+            )
+            by_host.setdefault(planned.host, []).append(ask)
+    outgoing: list[OutgoingAsks] = []
+    sequence = ledger.sequence
+    for host, asks in by_host.items():
+        sequence += 1
+        message = CreditAsks(sender=own, sequence=sequence, asks=tuple(asks))
+        outgoing.append(OutgoingAsks(host=host, message=message, sent_at_s=now_s))
+    plan = AskPlan(
+        outgoing=tuple(outgoing),
+        needing=frozenset(needing),
+        again_in_s=min(delays_s, default=None),
+    )
+    return evolve(ledger, sequence=sequence), plan
+
+
+def lend_credit(
+    ledger: ShareLedger, message: CreditAsks, rules: Rules, own: Peer, *, now_s: float
+) -> tuple[ShareLedger, CreditGrants]:
+    """Lend from the shares held here; an ask that finds none gets nothing."""
+    grants: list[CreditGrant] = []
+    for ask in message.asks:
+        ledger, grant = _lend_one(ledger, message, ask, rules, own, now_s)
+        grants.append(grant)
+    return ledger, CreditGrants(grants=tuple(grants))
+
+
+def receive_grants(
+    ledger: ShareLedger,
+    sent: OutgoingAsks,
+    reply: CreditGrants | None,
+    rules: Rules,
+    *,
+    now_s: float,
+) -> ShareLedger:
+    """Take in borrowed credit, which ends counted from when it was asked for."""
+    grants = (
+        {} if reply is None else {(g.organisation, g.slot): g for g in reply.grants}
+    )
+    peer = Peer(host_id=sent.host.host_id, incarnation=sent.host.incarnation)
+    for ask in sent.message.asks:
+        rule = rules.get(ask.organisation)
+        account = ledger.accounts.get(ask.organisation)
+        if rule is None or account is None:
+            continue
+        lender = Lender(peer=peer, slot=ask.slot)
+        grant = grants.get((ask.organisation, ask.slot))
+        if grant is not None:
+            account = _add_credits(account, lender, grant, sent.sent_at_s)
+        account = note_lender(
+            account,
+            lender,
+            left=None if grant is None else grant.left,
+            short=grant is not None and grant.urgent < ask.urgent,
+            limit=slot_limit(rule),
+            now_s=now_s,
+        )
+        ledger = _put(ledger, ask.organisation, account)
+    return ledger
+
+
+def retry_after_s(rule: OrganisationRule) -> float:
+    """Return when the organisation's rate has made up for one request."""
+    return 1.0 / rule.rate_per_s
+
+
+def _lend_one(
+    ledger: ShareLedger,
+    message: CreditAsks,
+    ask: CreditAsk,
+    rules: Rules,
+    own: Peer,
+    now_s: float,
+) -> tuple[ShareLedger, CreditGrant]:
+    nothing = CreditGrant(
+        organisation=ask.organisation, slot=ask.slot, urgent=0.0, ahead=0.0, left=0.0
+    )
+    rule = rules.get(ask.organisation)
+    if rule is None:
+        return ledger, nothing
+    account = open_account(ledger, ask.organisation, rule, own, now_s=now_s)
+    share = account.shares.get(ask.slot)
+    if share is None:
+        return _put(ledger, ask.organisation, account), nothing
+    lent = lend_from_share(
+        share,
+        slot_limit(rule),
+        message.sender,
+        ask,
+        sequence=message.sequence,
+        now_s=now_s,
+    )
+    match lent:
+        case StaleAsk():
+            return _put(ledger, ask.organisation, account), nothing
+        case Lent(share=left, urgent=urgent, ahead=ahead):
+            grant = evolve(nothing, urgent=urgent, ahead=ahead, left=left.level)
+            account = evolve(account, shares=account.shares.set(ask.slot, left))
+            ledger = evolve(ledger, loans_until_s=now_s + LOAN_WAIT_S)
+            return _put(ledger, ask.organisation, account), grant
+
+
+def _add_credits(
+    account: Account, lender: Lender, grant: CreditGrant, sent_at_s: float
+) -> Account:
+    added = (
+        Credit(amount=grant.urgent, until_s=sent_at_s + URGENT_HOLD_S),
+        Credit(amount=grant.ahead, until_s=sent_at_s + AHEAD_HOLD_S),
+    )
+    held = account.credits.get(lender, ())
+    held += tuple(credit for credit in added if credit.amount > 0)
+    if not held:
+        return account
+    return evolve(account, credits=account.credits.set(lender, held))
+
+
+def _soonest_end_s(account: Account) -> float:
+    ends_s = [credit.until_s for held in account.credits.values() for credit in held]
+    return min(ends_s, default=float("inf"))
+
+
+def _unspent(account: Account, host: Host, slot: int) -> float:
+    peer = Peer(host_id=host.host_id, incarnation=host.incarnation)
+    held = account.credits.get(Lender(peer=peer, slot=slot), ())
+    return sum(credit.amount for credit in held)
+
+
+def _ready_in_s(account: Account, rule: OrganisationRule) -> float:
+    begun = [
+        share for share in account.shares.values() if share.begins_at_s is not None
+    ]
+    if not begun:
+        return float("inf")
+    missing = max(0.0, 1.0 - spendable(account))
+    return missing / (slot_limit(rule).rate_per_s * len(begun))
+
+
+def _put(
+    ledger: ShareLedger, organisation: OrganisationName, account: Account
+) -> ShareLedger:
+    return evolve(ledger, accounts=ledger.accounts.set(organisation, account))
--- /dev/null
+++ b/snipespring/decisions/limits/shares.py
@@ -0,0 +1,145 @@
+"""Compute the credit of one slot at its holder: growth, spending, lending."""
+
+from attrs import evolve, frozen
+
+from ...records import (
+    CreditAsk,
+    Loan,
+    Loans,
+    OrganisationRule,
+    Peer,
+    Share,
+    SlotLimit,
+)
+from .placement import SLOTS
+
+__all__ = [
+    "AHEAD_HOLD_S",
+    "CLOCK_DRIFT",
+    "LOAN_WAIT_S",
+    "URGENT_HOLD_S",
+    "Lent",
+    "StaleAsk",
+    "grow_share",
+    "lend_from_share",
+    "lent_amount",
+    "slot_limit",
+    "take_from_share",
+]
+
+CLOCK_DRIFT = 0.001
+URGENT_HOLD_S = 0.15
+AHEAD_HOLD_S = 1.0
+HOLD_MARGIN = 1.05
+LOAN_WAIT_S = AHEAD_HOLD_S * HOLD_MARGIN
+AHEAD_RESERVE = 0.5
+AHEAD_PORTION = 0.5
+
+
+@frozen(kw_only=True)
+class Lent:
+    """Hold the share after a loan and the amounts lent."""
+
+    share: Share
+    urgent: float
+    ahead: float
+
+
+@frozen(kw_only=True)
+class StaleAsk:
+    """State that a later request of the same borrower came first."""
+
+
+def slot_limit(rule: OrganisationRule) -> SlotLimit:
+    """Return one slot's part of a rule, the rate reduced by the clocks' drift."""
+    return SlotLimit(
+        rate_per_s=rule.rate_per_s * (1.0 - CLOCK_DRIFT) / SLOTS,
+        capacity=rule.burst / SLOTS,
+    )
+
+
+def grow_share(share: Share, limit: SlotLimit, *, now_s: float) -> Share:
+    """Return the share at a time; level and loans stay within the capacity.
+
+    Growth stops while they fill the capacity, so each loan's end is a step.
+    """
+    if share.begins_at_s is None or now_s <= share.as_of_s:
+        return share
+    ends_s = {loan.until_s for loan in _all_loans(share)}
+    for end_s in sorted(end for end in ends_s if end < now_s):
+        share = _drop_ended(_grow_to(share, limit, end_s), end_s)
+    return _drop_ended(_grow_to(share, limit, now_s), now_s)
+
+
+def take_from_share(share: Share, amount: float) -> Share:
+    """Return the share without an amount of its level."""
+    return evolve(share, level=max(0.0, share.level - amount))
+
+
+def lend_from_share(
+    share: Share,
+    limit: SlotLimit,
+    borrower: Peer,
+    ask: CreditAsk,
+    *,
+    sequence: int,
+    now_s: float,
+) -> Lent | StaleAsk:
+    """Lend what the level allows; credit ahead of need leaves half in reserve.
+
+    What the borrower reports as unspent is all that it can still spend of
+    earlier loans: it takes no grant that answers an earlier request.
+    """
+    held = share.lent.get(borrower, Loans(sequence=0))
+    if sequence <= held.sequence:
+        return StaleAsk()
+    loans = _keep_latest(held.loans, max(0.0, ask.unspent))
+    urgent = min(max(0.0, ask.urgent), share.level)
+    spare = share.level - urgent - limit.capacity * AHEAD_RESERVE
+    ahead = min(max(0.0, ask.ahead), max(0.0, spare) * AHEAD_PORTION)
+    added = (
+        Loan(amount=urgent, until_s=now_s + URGENT_HOLD_S * HOLD_MARGIN),
+        Loan(amount=ahead, until_s=now_s + AHEAD_HOLD_S * HOLD_MARGIN),
+    )
+    loans += tuple(loan for loan in added if loan.amount > 0)
+    lent = share.lent.set(borrower, Loans(sequence=sequence, loans=loans))
+    left = take_from_share(evolve(share, lent=lent), urgent + ahead)
+    return Lent(share=left, urgent=urgent, ahead=ahead)
+
+
+def lent_amount(share: Share) -> float:
+    """Return what borrowers may still hold of the share."""
+    return sum(loan.amount for loan in _all_loans(share))
+
+
+def _all_loans(share: Share) -> list[Loan]:
+    lent = [loan for held in share.lent.values() for loan in held.loans]
+    return [*lent, *share.inherited]
+
+
+def _grow_to(share: Share, limit: SlotLimit, time_s: float) -> Share:
+    elapsed_s = max(0.0, time_s - share.as_of_s)
+    room = max(0.0, limit.capacity - lent_amount(share))
+    level = min(share.level + limit.rate_per_s * elapsed_s, room)
+    return evolve(share, level=level, as_of_s=max(share.as_of_s, time_s))
+
+
+def _drop_ended(share: Share, time_s: float) -> Share:
+    lent = share.lent
+    for borrower, held in share.lent.items():
+        loans = tuple(loan for loan in held.loans if loan.until_s > time_s)
+        if len(loans) != len(held.loans):
+            lent = lent.set(borrower, evolve(held, loans=loans))
+    inherited = tuple(loan for loan in share.inherited if loan.until_s > time_s)
+    return evolve(share, lent=lent, inherited=inherited)
+
+
+def _keep_latest(loans: tuple[Loan, ...], amount: float) -> tuple[Loan, ...]:
+    kept: list[Loan] = []
+    for loan in sorted(loans, key=lambda loan: loan.until_s, reverse=True):
+        part = min(loan.amount, amount)
+        if part <= 0:
+            break
+        kept.append(evolve(loan, amount=part))
+        amount -= part
+    return tuple(kept)
--- /dev/null
+++ b/snipespring/decisions/limits/tenure.py
@@ -0,0 +1,138 @@
+"""Decide from when a host may use the slots that a roster gives to it."""
+
+from attrs import evolve
+
+from ...records import Fence, Host, Peer, Roster, RosterStep, ShareHandovers
+from .shares import LOAN_WAIT_S
+
+__all__ = [
+    "begin_time_s",
+    "follow_fence",
+    "follow_roster",
+    "has_all_shares",
+    "is_unshrunk",
+    "peer_of",
+    "record_stop",
+]
+
+MAX_STEPS = 16
+FIRST_VERSION = 1
+
+
+def peer_of(host: Host) -> Peer:
+    """Return the process that a roster entry names."""
+    return Peer(host_id=host.host_id, incarnation=host.incarnation)
+
+
+def follow_roster(
+    steps: tuple[RosterStep, ...], roster: Roster, own: Peer, *, now_s: float
+) -> tuple[RosterStep, ...]:
+    """Return the steps with a newer roster; a skipped version starts them anew.
+
+    Another host may have held any slot at a version that was skipped.
+    """
+    held_version = steps[-1].roster.version if steps else 0
+    if roster.version <= held_version:
+        return steps
+    if steps and roster.version == steps[-1].roster.version + 1:
+        owed = _owed_by(steps[-1].roster, roster, own)
+        added = RosterStep(roster=roster, adopted_at_s=now_s, owed=owed)
+        return (*steps, added)[-MAX_STEPS:]
+    known = _others(roster, own) if is_unshrunk(roster) else None
+    return (RosterStep(roster=roster, adopted_at_s=now_s, owed=known),)
+
+
+def follow_fence(
+    steps: tuple[RosterStep, ...], fence: Fence, *, now_s: float
+) -> tuple[RosterStep, ...]:
+    """Return the steps with the time at which the fence reached each."""
+    return tuple(
+        evolve(step, fenced_at_s=now_s)
+        if step.fenced_at_s is None and step.roster.version <= fence.version
+        else step
+        for step in steps
+    )
+
+
+def record_stop(
+    steps: tuple[RosterStep, ...], message: ShareHandovers, *, now_s: float
+) -> tuple[RosterStep, ...]:
+    """Return the steps with a host's statement that it gave up what it lost."""
+    return tuple(_record_stop(step, message, now_s) for step in steps)
+
+
+def begin_time_s(step: RosterStep, previous: Peer | None) -> float | None:
+    """Return when a slot first held at a step may be used, None if not yet known.
+
+    The former holder's lease has ended and its loans too, or it handed over, or
+    all hosts that ever were in the roster stopped what they held before.
+    """
+    if step.roster.version <= FIRST_VERSION:
+        return step.adopted_at_s
+    times_s = []
+    if step.fenced_at_s is not None:
+        times_s.append(step.fenced_at_s + LOAN_WAIT_S)
+    if previous is not None and previous in step.released:
+        times_s.append(step.released[previous])
+    if _all_stopped(step):
+        times_s.append(max(step.stopped.values()))
+    return min(times_s, default=None)
+
+
+def has_all_shares(steps: tuple[RosterStep, ...], own: Peer, *, now_s: float) -> bool:
+    """Return whether every slot that the last roster gives to this host began."""
+    for step in reversed(steps):
+        if not _lists(step.roster, own) or step.roster.version <= FIRST_VERSION:
+            return True
+        if step.fenced_at_s is not None and step.fenced_at_s + LOAN_WAIT_S <= now_s:
+            return True
+        if _all_stopped(step) and max(step.stopped.values()) <= now_s:
+            return True
+        if step.owed is None or not step.owed <= set(step.released):
+            return False
+    return False
+
+
+def is_unshrunk(roster: Roster) -> bool:
+    """Return whether no host ever left: each version added one host."""
+    return len(roster.hosts) == roster.version
+
+
+def _record_stop(step: RosterStep, message: ShareHandovers, now_s: float) -> RosterStep:
+    sender = message.sender
+    version = step.roster.version
+    if version <= message.roster_version and sender not in step.stopped:
+        stopped_at_s = now_s + max(0.0, message.lent_for_s)
+        step = evolve(step, stopped=step.stopped.set(sender, stopped_at_s))
+    if not message.complete or version != message.last_held_version + 1:
+        return step
+    if sender in step.released:
+        return step
+    return evolve(step, released=step.released.set(sender, now_s))
+
+
+def _all_stopped(step: RosterStep) -> bool:
+    if not step.owed or not is_unshrunk(step.roster):
+        return False
+    return step.owed <= set(step.stopped)
+
+
+def _owed_by(old: Roster, new: Roster, own: Peer) -> frozenset[Peer]:
+    before = {peer_of(host) for host in old.hosts.values()}
+    after = {peer_of(host) for host in new.hosts.values()}
+    if _domains(old) != _domains(new) or own not in before:
+        return frozenset(before - {own})
+    return frozenset(before - after)
+
+
+def _others(roster: Roster, own: Peer) -> frozenset[Peer]:
+    return frozenset(peer_of(host) for host in roster.hosts.values()) - {own}
+
+
+def _domains(roster: Roster) -> set[str]:
+    return {host.domain for host in roster.hosts.values()}
+
+
+def _lists(roster: Roster, peer: Peer) -> bool:
+    host = roster.hosts.get(peer.host_id)
+    return host is not None and peer_of(host) == peer
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -4,6 +4,7 @@
 
 from .fleet import HostStatus, Versions
 from .identity import HostId
+from .limit_messages import LimitMessage
 
 __all__ = [
     "AgedSighting",
@@ -61,7 +62,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused
+Message = Pull | PullReply | Refused | LimitMessage
 
 
 @frozen(kw_only=True)
