--- a/snipespring/decisions/limits/__init__.py
+++ b/snipespring/decisions/limits/__init__.py
@@ -43,9 +43,9 @@
     take_from_share,
 )
 from .tenure import (
+    all_shares_since_s,
     follow_fence,
     follow_roster,
-    has_all_shares,
     peer_of,
 )
 
@@ -60,13 +60,13 @@
     "Short",
     "StaleAsk",
     "adopt_roster",
+    "all_shares_since_s",
     "end_wait",
     "follow_fence",
     "follow_roster",
     "grow_account",
     "grow_share",
     "handover_message",
-    "has_all_shares",
     "is_ahead_of_roster",
     "leave_roster",
     "lend_credit",
--- a/snipespring/decisions/limits/handovers.py
+++ b/snipespring/decisions/limits/handovers.py
@@ -27,9 +27,9 @@
 from .ledger import open_account
 from .shares import lent_amount, slot_limit
 from .tenure import (
+    all_shares_since_s,
     follow_fence,
     follow_roster,
-    has_all_shares,
     is_unshrunk,
     peer_of,
     record_stop,
@@ -84,11 +84,13 @@
     release: ShareRelease, own: Peer, *, loans_until_s: float, now_s: float
 ) -> ShareHandovers:
     """Return the message that tells a host which shares passed to it."""
+    since_s = release.unused_since_s
     return ShareHandovers(
         sender=own,
         roster_version=release.roster_version,
         last_held_version=release.last_held_version,
-        complete=release.complete,
+        complete=since_s is not None,
+        unused_for_s=0.0 if since_s is None else now_s - since_s,
         lent_for_s=max(0.0, loans_until_s - now_s),
         shares=tuple(
             _describe_share(organisation, lost, now_s)
@@ -158,11 +160,11 @@
 ) -> tuple[ShareRelease, ...]:
     newest = ledger.steps[-1].roster
     last_held = old[-1].roster.version if old else newest.version - 1
-    complete = bool(old) and has_all_shares(old, own, now_s=now_s)
+    since_s = all_shares_since_s(old, own, now_s=now_s)
     recipients: dict[HostId, Host] = {}
     if is_unshrunk(newest):
         recipients.update(_few_others(newest, own))
-    if complete:
+    if since_s is not None:
         recipients.update(_gaining_hosts(old[-1].roster, newest, own))
     recipients.update({entry.holder.host_id: entry.holder for _, entry in lost})
     recipients.pop(own.host_id, None)
@@ -171,7 +173,7 @@
             recipient=host,
             roster_version=newest.version,
             last_held_version=last_held,
-            complete=complete,
+            unused_since_s=since_s,
             lost=tuple(item for item in lost if item[1].holder == host),
         )
         for host in recipients.values()
--- a/snipespring/decisions/limits/placement.py
+++ b/snipespring/decisions/limits/placement.py
@@ -1,15 +1,20 @@
 """Place the slots of an organisation's limit on hosts."""
 
+from collections import Counter
+
+import xxhash
+
 from ...records import DomainName, Host, OrganisationName, Roster
 from ..membership import rank_hosts
 
 __all__ = ["SLOTS", "slot_holders"]
 
 SLOTS = 4
+MAX_SLOTS_PER_DOMAIN = 2
 
 
 def slot_holders(roster: Roster, organisation: OrganisationName) -> tuple[Host, ...]:
-    """Return each slot's holder, in turn from every failure domain.
+    """Return each slot's holder, at most two of a failure domain if there are more.
 
     While the set of domains stays, a host that joins only takes slots and one
     that leaves only gives its own. An empty roster yields no holders.
@@ -19,10 +24,25 @@
         by_domain.setdefault(host.domain, []).append(host)
     if not by_domain:
         return ()
-    domains = sorted(by_domain)
+    names = [f"limit/{organisation}/{slot}" for slot in range(SLOTS)]
+    domains = _spread(names, list(by_domain))
     return tuple(
-        rank_hosts(
-            by_domain[domains[slot % len(domains)]], f"limit/{organisation}/{slot}"
-        )[0]
-        for slot in range(SLOTS)
+        rank_hosts(by_domain[domain], name)[0]
+        for name, domain in zip(names, domains, strict=True)
     )
+
+
+def _spread(names: list[str], domains: list[DomainName]) -> list[DomainName]:
+    most = MAX_SLOTS_PER_DOMAIN if len(domains) > 1 else len(names)
+    taken: Counter[DomainName] = Counter()
+    chosen: list[DomainName] = []
+    for name in names:
+        open_domains = [domain for domain in domains if taken[domain] < most]
+        domain = max(open_domains, key=lambda domain: _weight(name, domain))
+        taken[domain] += 1
+        chosen.append(domain)
+    return chosen
+
+
+def _weight(name: str, domain: DomainName) -> int:
+    return xxhash.xxh3_64_intdigest(f"{name}\0{domain}".encode())
--- a/snipespring/decisions/limits/tenure.py
+++ b/snipespring/decisions/limits/tenure.py
@@ -6,10 +6,10 @@
 from .shares import LOAN_WAIT_S
 
 __all__ = [
+    "all_shares_since_s",
     "begin_time_s",
     "follow_fence",
     "follow_roster",
-    "has_all_shares",
     "is_unshrunk",
     "peer_of",
     "record_stop",
@@ -79,18 +79,24 @@
     return min(times_s, default=None)
 
 
-def has_all_shares(steps: tuple[RosterStep, ...], own: Peer, *, now_s: float) -> bool:
-    """Return whether every slot that the last roster gives to this host began."""
+def all_shares_since_s(
+    steps: tuple[RosterStep, ...], own: Peer, *, now_s: float
+) -> float | None:
+    """Return from when every slot that the last roster gives here was in use.
+
+    None stands for some slot whose use has not begun.
+    """
+    since_s = float("-inf")
     for step in reversed(steps):
-        if not _lists(step.roster, own) or step.roster.version <= FIRST_VERSION:
-            return True
-        if step.fenced_at_s is not None and step.fenced_at_s + LOAN_WAIT_S <= now_s:
-            return True
-        if _all_stopped(step) and max(step.stopped.values()) <= now_s:
-            return True
+        if not _lists(step.roster, own):
+            return max(since_s, step.adopted_at_s)
+        whole_since_s = begin_time_s(step, None)
+        if whole_since_s is not None and whole_since_s <= now_s:
+            return max(since_s, whole_since_s)
         if step.owed is None or not step.owed <= set(step.released):
-            return False
-    return False
+            return None
+        since_s = max([since_s, *step.released.values()])
+    return None
 
 
 def is_unshrunk(roster: Roster) -> bool:
@@ -108,7 +114,8 @@
         return step
     if sender in step.released:
         return step
-    return evolve(step, released=step.released.set(sender, now_s))
+    unused_since_s = now_s - max(0.0, message.unused_for_s)
+    return evolve(step, released=step.released.set(sender, unused_since_s))
 
 
 def _all_stopped(step: RosterStep) -> bool:
--- a/snipespring/records/limit_messages.py
+++ b/snipespring/records/limit_messages.py
@@ -75,13 +75,14 @@
 
     All that it lent ends within `lent_for_s` seconds. With `complete`, it was
     the only user of every share that it held up to `last_held_version`, and
-    those not listed are not lent.
+    those not listed are not lent and grew for `unused_for_s` seconds.
     """
 
     sender: Peer
     roster_version: int
     last_held_version: int
     complete: bool
+    unused_for_s: float
     lent_for_s: float
     shares: tuple[ShareHandover, ...]
 
--- a/snipespring/records/limits.py
+++ b/snipespring/records/limits.py
@@ -138,8 +138,8 @@
 
     `owed` names the hosts that may have lost shares to this one; None stands
     for unknown. `stopped` tells from when each of them, and its loans, spends
-    nothing that it held before; `released`, when it also vouched for its
-    predecessors.
+    nothing that it held before; `released`, from when the shares that it gave
+    up had been its own and unused.
     """
 
     roster: Roster
@@ -164,13 +164,14 @@
 class ShareRelease:
     """Hold what one host is to be told of shares that passed to it.
 
-    `complete` states that every other share it gained here is unused and unlent.
+    Every other share that it gained here was unused since `unused_since_s`;
+    None stands for shares that this host was not yet the only user of.
     """
 
     recipient: Host
     roster_version: int
     last_held_version: int
-    complete: bool
+    unused_since_s: float | None
     lost: tuple[tuple[OrganisationName, LostShare], ...] = ()
 
 
