--- a/benchmarks/slopes/roles.py
+++ b/benchmarks/slopes/roles.py
@@ -178,7 +178,7 @@
         versions = Versions(configuration=1, roster=size)
         return time_call_us(
             lambda: decide_lease(
-                own=HostId("h0"),
+                own=roster.hosts[HostId("h0")],
                 in_force=versions,
                 configuration=None,
                 roster_seen=None,
@@ -195,7 +195,7 @@
         return time_call_us(
             lambda: advance_fence(
                 Fence(),
-                own=HostId("h0"),
+                own=roster.hosts[HostId("h0")],
                 roster=roster,
                 statuses=statuses,
                 lease_s=LEASE_S,
--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -16,6 +16,10 @@
     EVIDENCE,
     SERVER_STATES,
 )
+from .limits import (
+    CREDIT_NEEDS,
+    SHARE_LEDGER,
+)
 from .process import (
     COUNTERS,
     EVENTS,
@@ -28,6 +32,7 @@
 __all__ = [
     "CONFIGURATION",
     "COUNTERS",
+    "CREDIT_NEEDS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
@@ -41,5 +46,6 @@
     "ROSTER",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SHARE_LEDGER",
     "STOP",
 ]
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -33,11 +33,15 @@
     Responder,
     RosterKeeper,
     Runner,
+    ShareBook,
+    ShareBorrower,
+    ShareMover,
     StatusKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
 from ..decisions.keys import digest_key, find_key
+from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
 from ..frontends.http_server import HttpServer
@@ -74,6 +78,7 @@
     links: PeerLinks
     roster_keeper: RosterKeeper
     lease_keeper: LeaseKeeper
+    share_mover: ShareMover
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -96,6 +101,8 @@
         self.board.write(STOP, finished, writer="stopper")
         self.lease_keeper.step()
         self.roster_keeper.leave()
+        self.share_mover.hand_over_all()
+        self.share_mover.close()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -114,6 +121,14 @@
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
     accountant = Accountant(board=board)
+    book = ShareBook(board=board, clock=clock, own=peer_of(own))
+    share_mover = ShareMover(
+        book=book,
+        client=links,
+        clock=clock,
+        historian=historian,
+        accountant=accountant,
+    )
     puller = Puller(
         board=board,
         clock=clock,
@@ -173,8 +188,10 @@
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
+        ShareBorrower(book=book, client=links, accountant=accountant),
+        share_mover,
     )
-    responder = Responder(puller=puller)
+    responder = Responder(puller=puller, shares=book)
     forwarder = Forwarder(
         board=board,
         clock=clock,
@@ -182,7 +199,7 @@
         transport=HttpTransport(clock=clock),
         historian=historian,
         accountant=accountant,
-        limiter=Limiter(board=board, clock=clock),
+        limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
     )
@@ -218,6 +235,7 @@
         links=links,
         roster_keeper=roster_keeper,
         lease_keeper=lease_keeper,
+        share_mover=share_mover,
     )
 
 
