Eject a gray backend server fleet-wide by pooled evidence

Cause: a server that answers probes but fails real work was never taken out; one host alone sees too little of it. Ruled out: a platform write per ejection (budget, outages); each host ejecting on its own (floors add up); health probes (cost slots and lie). Change: hosts report cumulative outcome counts to one holder a service, which runs a sequential test against the other servers and answers with the list; copies end with the holder's lease at the latest. Local avoidance for path faults; trial with a growing share on the way back; floor counts ejected, on trial, freed lately, draining and unreachable servers. Detection times not measured yet.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -12,7 +12,10 @@
     ROSTER,
 )
 from .health import (
+    EJECTION_LISTS,
     EVIDENCE,
+    HEALTH_POOLS,
+    LOCAL_HEALTH,
     SERVER_STATES,
 )
 from .process import (
@@ -27,11 +30,14 @@
 __all__ = [
     "CONFIGURATION",
     "COUNTERS",
+    "EJECTION_LISTS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HEALTH_POOLS",
     "HOST_STATUSES",
     "LEASE",
+    "LOCAL_HEALTH",
     "OWN_STATUS",
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -23,6 +23,15 @@
 from .forwarder import (
     Forwarder,
 )
+from .health_judge import (
+    HealthJudge,
+)
+from .health_keeper import (
+    HealthKeeper,
+)
+from .health_reporter import (
+    HealthReporter,
+)
 from .historian import (
     Historian,
 )
@@ -62,6 +71,9 @@
     "Controller",
     "FenceKeeper",
     "Forwarder",
+    "HealthJudge",
+    "HealthKeeper",
+    "HealthReporter",
     "Historian",
     "LeaseKeeper",
     "Limiter",
--- /dev/null
+++ b/snipespring/controllers/health_judge.py
@@ -0,0 +1,134 @@
+"""Pool the evidence of all hosts and keep the ejection lists of some services."""
+
+from functools import partial
+
+from attrs import define, evolve
+
+from ..blackboard import Board
+from ..blackboard.regions import CONFIGURATION, FENCE, HEALTH_POOLS, LEASE, ROSTER
+from ..decisions.health import (
+    absorb_report,
+    has_begun,
+    judge_pool,
+    make_list,
+    open_pool,
+    policy_of,
+    renew_tenure,
+)
+from ..records import (
+    Configuration,
+    EjectionHeld,
+    EjectionList,
+    EvidenceReport,
+    Host,
+    Pool,
+    PoolBoard,
+    Refused,
+    ServerId,
+    ServiceName,
+)
+from ..utils import Clock
+from .accountant import Accountant
+
+__all__ = ["HealthJudge"]
+
+JUDGE_INTERVAL_S = 0.25
+
+
+@define(kw_only=True, eq=False)
+class HealthJudge:
+    """Write the pools of the services whose list this host keeps."""
+
+    board: Board
+    clock: Clock
+    accountant: Accountant
+    own: Host
+    name: str = "health_judge"
+    watches = ()
+
+    def step(self) -> float:
+        """Judge every service held; return seconds until the next round."""
+        cfg = self.board.read(CONFIGURATION)
+        held = self.board.read(HEALTH_POOLS).by_service
+        for service in {*cfg.services, *held}:
+            added = self.board.transact(
+                HEALTH_POOLS,
+                partial(self._judge, cfg=cfg, name=service),
+                writer=self.name,
+            )
+            if added:
+                self.accountant.count("ejections", service, added)
+        return JUDGE_INTERVAL_S
+
+    def answer(self, report: EvidenceReport) -> EjectionList | Refused:
+        """Take a report in and answer with the list of its service."""
+        return self.board.transact(
+            HEALTH_POOLS, lambda pools: self._absorb(pools, report), writer=self.name
+        )
+
+    def _judge(
+        self, pools: PoolBoard, *, cfg: Configuration, name: ServiceName
+    ) -> tuple[PoolBoard, int]:
+        now_s = self.clock.monotonic_s()
+        pool = self._renew(pools, name, now_s)
+        service = cfg.services.get(name)
+        if pool is None or service is None:
+            return _without(pools, name), 0
+        judged = judge_pool(
+            pool,
+            service,
+            frozenset(rule.server for rule in cfg.servers.get(name, ())),
+            policy=policy_of(service.ejection),
+            may_eject=has_begun(pool.tenure, self.board.read(FENCE)),
+            now_s=now_s,
+        )
+        added = len(_ejected(judged) - _ejected(pool))
+        return _with(pools, name, judged), added
+
+    def _absorb(
+        self, pools: PoolBoard, report: EvidenceReport
+    ) -> tuple[PoolBoard, EjectionList | Refused]:
+        now_s = self.clock.monotonic_s()
+        name = report.service
+        pool = self._renew(pools, name, now_s)
+        service = self.board.read(CONFIGURATION).services.get(name)
+        if pool is None or service is None:
+            refused = Refused(reason=f"not the holder of the list of {name}")
+            return _without(pools, name), refused
+        pool = absorb_report(pool, report, now_s)
+        policy = policy_of(service.ejection)
+        return _with(pools, name, pool), make_list(pool, name, policy, now_s)
+
+    def _renew(self, pools: PoolBoard, name: ServiceName, now_s: float) -> Pool | None:
+        pool = pools.by_service.get(name)
+        tenure = renew_tenure(
+            pool.tenure if pool is not None else None,
+            own=self.own,
+            service=name,
+            roster=self.board.read(ROSTER),
+            lease=self.board.read(LEASE),
+            now_s=now_s,
+        )
+        if tenure is None:
+            return None
+        if pool is None or now_s >= pool.tenure.lease_until_s:
+            return open_pool(tenure, now_s)
+        return evolve(pool, tenure=tenure)
+
+
+def _ejected(pool: Pool) -> frozenset[ServerId]:
+    return frozenset(
+        server
+        for server, entry in pool.entries.items()
+        if isinstance(entry, EjectionHeld)
+    )
+
+
+def _with(pools: PoolBoard, name: ServiceName, pool: Pool) -> PoolBoard:
+    return evolve(pools, by_service=pools.by_service.set(name, pool))
+
+
+def _without(pools: PoolBoard, name: ServiceName) -> PoolBoard:
+    if name not in pools.by_service:
+        return pools
+    return evolve(pools, by_service=pools.by_service.delete(name))
--- /dev/null
+++ b/snipespring/controllers/health_keeper.py
@@ -0,0 +1,111 @@
+"""Put the states of backend servers in force on this host."""
+
+from attrs import define, field
+
+from ..blackboard import Board
+from ..blackboard.regions import (
+    CONFIGURATION,
+    EJECTION_LISTS,
+    EVIDENCE,
+    LOCAL_HEALTH,
+    SERVER_LOADS,
+    SERVER_STATES,
+)
+from ..decisions.health import (
+    StateChange,
+    avoid_servers,
+    combine_states,
+    describe_service,
+    drop_services,
+    list_changes,
+    states_in_force,
+)
+from ..records import (
+    Configuration,
+    EvidenceReport,
+    Host,
+    LocalHealth,
+    ServerId,
+    ServerStep,
+    ServiceName,
+    ServiceRule,
+)
+from ..utils import Clock
+from .accountant import Accountant
+from .historian import Historian
+
+__all__ = ["HealthKeeper"]
+
+CHECK_INTERVAL_S = 0.25
+
+
+@define(kw_only=True, eq=False)
+class HealthKeeper:
+    """Write the server states and this host's own judgement of its paths."""
+
+    board: Board
+    clock: Clock
+    historian: Historian
+    accountant: Accountant
+    own: Host
+    name: str = "health_keeper"
+    watches = (EJECTION_LISTS,)
+    _sequence: int = field(default=0, init=False)
+
+    def step(self) -> float:
+        """Combine lists and local evidence; return seconds until the next round."""
+        now_s = self.clock.monotonic_s()
+        cfg = self.board.read(CONFIGURATION)
+        local = self._judge_paths(cfg, now_s)
+        self.board.write(LOCAL_HEALTH, local, writer=self.name)
+        lists = self.board.read(EJECTION_LISTS)
+        old = self.board.read(SERVER_STATES)
+        new = combine_states(lists, local, now_s)
+        self.board.write(SERVER_STATES, new, writer=self.name)
+        for change in list_changes(old, new, lists, now_s):
+            self._record(cfg, change)
+        return CHECK_INTERVAL_S
+
+    def _judge_paths(self, cfg: Configuration, now_s: float) -> LocalHealth:
+        local = drop_services(self.board.read(LOCAL_HEALTH), frozenset(cfg.services))
+        for service in cfg.services.values():
+            local = avoid_servers(
+                local,
+                self._own_report(service.name, now_s),
+                service,
+                frozenset(rule.server for rule in cfg.servers.get(service.name, ())),
+                ejected=self._ejected(service, now_s),
+                now_s=now_s,
+            )
+        return local
+
+    def _own_report(self, service: ServiceName, now_s: float) -> EvidenceReport:
+        self._sequence += 1
+        return EvidenceReport(
+            sender=self.own.host_id,
+            incarnation=self.own.incarnation,
+            sequence=self._sequence,
+            domain=self.own.domain,
+            service=service,
+            servers=describe_service(
+                self.board.read(EVIDENCE), self.board.read(SERVER_LOADS), service, now_s
+            ),
+        )
+
+    def _ejected(self, service: ServiceRule, now_s: float) -> frozenset[ServerId]:
+        held = self.board.read(EJECTION_LISTS).by_service.get(service.name)
+        return frozenset(states_in_force(held, now_s)) if held else frozenset()
+
+    def _record(self, cfg: Configuration, change: StateChange) -> None:
+        state = type(change.state).__name__
+        service = cfg.services.get(change.server.service)
+        preference = type(service.ejection).__name__ if service else "no rule"
+        event = ServerStep(
+            at_wall_s=self.clock.wall_s(),
+            server=change.server,
+            state=state,
+            rule=f"health: {preference}",
+            evidence=change.evidence,
+        )
+        self.historian.record(event)
+        self.accountant.count("server_states", state)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -25,6 +25,9 @@
     Controller,
     FenceKeeper,
     Forwarder,
+    HealthJudge,
+    HealthKeeper,
+    HealthReporter,
     Historian,
     LeaseKeeper,
     Limiter,
@@ -108,6 +111,7 @@
     )
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
+    accountant = Accountant(board=board)
     puller = Puller(
         board=board,
         clock=clock,
@@ -124,6 +128,7 @@
         historian=historian,
         own=own,
     )
+    health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -157,15 +162,26 @@
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
+        health_judge,
+        HealthReporter(
+            board=board, clock=clock, client=links, judge=health_judge, own=own
+        ),
+        HealthKeeper(
+            board=board,
+            clock=clock,
+            historian=historian,
+            accountant=accountant,
+            own=own,
+        ),
     )
-    responder = Responder(puller=puller)
+    responder = Responder(puller=puller, health_judge=health_judge)
     forwarder = Forwarder(
         board=board,
         clock=clock,
         rng=rng,
         transport=HttpTransport(clock=clock),
         historian=historian,
-        accountant=Accountant(board=board),
+        accountant=accountant,
         limiter=Limiter(board=board, clock=clock),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
--- /dev/null
+++ b/snipespring/decisions/health/ejecting.py
@@ -0,0 +1,172 @@
+"""Decide which servers of a service are ejected, on trial or back."""
+
+from collections.abc import Iterator
+
+from attrs import evolve
+
+from ...records import (
+    EjectionEntry,
+    EjectionHeld,
+    HealthPolicy,
+    Pool,
+    PooledServer,
+    Returned,
+    ServerId,
+    ServiceRule,
+    TrialHeld,
+)
+from .floors import leaves_floor, list_out
+from .paths import is_server_fault
+from .policies import policy_of
+from .scoring import score_servers, sum_tallies
+from .trials import advance_entry, hold_duration_s
+
+__all__ = ["EJECTION_LIFETIME_S", "judge_pool"]
+
+EJECTION_LIFETIME_S = 3.0
+DRIFT_MARGIN_S = 0.4
+RETURN_MEMORY_S = 600.0
+REPORTER_MEMORY_S = 120.0
+SUSPECT_RATIO = 0.5
+MAX_SUSPECT_SHARE = 1 / 3
+NEW_SERVER = PooledServer()
+
+
+def judge_pool(
+    pool: Pool,
+    service: ServiceRule,
+    servers: frozenset[ServerId],
+    *,
+    policy: HealthPolicy | None = None,
+    may_eject: bool = True,
+    now_s: float,
+) -> Pool:
+    """Return the pool after one round of judgement."""
+    policy = policy or policy_of(service.ejection)
+    pool = _forget_removed(pool, servers, now_s)
+    pool = score_servers(pool, policy, now_s)
+    pool = _advance_entries(pool, policy, now_s)
+    pool = _release_surplus(pool, service, servers, now_s)
+    if not may_eject:
+        return pool
+    for server_id in _list_candidates(pool, policy, len(servers)):
+        pool = _eject(pool, server_id, service, servers, policy, now_s)
+    return pool
+
+
+def _forget_removed(pool: Pool, servers: frozenset[ServerId], now_s: float) -> Pool:
+    for server_id in frozenset(pool.servers) - servers:
+        pool = evolve(pool, servers=pool.servers.delete(server_id))
+    for server_id in frozenset(pool.entries) - servers:
+        pool = _free(pool, server_id, now_s)
+    for host_id, reporter in pool.reporters.items():
+        if now_s - reporter.received_s >= REPORTER_MEMORY_S:
+            pool = evolve(pool, reporters=pool.reporters.delete(host_id))
+    for server_id, freed_s in pool.freed_s.items():
+        if now_s - freed_s >= EJECTION_LIFETIME_S + DRIFT_MARGIN_S:
+            pool = evolve(pool, freed_s=pool.freed_s.delete(server_id))
+    return pool
+
+
+def _advance_entries(pool: Pool, policy: HealthPolicy, now_s: float) -> Pool:
+    for server_id, entry in pool.entries.items():
+        server = pool.servers.get(server_id, NEW_SERVER)
+        fresh = sum_tallies(server.fresh.values())
+        cleared = pool.servers.set(server_id, NEW_SERVER)
+        pool = evolve(pool, servers=cleared)
+        match advance_entry(entry, fresh, policy, now_s):
+            case Returned() as returned:
+                pool = _free(pool, server_id, now_s)
+                pool = evolve(pool, returned=pool.returned.set(server_id, returned))
+            case EjectionHeld() | TrialHeld() as following:
+                pool = evolve(pool, entries=pool.entries.set(server_id, following))
+    return pool
+
+
+def _release_surplus(
+    pool: Pool, service: ServiceRule, servers: frozenset[ServerId], now_s: float
+) -> Pool:
+    out = list_out(pool, now_s)
+    newest_first = sorted(
+        pool.entries, key=lambda server_id: -pool.entries[server_id].since_s
+    )
+    for server_id in newest_first:
+        if leaves_floor(servers, out.union(pool.entries), service.floor):
+            return pool
+        if server_id not in out:
+            pool = _free(pool, server_id, now_s)
+    return pool
+
+
+def _list_candidates(
+    pool: Pool, policy: HealthPolicy, count: int
+) -> Iterator[ServerId]:
+    scores = {server_id: server.score for server_id, server in pool.servers.items()}
+    suspected = sum(
+        1 for score in scores.values() if score >= policy.trip_score * SUSPECT_RATIO
+    )
+    if suspected > max(1.0, count * MAX_SUSPECT_SHARE):
+        return
+    for server_id in sorted(scores, key=lambda server_id: -scores[server_id]):
+        if scores[server_id] < policy.trip_score:
+            return
+        if is_server_fault(pool, pool.servers[server_id], policy):
+            yield server_id
+
+
+def _eject(
+    pool: Pool,
+    server_id: ServerId,
+    service: ServiceRule,
+    servers: frozenset[ServerId],
+    policy: HealthPolicy,
+    now_s: float,
+) -> Pool:
+    out = list_out(pool, now_s)
+    taken = out.union(pool.entries, pool.freed_s, (server_id,))
+    if not leaves_floor(servers, taken, service.floor):
+        return pool
+    entry = _make_entry(pool, server_id, service, policy, now_s)
+    return evolve(
+        pool,
+        entries=pool.entries.set(server_id, entry),
+        servers=pool.servers.set(server_id, NEW_SERVER),
+    )
+
+
+def _make_entry(
+    pool: Pool,
+    server_id: ServerId,
+    service: ServiceRule,
+    policy: HealthPolicy,
+    now_s: float,
+) -> EjectionEntry:
+    returned = pool.returned.get(server_id)
+    repeated = returned is not None and now_s - returned.at_s < RETURN_MEMORY_S
+    count = returned.count + 1 if returned is not None and repeated else 1
+    hold_s = hold_duration_s(count, policy)
+    reason = _describe(pool.servers[server_id], service, policy, hold_s)
+    return EjectionHeld(
+        reason=reason, since_s=now_s, until_s=now_s + hold_s, count=count
+    )
+
+
+def _describe(
+    server: PooledServer, service: ServiceRule, policy: HealthPolicy, hold_s: float
+) -> str:
+    tally = sum_tallies(server.suspicion.values())
+    preference = type(service.ejection).__name__
+    return (
+        f"{tally.bad:.0f} of {tally.good + tally.bad:.0f} attempts bad, "
+        f"others {server.base_share:.1%}, "
+        f"score {server.score:.1f} of {policy.trip_score:.1f}, "
+        f"{len(server.suspicion)} reporters, {preference}, held {hold_s:g} s"
+    )
+
+
+def _free(pool: Pool, server_id: ServerId, now_s: float) -> Pool:
+    return evolve(
+        pool,
+        entries=pool.entries.delete(server_id),
+        freed_s=pool.freed_s.set(server_id, now_s),
+    )
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -11,16 +11,25 @@
     BackendResult,
     ConnectFailed,
     Evidence,
+    Histogram,
+    OutcomeCounts,
     SendBroken,
     ServerEvidence,
     ServerId,
+    ServerLoad,
+    ServerLoads,
+    ServerReport,
+    ServiceName,
     ShedByServer,
 )
+from .histograms import add_duration
 
-__all__ = ["record_end", "record_start"]
+__all__ = ["describe_service", "record_end", "record_start"]
 
+FIRST_CALLER_ERROR = 400
 FIRST_SERVER_ERROR = 500
 NO_EVIDENCE = ServerEvidence()
+NO_LOAD = ServerLoad()
 
 
 def record_start(
@@ -39,35 +48,61 @@
     result: BackendResult,
     now_s: float,
 ) -> Evidence:
-    """Return the evidence with an attempt ended; a shed counts as neither."""
+    """Return the evidence with an attempt ended.
+
+    Sheds and errors of the caller say nothing about the server's health.
+    """
     held = evidence.by_server.get(server, NO_EVIDENCE)
     started_s = held.started_s.get(attempt_id, now_s)
-    held = evolve(held, started_s=_without(held.started_s, attempt_id))
-    held = _count(held, result, now_s - started_s)
+    counts = _count(held.counts, result, now_s - started_s)
+    held = ServerEvidence(counts=counts, started_s=_without(held.started_s, attempt_id))
     return evolve(evidence, by_server=evidence.by_server.set(server, held))
 
 
+def describe_service(
+    evidence: Evidence, loads: ServerLoads, service: ServiceName, now_s: float
+) -> tuple[ServerReport, ...]:
+    """Return the evidence of a service's servers as of now."""
+    return tuple(
+        _describe(server, held, loads, now_s)
+        for server, held in evidence.by_server.items()
+        if server.service == service
+    )
+
+
+def _describe(
+    server: ServerId, held: ServerEvidence, loads: ServerLoads, now_s: float
+) -> ServerReport:
+    under_way = Histogram()
+    for started_s in held.started_s.values():
+        under_way = add_duration(under_way, now_s - started_s)
+    load = loads.by_server.get(server, NO_LOAD).reported
+    return ServerReport(
+        server=server,
+        counts=held.counts,
+        under_way=under_way,
+        draining=load is not None and load.draining,
+    )
+
+
 def _count(
-    held: ServerEvidence, result: BackendResult, duration_s: float
-) -> ServerEvidence:
+    counts: OutcomeCounts, result: BackendResult, duration_s: float
+) -> OutcomeCounts:
     match result:
-        case Answered(status=status) if status < FIRST_SERVER_ERROR:
-            return evolve(
-                held,
-                succeeded=held.succeeded + 1,
-                duration_sum_s=held.duration_sum_s + duration_s,
-            )
+        case Answered(status=status) if status >= FIRST_SERVER_ERROR:
+            return evolve(counts, errors=counts.errors + 1)
+        case Answered(status=status) if status >= FIRST_CALLER_ERROR:
+            return counts
+        case Answered():
+            return evolve(counts, answered=add_duration(counts.answered, duration_s))
         case ShedByServer():
-            return held
-        case (
-            Answered()
-            | ConnectFailed()
-            | SendBroken()
-            | AnswerLate()
-            | AnswerBroken()
-            | AnswerForeign()
-        ):
-            return evolve(held, failed=held.failed + 1)
+            return counts
+        case AnswerLate():
+            return evolve(counts, late=add_duration(counts.late, duration_s))
+        case ConnectFailed():
+            return evolve(counts, unreachable=counts.unreachable + 1)
+        case SendBroken() | AnswerBroken() | AnswerForeign():
+            return evolve(counts, broken=counts.broken + 1)
 
 
 def _without(started_s: Map[str, float], attempt_id: str) -> Map[str, float]:
--- /dev/null
+++ b/snipespring/decisions/health/lists.py
@@ -0,0 +1,64 @@
+"""Make the ejection list of a service and apply a copy of it."""
+
+from ...records import (
+    EjectedServer,
+    EjectionHeld,
+    EjectionList,
+    HealthPolicy,
+    HeldList,
+    Pool,
+    ServerEjected,
+    ServerId,
+    ServerOnTrial,
+    ServerState,
+    ServiceName,
+    TrialHeld,
+    TrialServer,
+)
+from .ejecting import EJECTION_LIFETIME_S
+
+__all__ = ["make_list", "receive_list", "states_in_force"]
+
+
+def make_list(
+    pool: Pool, service: ServiceName, policy: HealthPolicy, now_s: float
+) -> EjectionList:
+    """Return the list to send; no copy outlives the lease of its sender."""
+    ejected: list[EjectedServer] = []
+    on_trial: list[TrialServer] = []
+    for server, entry in pool.entries.items():
+        match entry:
+            case EjectionHeld(reason=reason):
+                ejected.append(EjectedServer(server=server, reason=reason))
+            case TrialHeld(reason=reason, stage=stage):
+                share = policy.trial_shares[stage]
+                on_trial.append(TrialServer(server=server, share=share, reason=reason))
+    return EjectionList(
+        service=service,
+        valid_s=min(EJECTION_LIFETIME_S, pool.tenure.lease_until_s - now_s),
+        slow_bucket=pool.slow_bucket,
+        ejected=tuple(ejected),
+        on_trial=tuple(on_trial),
+    )
+
+
+def receive_list(message: EjectionList, *, sent_at_s: float) -> HeldList:
+    """Return the copy of a list that answers a report sent at a local time."""
+    return HeldList(
+        until_s=sent_at_s + min(message.valid_s, EJECTION_LIFETIME_S),
+        slow_bucket=message.slow_bucket,
+        ejected=message.ejected,
+        on_trial=message.on_trial,
+    )
+
+
+def states_in_force(held: HeldList, now_s: float) -> dict[ServerId, ServerState]:
+    """Return the states that a copy gives to servers while it is fresh."""
+    if now_s >= held.until_s:
+        return {}
+    ejected: dict[ServerId, ServerState] = {
+        entry.server: ServerEjected(reason=entry.reason, until_s=held.until_s)
+        for entry in held.ejected
+    }
+    trials = {entry.server: ServerOnTrial(share=entry.share) for entry in held.on_trial}
+    return ejected | trials
--- /dev/null
+++ b/snipespring/decisions/health/paths.py
@@ -0,0 +1,52 @@
+"""Tell a fault of the path from some hosts from a fault of the server."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+
+from ...records import (
+    DomainName,
+    HealthPolicy,
+    HostId,
+    Pool,
+    PooledServer,
+    Tally,
+)
+from .scoring import log_ratio, sick_share, sum_tallies
+
+__all__ = ["is_server_fault"]
+
+CONTRADICTION = 3.0
+UNKNOWN_DOMAIN = DomainName("")
+
+
+def is_server_fault(pool: Pool, server: PooledServer, policy: HealthPolicy) -> bool:
+    """Return whether the evidence holds without its worst host or domain.
+
+    Without the worst host some bad attempts must remain; without the worst
+    domain the rest must not show that the server works well.
+    """
+    base = server.base_share
+    sick = sick_share(base, policy)
+    by_host = dict(server.suspicion.items())
+    without_host = _without_worst(by_host)
+    if len(pool.reporters) > 1 and without_host.bad < 1:
+        return False
+    without_domain = _without_worst(_by_domain(pool, by_host))
+    ratios = (log_ratio(rest, base, sick) for rest in (without_host, without_domain))
+    return all(ratio > -CONTRADICTION for ratio in ratios)
+
+
+def _without_worst(
+    tallies: Mapping[HostId, Tally] | Mapping[DomainName, Tally],
+) -> Tally:
+    ordered = sorted(tallies.values(), key=lambda tally: tally.bad)
+    return sum_tallies(ordered[:-1])
+
+
+def _by_domain(pool: Pool, tallies: dict[HostId, Tally]) -> dict[DomainName, Tally]:
+    domains: dict[DomainName, Tally] = defaultdict(Tally)
+    for host_id, tally in tallies.items():
+        reporter = pool.reporters.get(host_id)
+        domain = reporter.domain if reporter is not None else UNKNOWN_DOMAIN
+        domains[domain] = sum_tallies((domains[domain], tally))
+    return domains
--- /dev/null
+++ b/snipespring/decisions/health/policies.py
@@ -0,0 +1,44 @@
+"""Set the tests and the recovery by the preference of the service's rule."""
+
+from math import log
+
+from ...records import (
+    EjectCarefully,
+    EjectionPreference,
+    EjectQuickly,
+    HealthPolicy,
+)
+
+__all__ = ["policy_of"]
+
+CAREFUL_FALSE_ALARM_SHARE = 1e-10
+QUICK_FALSE_ALARM_SHARE = 3e-7
+TRIAL_SHARES = (0.02, 0.1, 0.3)
+
+CAREFUL = HealthPolicy(
+    trip_score=-log(CAREFUL_FALSE_ALARM_SHARE),
+    min_base_share=0.01,
+    min_sick_share=0.2,
+    sick_odds_ratio=8.0,
+    hold_s=8.0,
+    max_hold_s=300.0,
+    trial_shares=TRIAL_SHARES,
+)
+QUICK = HealthPolicy(
+    trip_score=-log(QUICK_FALSE_ALARM_SHARE),
+    min_base_share=0.01,
+    min_sick_share=0.15,
+    sick_odds_ratio=6.0,
+    hold_s=5.0,
+    max_hold_s=300.0,
+    trial_shares=TRIAL_SHARES,
+)
+
+
+def policy_of(preference: EjectionPreference) -> HealthPolicy:
+    """Return the policy of a preference."""
+    match preference:
+        case EjectCarefully():
+            return CAREFUL
+        case EjectQuickly():
+            return QUICK
--- /dev/null
+++ b/snipespring/decisions/health/pooling.py
@@ -0,0 +1,128 @@
+"""Take reports into the pool of a service as differences from earlier ones."""
+
+from attrs import evolve
+from immutables import Map
+
+from ...records import (
+    EvidenceReport,
+    Histogram,
+    HostId,
+    OutcomeCounts,
+    Pool,
+    PooledServer,
+    Reporter,
+    ServerId,
+    ServerReport,
+    Tally,
+    Tenure,
+)
+from .histograms import LAST_BUCKET, bucket_of, count_from, total_of
+
+__all__ = ["absorb_report", "count_bad", "count_good", "open_pool"]
+
+FIRST_SLOW_S = 1.0
+NO_REPORT = OutcomeCounts()
+NO_TALLY = Tally()
+NEW_SERVER = PooledServer()
+NO_DURATIONS = (0.0,) * (LAST_BUCKET + 1)
+
+
+def open_pool(tenure: Tenure, now_s: float) -> Pool:
+    """Return the pool of a service before any evidence."""
+    return Pool(
+        tenure=tenure,
+        durations=NO_DURATIONS,
+        slow_bucket=bucket_of(FIRST_SLOW_S),
+        judged_s=now_s,
+    )
+
+
+def absorb_report(pool: Pool, report: EvidenceReport, now_s: float) -> Pool:
+    """Return the pool with what is new in a report; a repeat changes nothing.
+
+    The first report of an incarnation only sets the base for the next.
+    """
+    held = pool.reporters.get(report.sender)
+    if held is not None and not _is_newer(report, held):
+        return pool
+    reporter = Reporter(
+        incarnation=report.incarnation,
+        sequence=report.sequence,
+        domain=report.domain,
+        received_s=now_s,
+        servers=Map({entry.server: entry for entry in report.servers}),
+    )
+    pool = evolve(pool, reporters=pool.reporters.set(report.sender, reporter))
+    if held is None or held.incarnation != report.incarnation:
+        return pool
+    for entry in report.servers:
+        pool = _absorb_server(pool, report.sender, held, entry, now_s)
+    return pool
+
+
+def count_bad(entry: ServerReport, slow_bucket: int) -> int:
+    """Return the attempts that failed or took, or have so far taken, too long."""
+    counts = entry.counts
+    return (
+        counts.errors
+        + counts.broken
+        + counts.unreachable
+        + count_from(counts.answered, slow_bucket)
+        + count_from(counts.late, slow_bucket)
+        + count_from(entry.under_way, slow_bucket)
+    )
+
+
+def count_good(entry: ServerReport, slow_bucket: int) -> int:
+    """Return the attempts that were answered well and in time."""
+    answered = entry.counts.answered
+    return total_of(answered) - count_from(answered, slow_bucket)
+
+
+def _is_newer(report: EvidenceReport, held: Reporter) -> bool:
+    return (report.incarnation, report.sequence) > (held.incarnation, held.sequence)
+
+
+def _absorb_server(
+    pool: Pool, sender: HostId, held: Reporter, entry: ServerReport, now_s: float
+) -> Pool:
+    old = held.servers.get(entry.server)
+    if old is None:
+        old = _blank(entry.server)
+    slow = pool.slow_bucket
+    bad = count_bad(entry, slow) - count_bad(old, slow)
+    good = count_good(entry, slow) - count_good(old, slow)
+    if good == 0 and bad == 0:
+        return pool
+    server = pool.servers.get(entry.server, NEW_SERVER)
+    tally = server.fresh.get(sender, NO_TALLY)
+    tally = Tally(good=tally.good + good, bad=tally.bad + bad)
+    refused = entry.counts.unreachable > old.counts.unreachable
+    server = evolve(
+        server,
+        fresh=server.fresh.set(sender, tally),
+        unreachable_s=now_s if refused else server.unreachable_s,
+        answered_s=now_s if good > 0 else server.answered_s,
+    )
+    return evolve(
+        pool,
+        servers=pool.servers.set(entry.server, server),
+        durations=_add_durations(pool.durations, old, entry),
+    )
+
+
+def _blank(server: ServerId) -> ServerReport:
+    return ServerReport(server=server, counts=NO_REPORT, under_way=Histogram())
+
+
+def _add_durations(
+    durations: tuple[float, ...], old: ServerReport, new: ServerReport
+) -> tuple[float, ...]:
+    total = list(durations)
+    answered = new.counts.answered
+    for index, count in enumerate(answered.counts, start=answered.first):
+        total[index] += count
+    answered = old.counts.answered
+    for index, count in enumerate(answered.counts, start=answered.first):
+        total[index] -= count
+    return tuple(total)
--- /dev/null
+++ b/snipespring/decisions/health/reporting.py
@@ -0,0 +1,42 @@
+"""Decide when a host reports its evidence of a service to the holder."""
+
+from attrs import frozen
+
+from ...records import ServerReport
+from .pooling import count_bad
+
+__all__ = ["SentReport", "is_due"]
+
+URGENT_INTERVAL_S = 0.25
+QUIET_INTERVAL_S = 1.0
+
+
+@frozen(kw_only=True)
+class SentReport:
+    """Remember what was last reported about a service and when."""
+
+    at_s: float
+    servers: tuple[ServerReport, ...] = ()
+
+
+def is_due(
+    sent: SentReport | None,
+    servers: tuple[ServerReport, ...],
+    *,
+    slow_bucket: int,
+    has_entries: bool,
+    now_s: float,
+) -> bool:
+    """Return whether to report now; more bad attempts are reported soonest."""
+    if sent is None:
+        return bool(servers)
+    waited_s = now_s - sent.at_s
+    if waited_s >= QUIET_INTERVAL_S:
+        return has_entries or servers != sent.servers
+    if waited_s < URGENT_INTERVAL_S:
+        return False
+    return _total_bad(servers, slow_bucket) > _total_bad(sent.servers, slow_bucket)
+
+
+def _total_bad(servers: tuple[ServerReport, ...], slow_bucket: int) -> int:
+    return sum(count_bad(entry, slow_bucket) for entry in servers)
--- /dev/null
+++ b/snipespring/decisions/health/scoring.py
@@ -0,0 +1,160 @@
+"""Score each server by a sequential test against the rest of its service."""
+
+from collections.abc import Iterable
+from math import log
+
+from attrs import evolve
+from immutables import Map
+
+from ...records import (
+    HealthPolicy,
+    HostId,
+    Pool,
+    PooledServer,
+    Tally,
+)
+from .histograms import LAST_BUCKET, bucket_of
+
+__all__ = ["log_ratio", "score_servers", "sick_share", "sum_tallies"]
+
+RECENT_HALF_LIFE_S = 1.0
+PAST_HALF_LIFE_S = 300.0
+DURATION_HALF_LIFE_S = 10.0
+MAX_BASE_SHARE = 0.4
+MAX_PAST_SHARE = 0.1
+BASE_PRIOR_ATTEMPTS = 20.0
+PAST_PRIOR_ATTEMPTS = 500.0
+SLOW_MEDIANS_BUCKETS = 5
+MIN_SLOW_S = 0.025
+MIN_SLOW_BUCKET = bucket_of(MIN_SLOW_S)
+MIN_DURATIONS = 20.0
+SCORE_CAP_RATIO = 1.5
+NO_TALLIES: Map[HostId, Tally] = Map()
+
+
+def score_servers(pool: Pool, policy: HealthPolicy, now_s: float) -> Pool:
+    """Return the pool with all fresh evidence taken into the scores.
+
+    The score of a server is the log likelihood ratio of sick against as good
+    as the others, summed since it was last 0 (Page's test).
+    """
+    elapsed_s = max(0.0, now_s - pool.judged_s)
+    decayed = {
+        server_id: _decay(server, elapsed_s)
+        for server_id, server in pool.servers.items()
+    }
+    total = sum_tallies(
+        server.recent
+        for server_id, server in decayed.items()
+        if server_id not in pool.entries
+    )
+    servers = {
+        server_id: _score(server, total, policy, compared=server_id not in pool.entries)
+        for server_id, server in decayed.items()
+    }
+    return _retime(evolve(pool, servers=Map(servers), judged_s=now_s), elapsed_s)
+
+
+def log_ratio(tally: Tally, base: float, sick: float) -> float:
+    """Return the log likelihood ratio of a sick server's share against the base."""
+    bad = tally.bad * log(sick / base)
+    return bad + tally.good * log((1 - sick) / (1 - base))
+
+
+def sick_share(base: float, policy: HealthPolicy) -> float:
+    """Return the share of bad attempts that the test looks for."""
+    odds = base / (1 - base) * policy.sick_odds_ratio
+    return max(policy.min_sick_share, odds / (1 + odds))
+
+
+def sum_tallies(tallies: Iterable[Tally]) -> Tally:
+    """Return the sum of tallies."""
+    good = 0.0
+    bad = 0.0
+    for tally in tallies:
+        good += tally.good
+        bad += tally.bad
+    return Tally(good=good, bad=bad)
+
+
+def _decay(server: PooledServer, elapsed_s: float) -> PooledServer:
+    fresh = sum_tallies(server.fresh.values())
+    return evolve(
+        server,
+        recent=_blend(server.recent, fresh, elapsed_s / RECENT_HALF_LIFE_S),
+        past=_blend(server.past, fresh, elapsed_s / PAST_HALF_LIFE_S),
+    )
+
+
+def _blend(old: Tally, fresh: Tally, half_lives: float) -> Tally:
+    kept = 0.5**half_lives
+    return Tally(
+        good=old.good * kept + fresh.good, bad=max(0.0, old.bad * kept + fresh.bad)
+    )
+
+
+def _score(
+    server: PooledServer, total: Tally, policy: HealthPolicy, *, compared: bool
+) -> PooledServer:
+    if not server.fresh and not server.suspicion:
+        return server
+    base = _base_share(server, total, policy)
+    if not compared or base > MAX_BASE_SHARE:
+        return _clear(server, base, keep_fresh=not compared)
+    fresh = sum_tallies(server.fresh.values())
+    score = server.score + log_ratio(fresh, base, sick_share(base, policy))
+    if score <= 0:
+        return _clear(server, base, keep_fresh=False)
+    return evolve(
+        server,
+        fresh=NO_TALLIES,
+        suspicion=_merge(server.suspicion, server.fresh),
+        score=min(score, policy.trip_score * SCORE_CAP_RATIO),
+        base_share=base,
+    )
+
+
+def _clear(server: PooledServer, base: float, *, keep_fresh: bool) -> PooledServer:
+    return evolve(
+        server,
+        fresh=server.fresh if keep_fresh else NO_TALLIES,
+        suspicion=NO_TALLIES,
+        score=0.0,
+        base_share=base,
+    )
+
+
+def _base_share(server: PooledServer, total: Tally, policy: HealthPolicy) -> float:
+    good = max(0.0, total.good - server.recent.good)
+    bad = max(0.0, total.bad - server.recent.bad)
+    prior = BASE_PRIOR_ATTEMPTS * policy.min_base_share
+    others = (bad + prior) / (good + bad + BASE_PRIOR_ATTEMPTS)
+    seen = server.past.good + server.past.bad
+    own = server.past.bad / (seen + PAST_PRIOR_ATTEMPTS)
+    return max(policy.min_base_share, others, min(own, MAX_PAST_SHARE))
+
+
+def _merge(old: Map[HostId, Tally], new: Map[HostId, Tally]) -> Map[HostId, Tally]:
+    for host_id, tally in new.items():
+        held = old.get(host_id)
+        old = old.set(host_id, sum_tallies((held, tally)) if held else tally)
+    return old
+
+
+def _retime(pool: Pool, elapsed_s: float) -> Pool:
+    kept = 0.5 ** (elapsed_s / DURATION_HALF_LIFE_S)
+    durations = tuple(count * kept for count in pool.durations)
+    total = sum(durations)
+    if total < MIN_DURATIONS:
+        return evolve(pool, durations=durations)
+    slow = max(_median_bucket(durations, total) + SLOW_MEDIANS_BUCKETS, MIN_SLOW_BUCKET)
+    return evolve(pool, durations=durations, slow_bucket=min(slow, LAST_BUCKET))
+
+
+def _median_bucket(durations: tuple[float, ...], total: float) -> int:
+    left = total / 2
+    for bucket, count in enumerate(durations):
+        left -= count
+        if left <= 0:
+            return bucket
+    return LAST_BUCKET
--- /dev/null
+++ b/snipespring/decisions/health/trials.py
@@ -0,0 +1,71 @@
+"""Bring a server back by a growing share of real work."""
+
+from attrs import evolve
+
+from ...records import (
+    EjectionHeld,
+    HealthPolicy,
+    Returned,
+    Tally,
+    TrialHeld,
+)
+from .scoring import log_ratio, sick_share
+
+__all__ = ["advance_entry", "hold_again", "hold_duration_s"]
+
+TRIAL_FAIL_SCORE = 4.5
+TRIAL_PASS_SCORE = -1.0
+TRIAL_STAGE_MIN_S = 1.0
+TRIAL_PATIENCE_S = 5.0
+
+
+def hold_duration_s(count: int, policy: HealthPolicy) -> float:
+    """Return how long the ejection of this count lasts in seconds."""
+    return min(policy.max_hold_s, float(policy.hold_s * 2 ** (count - 1)))
+
+
+def advance_entry(
+    entry: EjectionHeld | TrialHeld, fresh: Tally, policy: HealthPolicy, now_s: float
+) -> EjectionHeld | TrialHeld | Returned:
+    """Return what follows an entry after the evidence of one round."""
+    match entry:
+        case EjectionHeld(until_s=until_s) if now_s < until_s:
+            return entry
+        case EjectionHeld():
+            return TrialHeld(
+                reason=entry.reason,
+                stage=0,
+                since_s=entry.since_s,
+                stage_since_s=now_s,
+                count=entry.count,
+            )
+        case TrialHeld():
+            return _advance_trial(entry, fresh, policy, now_s)
+
+
+def _advance_trial(
+    trial: TrialHeld, fresh: Tally, policy: HealthPolicy, now_s: float
+) -> EjectionHeld | TrialHeld | Returned:
+    base = policy.min_base_share
+    score = trial.score + log_ratio(fresh, base, sick_share(base, policy))
+    if score >= TRIAL_FAIL_SCORE:
+        return hold_again(trial, policy, now_s)
+    trial = evolve(trial, score=score)
+    waited_s = now_s - trial.stage_since_s
+    passed = score <= TRIAL_PASS_SCORE and waited_s >= TRIAL_STAGE_MIN_S
+    unproved = score <= 0 and waited_s >= TRIAL_PATIENCE_S
+    if not passed and not unproved:
+        return trial
+    if trial.stage + 1 < len(policy.trial_shares):
+        return evolve(trial, stage=trial.stage + 1, stage_since_s=now_s, score=0.0)
+    return Returned(at_s=now_s, count=trial.count)
+
+
+def hold_again(trial: TrialHeld, policy: HealthPolicy, now_s: float) -> EjectionHeld:
+    """Return the longer ejection that follows a failed trial."""
+    count = trial.count + 1
+    hold_s = hold_duration_s(count, policy)
+    reason = f"failed its trial; ejected {count} times, last for {hold_s:g} s"
+    return EjectionHeld(
+        reason=reason, since_s=now_s, until_s=now_s + hold_s, count=count
+    )
--- a/snipespring/frontends/operators/dump.py
+++ b/snipespring/frontends/operators/dump.py
@@ -7,6 +7,7 @@
 from immutables import Map
 
 from ...blackboard import Board
+from ...records import Address, ServerId
 
 __all__ = ["dump_board", "dump_record"]
 
@@ -18,6 +19,8 @@
 
 def dump_record(record: Any) -> Any:
     """Return a record as plain values, with the class name of each."""
+    if isinstance(record, Address | ServerId):
+        return str(record)
     if attrs.has(type(record)):
         fields = {"kind": type(record).__name__}
         for attribute in attrs.fields(type(record)):
--- a/snipespring/records/health.py
+++ b/snipespring/records/health.py
@@ -7,6 +7,8 @@
 
 __all__ = [
     "Evidence",
+    "Histogram",
+    "OutcomeCounts",
     "ServerAvoided",
     "ServerEjected",
     "ServerEvidence",
@@ -17,16 +19,36 @@
 ]
 
 
+@frozen(kw_only=True)
+class Histogram:
+    """Count durations by bucket; `counts` starts at bucket `first`."""
+
+    first: int = 0
+    counts: tuple[int, ...] = ()
+
+
+@frozen(kw_only=True)
+class OutcomeCounts:
+    """Count how attempts on one server ended since the process started.
+
+    `answered` holds durations of good answers, `late` the waits in vain.
+    """
+
+    answered: Histogram = Histogram()
+    late: Histogram = Histogram()
+    errors: int = 0
+    broken: int = 0
+    unreachable: int = 0
+
+
 @frozen(kw_only=True)
 class ServerEvidence:
-    """Count the outcomes of real work on one server since this process started.
+    """Hold the outcomes of real work on one server.
 
     `started_s` holds the monotonic start times of attempts under way.
     """
 
-    succeeded: int = 0
-    failed: int = 0
-    duration_sum_s: float = 0.0
+    counts: OutcomeCounts = OutcomeCounts()
     started_s: Map[str, float] = Map()
 
 
--- /dev/null
+++ b/snipespring/records/health_pools.py
@@ -0,0 +1,175 @@
+"""Hold the pooled evidence about a service and the ejections decided from it."""
+
+from attrs import frozen
+from immutables import Map
+
+from .health_messages import EjectedServer, ServerReport, TrialServer
+from .identity import DomainName, HostId, Incarnation, ServerId, ServiceName
+
+__all__ = [
+    "EjectionEntry",
+    "EjectionHeld",
+    "HealthPolicy",
+    "HeldList",
+    "HeldLists",
+    "LocalHealth",
+    "Pool",
+    "PoolBoard",
+    "PooledServer",
+    "Reporter",
+    "Returned",
+    "Tally",
+    "Tenure",
+    "TrialHeld",
+]
+
+
+@frozen(kw_only=True)
+class HealthPolicy:
+    """Set the error rates of the tests and the times of recovery.
+
+    `trip_score` is the log of attempts per false alarm at the base share.
+    """
+
+    trip_score: float
+    min_base_share: float
+    min_sick_share: float
+    sick_odds_ratio: float
+    hold_s: float
+    max_hold_s: float
+    trial_shares: tuple[float, ...]
+
+
+@frozen(kw_only=True)
+class Tally:
+    """Count good and bad attempts; decayed tallies hold fractions."""
+
+    good: float = 0.0
+    bad: float = 0.0
+
+
+@frozen(kw_only=True)
+class Reporter:
+    """Hold the latest report of one host, the base of the next difference."""
+
+    incarnation: Incarnation
+    sequence: int
+    domain: DomainName
+    received_s: float
+    servers: Map[ServerId, ServerReport] = Map()
+
+
+@frozen(kw_only=True)
+class PooledServer:
+    """Hold what all reporters say of one server.
+
+    `fresh` came since the last judgement, `suspicion` since the score rose
+    from 0; `recent` and `past` decay over seconds and minutes.
+    """
+
+    fresh: Map[HostId, Tally] = Map()
+    suspicion: Map[HostId, Tally] = Map()
+    recent: Tally = Tally()
+    past: Tally = Tally()
+    score: float = 0.0
+    base_share: float = 0.0
+    unreachable_s: float = float("-inf")
+    answered_s: float = float("-inf")
+
+
+@frozen(kw_only=True)
+class EjectionHeld:
+    """Keep a server out until its hold ends; `count` numbers its ejections."""
+
+    reason: str
+    since_s: float
+    until_s: float
+    count: int
+
+
+@frozen(kw_only=True)
+class TrialHeld:
+    """Let a server prove itself with a share of work."""
+
+    reason: str
+    stage: int
+    since_s: float
+    stage_since_s: float
+    count: int
+    score: float = 0.0
+
+
+EjectionEntry = EjectionHeld | TrialHeld
+
+
+@frozen(kw_only=True)
+class Returned:
+    """Remember a server's return, so that its next ejection lasts longer."""
+
+    at_s: float
+    count: int
+
+
+@frozen(kw_only=True)
+class Tenure:
+    """Hold the roster version since which this host keeps a service's list.
+
+    It ends when the lease ends at `lease_until_s` without being renewed.
+    """
+
+    version: int
+    lease_until_s: float
+
+
+@frozen(kw_only=True)
+class Pool:
+    """Hold the pooled evidence and the ejections of one service.
+
+    `freed_s` holds when places were freed whose copies may still be in force.
+    """
+
+    tenure: Tenure
+    reporters: Map[HostId, Reporter] = Map()
+    servers: Map[ServerId, PooledServer] = Map()
+    durations: tuple[float, ...] = ()
+    slow_bucket: int
+    judged_s: float
+    entries: Map[ServerId, EjectionEntry] = Map()
+    freed_s: Map[ServerId, float] = Map()
+    returned: Map[ServerId, Returned] = Map()
+
+
+@frozen(kw_only=True)
+class PoolBoard:
+    """Hold the pools of the services whose list this host keeps."""
+
+    by_service: Map[ServiceName, Pool] = Map()
+
+
+@frozen(kw_only=True)
+class HeldList:
+    """Hold a copy of a service's ejection list, in force until a local time."""
+
+    until_s: float
+    slow_bucket: int
+    ejected: tuple[EjectedServer, ...] = ()
+    on_trial: tuple[TrialServer, ...] = ()
+
+
+@frozen(kw_only=True)
+class HeldLists:
+    """Hold the copies of all services' ejection lists."""
+
+    by_service: Map[ServiceName, HeldList] = Map()
+
+
+@frozen(kw_only=True)
+class LocalHealth:
+    """Hold this host's own judgement of the paths to servers.
+
+    `avoided_until_s` holds the local times at which avoidance ends.
+    """
+
+    pools: Map[ServiceName, Pool] = Map()
+    avoided_until_s: Map[ServerId, float] = Map()
+    reasons: Map[ServerId, str] = Map()
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from .fleet import HostStatus, Versions
+from .health_messages import HealthMessage
 from .identity import HostId
 
 __all__ = [
@@ -61,7 +62,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused
+Message = Pull | PullReply | Refused | HealthMessage
 
 
 @frozen(kw_only=True)
