--- a/snipespring/decisions/health/reporting.py
+++ b/snipespring/decisions/health/reporting.py
@@ -8,7 +8,7 @@
 __all__ = ["SentReport", "is_due"]
 
 URGENT_INTERVAL_S = 0.25
-QUIET_INTERVAL_S = 1.0
+QUIET_INTERVAL_S = 0.5
 
 
 @frozen(kw_only=True)
--- a/snipespring/decisions/health/scoring.py
+++ b/snipespring/decisions/health/scoring.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterable
 from math import log
+from statistics import median
 
-from attrs import evolve
+from attrs import evolve, frozen
 from immutables import Map
 
 from ...records import (
@@ -20,11 +21,12 @@
 RECENT_HALF_LIFE_S = 1.0
 PAST_HALF_LIFE_S = 300.0
 DURATION_HALF_LIFE_S = 10.0
-MAX_BASE_SHARE = 0.4
+MAX_USUAL_SHARE = 0.05
 MAX_PAST_SHARE = 0.1
 BASE_PRIOR_ATTEMPTS = 20.0
+USUAL_PRIOR_ATTEMPTS = 2.0
 PAST_PRIOR_ATTEMPTS = 500.0
-SLOW_MEDIANS_BUCKETS = 5
+SLOW_MEDIANS_BUCKETS = 6
 MIN_SLOW_S = 0.025
 MIN_SLOW_BUCKET = bucket_of(MIN_SLOW_S)
 MIN_DURATIONS = 20.0
@@ -32,6 +34,13 @@
 NO_TALLIES: Map[HostId, Tally] = Map()
 
 
+@frozen(kw_only=True)
+class _Rest:
+    recent: Tally
+    fresh: Tally
+    usual_share: float
+
+
 def score_servers(pool: Pool, policy: HealthPolicy, now_s: float) -> Pool:
     """Return the pool with all fresh evidence taken into the scores.
 
@@ -43,13 +52,14 @@
         server_id: _decay(server, elapsed_s)
         for server_id, server in pool.servers.items()
     }
-    total = sum_tallies(
-        server.recent
+    compared = {
+        server_id: server
         for server_id, server in decayed.items()
         if server_id not in pool.entries
-    )
+    }
+    rest = _sum_up(compared.values())
     servers = {
-        server_id: _score(server, total, policy, compared=server_id not in pool.entries)
+        server_id: _score(server, rest, policy, compared=server_id in compared)
         for server_id, server in decayed.items()
     }
     return _retime(evolve(pool, servers=Map(servers), judged_s=now_s), elapsed_s)
@@ -78,7 +88,7 @@
 
 
 def _decay(server: PooledServer, elapsed_s: float) -> PooledServer:
-    fresh = sum_tallies(server.fresh.values())
+    fresh = _fresh(server)
     return evolve(
         server,
         recent=_blend(server.recent, fresh, elapsed_s / RECENT_HALF_LIFE_S),
@@ -93,16 +103,33 @@
     )
 
 
+def _sum_up(servers: Iterable[PooledServer]) -> _Rest:
+    servers = tuple(servers)
+    shares = [
+        server.recent.bad
+        / (server.recent.good + server.recent.bad + USUAL_PRIOR_ATTEMPTS)
+        for server in servers
+    ]
+    return _Rest(
+        recent=sum_tallies(server.recent for server in servers),
+        fresh=sum_tallies(_fresh(server) for server in servers),
+        usual_share=median(shares) if shares else 0.0,
+    )
+
+
+def _fresh(server: PooledServer) -> Tally:
+    return sum_tallies(server.fresh.values())
+
+
 def _score(
-    server: PooledServer, total: Tally, policy: HealthPolicy, *, compared: bool
+    server: PooledServer, rest: _Rest, policy: HealthPolicy, *, compared: bool
 ) -> PooledServer:
     if not server.fresh and not server.suspicion:
         return server
-    base = _base_share(server, total, policy)
-    if not compared or base > MAX_BASE_SHARE:
+    base = _base_share(server, rest, policy)
+    if not compared or rest.usual_share > MAX_USUAL_SHARE:
         return _clear(server, base, keep_fresh=not compared)
-    fresh = sum_tallies(server.fresh.values())
-    score = server.score + log_ratio(fresh, base, sick_share(base, policy))
+    score = server.score + log_ratio(_fresh(server), base, sick_share(base, policy))
     if score <= 0:
         return _clear(server, base, keep_fresh=False)
     return evolve(
@@ -124,14 +151,22 @@
     )
 
 
-def _base_share(server: PooledServer, total: Tally, policy: HealthPolicy) -> float:
-    good = max(0.0, total.good - server.recent.good)
-    bad = max(0.0, total.bad - server.recent.bad)
+def _base_share(server: PooledServer, rest: _Rest, policy: HealthPolicy) -> float:
     prior = BASE_PRIOR_ATTEMPTS * policy.min_base_share
-    others = (bad + prior) / (good + bad + BASE_PRIOR_ATTEMPTS)
+    shares = [
+        (bad + prior) / (good + bad + BASE_PRIOR_ATTEMPTS)
+        for good, bad in (
+            _others(rest.recent, server.recent),
+            _others(rest.fresh, _fresh(server)),
+        )
+    ]
     seen = server.past.good + server.past.bad
     own = server.past.bad / (seen + PAST_PRIOR_ATTEMPTS)
-    return max(policy.min_base_share, others, min(own, MAX_PAST_SHARE))
+    return max(policy.min_base_share, *shares, min(own, MAX_PAST_SHARE))
+
+
+def _others(total: Tally, own: Tally) -> tuple[float, float]:
+    return max(0.0, total.good - own.good), max(0.0, total.bad - own.bad)
 
 
 def _merge(old: Map[HostId, Tally], new: Map[HostId, Tally]) -> Map[HostId, Tally]:
--- a/snipespring/decisions/health/trials.py
+++ b/snipespring/decisions/health/trials.py
@@ -14,7 +14,7 @@
 __all__ = ["advance_entry", "hold_again", "hold_duration_s"]
 
 TRIAL_FAIL_SCORE = 4.5
-TRIAL_PASS_SCORE = -1.0
+TRIAL_PASS_SCORE = -2.0
 TRIAL_STAGE_MIN_S = 1.0
 TRIAL_PATIENCE_S = 5.0
 
