--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -13,7 +13,10 @@
     ROSTER,
 )
 from .health import (
+    EJECTION_LISTS,
     EVIDENCE,
+    HEALTH_POOLS,
+    LOCAL_HEALTH,
     SERVER_STATES,
 )
 from .limits import (
@@ -33,12 +36,15 @@
     "CONFIGURATION",
     "COUNTERS",
     "CREDIT_NEEDS",
+    "EJECTION_LISTS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HEALTH_POOLS",
     "HEARD_HOSTS",
     "HOST_STATUSES",
     "LEASE",
+    "LOCAL_HEALTH",
     "OWN_STATUS",
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -5,6 +5,8 @@
 from ..records import (
     CreditAsks,
     CreditGrants,
+    EjectionList,
+    EvidenceReport,
     Message,
     Pull,
     PullReply,
@@ -12,6 +14,7 @@
     ShareHandovers,
     SharesTaken,
 )
+from .health_judge import HealthJudge
 from .puller import Puller
 from .share_book import ShareBook
 
@@ -24,6 +27,7 @@
 
     puller: Puller
     shares: ShareBook
+    health_judge: HealthJudge
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
@@ -34,5 +38,13 @@
                 return self.shares.lend(message)
             case ShareHandovers():
                 return self.shares.take(message)
-            case PullReply() | Refused() | CreditGrants() | SharesTaken():
+            case EvidenceReport():
+                return self.health_judge.answer(message)
+            case (
+                PullReply()
+                | EjectionList()
+                | Refused()
+                | CreditGrants()
+                | SharesTaken()
+            ):
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -26,6 +26,9 @@
     Controller,
     FenceKeeper,
     Forwarder,
+    HealthJudge,
+    HealthKeeper,
+    HealthReporter,
     Historian,
     LeaseKeeper,
     Limiter,
@@ -155,6 +158,7 @@
         own=own,
         lease_s=settings.peers.lease_s,
     )
+    health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -190,8 +194,19 @@
         ),
         ShareBorrower(book=book, client=links, accountant=accountant),
         share_mover,
+        health_judge,
+        HealthReporter(
+            board=board, clock=clock, client=links, judge=health_judge, own=own
+        ),
+        HealthKeeper(
+            board=board,
+            clock=clock,
+            historian=historian,
+            accountant=accountant,
+            own=own,
+        ),
     )
-    responder = Responder(puller=puller, shares=book)
+    responder = Responder(puller=puller, shares=book, health_judge=health_judge)
     forwarder = Forwarder(
         board=board,
         clock=clock,
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from .fleet import HostStatus, Versions
+from .health_messages import HealthMessage
 from .identity import HostId
 from .limit_messages import LimitMessage
 
@@ -62,7 +63,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused | LimitMessage
+Message = Pull | PullReply | Refused | HealthMessage | LimitMessage
 
 
 @frozen(kw_only=True)
