Run a request with an idempotency key at most once through any host

Cause: a repeat of a non-idempotent request through another host ran again. Ruled out: a record for each claim in the platform (several hundred writes a second for the whole fleet, and none while it is away); memory on each host alone (a repeat through a second host runs again). Change: /addresses issues a prefix that names the answering incarnation and is authenticated for the organisation; the memory of such a key lives in that incarnation alone. Plain keys have an owner by hashing over the roster, which must hold its lease and must have been the only owner for the whole window. The forwarder asks before each send whether the claim still permits it. Conclusion: a key through three hosts ran once with the stand-ins.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -1,5 +1,10 @@
 """List every region of the blackboard and the controller that writes it."""
 
+from .claims import (
+    CLAIM_MEMORY,
+    CLAIM_REPORTS,
+    TENURE,
+)
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -25,6 +30,8 @@
 )
 
 __all__ = [
+    "CLAIM_MEMORY",
+    "CLAIM_REPORTS",
     "CONFIGURATION",
     "COUNTERS",
     "EVENTS",
@@ -40,4 +47,5 @@
     "SERVER_LOADS",
     "SERVER_STATES",
     "STOP",
+    "TENURE",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .claim_owner import (
+    ClaimOwner,
+)
 from .claimant import (
     Claimant,
 )
@@ -48,6 +51,9 @@
 from .status_keeper import (
     StatusKeeper,
 )
+from .tenure_keeper import (
+    TenureKeeper,
+)
 from .watcher import (
     Watcher,
 )
@@ -56,6 +62,7 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "ClaimOwner",
     "Claimant",
     "Configurator",
     "Conflicted",
@@ -72,6 +79,7 @@
     "RulesHeld",
     "Runner",
     "StatusKeeper",
+    "TenureKeeper",
     "Unreachable",
     "Watcher",
 ]
--- a/snipespring/controllers/claimant.py
+++ b/snipespring/controllers/claimant.py
@@ -1,25 +1,255 @@
 """Claim the one run of each non-idempotent request."""
 
-from attrs import define
+from concurrent.futures import ThreadPoolExecutor
+
+from attrs import define, field
 
 from ..blackboard import Board
-from ..records import AdmittedRequest, ClaimResult, Reply, Unclaimed
+from ..blackboard.regions import CLAIM_REPORTS, ROSTER, STOP
+from ..decisions.claims import (
+    KeyAbsent,
+    KeyMalformed,
+    OwnerGone,
+    add_report,
+    digest_request,
+    due_reports,
+    find_owner,
+    issue_prefix,
+    judge_answer,
+    may_send,
+    next_due_s,
+    read_claim_key,
+    record_end,
+    refuse_gone,
+    refuse_malformed,
+    settle_reports,
+)
+from ..frontends.peers import PeerClient
+from ..records import (
+    Address,
+    AdmittedRequest,
+    Attempt,
+    ClaimEnd,
+    ClaimGranted,
+    ClaimKey,
+    ClaimRefused,
+    ClaimReport,
+    ClaimReports,
+    ClaimReportsTaken,
+    ClaimRequest,
+    ClaimResult,
+    EndedNotRun,
+    Host,
+    NotRun,
+    OrganisationName,
+    PeerFailed,
+    PeerResult,
+    PendingReport,
+    Reply,
+    RequestRefused,
+    RunAsUpload,
+    RunIdempotent,
+    RunOnce,
+    Serving,
+    Unclaimed,
+    Unknown,
+)
 from ..utils import Clock
+from .accountant import Accountant
+from .claim_owner import ClaimOwner
+from .historian import Historian
 
 __all__ = ["Claimant"]
 
+ASK_TIMEOUT_S = 0.25
+ASK_TRIES = 2
+REPORT_TIMEOUT_S = 0.5
+REPORT_THREADS = 4
+SHOWN_DIGEST_CHARS = 12
+
 
 @define(kw_only=True, eq=False)
 class Claimant:
-    """Ask the owner of an idempotency key for the permission to run."""
+    """Write the pending reports region; ask the owner of a key before a run."""
 
     board: Board
     clock: Clock
+    client: PeerClient
+    own: Host
+    owner: ClaimOwner
+    historian: Historian
+    accountant: Accountant
+    issuing_key: bytes = field(repr=False)
     name: str = "claimant"
+    watches = (CLAIM_REPORTS,)
+    _pool: ThreadPoolExecutor = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Make the threads that deliver reports."""
+        self._pool = ThreadPoolExecutor(REPORT_THREADS, thread_name_prefix="claims")
 
     def begin(self, admitted: AdmittedRequest) -> ClaimResult:
         """Return whether the request may run now."""
-        return Unclaimed()
+        match admitted.route.run:
+            case RunIdempotent() | RunAsUpload():
+                return Unclaimed()
+            case RunOnce():
+                return self._begin_once(admitted)
+
+    def may_send(self, claim: ClaimResult) -> bool:
+        """Return whether a claim still permits to send."""
+        return may_send(claim, now_s=self.clock.monotonic_s())
 
     def finish(self, claim: ClaimResult, reply: Reply) -> None:
         """Tell the owner what became of a granted run."""
+        match claim:
+            case ClaimGranted():
+                end = record_end(reply, organisation=claim.organisation)
+                report = ClaimReport(
+                    organisation=claim.organisation,
+                    digest=claim.digest,
+                    by=claim.by,
+                    end=end,
+                )
+                self._report(report, claim.owner)
+            case _:
+                return
+
+    def issue_prefix(self, organisation: OrganisationName | None) -> str | None:
+        """Return a prefix for idempotency keys, or None while nobody should use it."""
+        match self.board.read(STOP):
+            case Serving() if self._is_listed():
+                return issue_prefix(
+                    self.issuing_key,
+                    own=self.own,
+                    organisation=organisation,
+                    now_s=self.clock.monotonic_s(),
+                )
+            case _:
+                return None
+
+    def step(self) -> float | None:
+        """Deliver the reports that are due; return seconds until the next."""
+        due = due_reports(
+            self.board.read(CLAIM_REPORTS), now_s=self.clock.monotonic_s()
+        )
+        futs = [
+            self._pool.submit(self._deliver, owner, entries)
+            for owner, entries in due.items()
+        ]
+        for fut in futs:
+            fut.result()
+        next_s = next_due_s(self.board.read(CLAIM_REPORTS))
+        if next_s is None:
+            return None
+        return max(0.0, next_s - self.clock.monotonic_s())
+
+    def _begin_once(self, admitted: AdmittedRequest) -> ClaimResult:
+        roster = self.board.read(ROSTER)
+        key = read_claim_key(
+            admitted.request,
+            organisation=admitted.organisation,
+            issuing_key=self.issuing_key,
+            roster_version=roster.version,
+        )
+        match key:
+            case KeyAbsent():
+                return Unclaimed()
+            case KeyMalformed(reason=reason):
+                return self._note(admitted, None, refuse_malformed(reason))
+            case _:
+                pass
+        match find_owner(key, roster=roster, own=self.own):
+            case OwnerGone() as gone:
+                return self._note(admitted, key, refuse_gone(gone))
+            case Host() as owner:
+                return self._note(admitted, key, self._ask(admitted, key, owner))
+
+    def _ask(
+        self, admitted: AdmittedRequest, key: ClaimKey, owner: Host
+    ) -> ClaimResult:
+        requested_s = self.clock.monotonic_s()
+        request = admitted.request
+        asked = ClaimRequest(
+            by=Attempt(host_id=self.own.host_id, request_id=request.request_id),
+            organisation=admitted.organisation,
+            key=key,
+            request=digest_request(request),
+            valid_s=max(0.0, admitted.deadline_at_s - requested_s),
+        )
+        result = self._call(asked, owner)
+        match result:
+            case PeerFailed(reason=reason):
+                self._give_up(asked, owner.peers, reason)
+            case _:
+                pass
+        return judge_answer(result, asked, owner=owner.peers, requested_s=requested_s)
+
+    def _call(self, asked: ClaimRequest, owner: Host) -> PeerResult:
+        if owner.incarnation == self.own.incarnation:
+            return self.owner.answer(asked)
+        result: PeerResult = PeerFailed(reason="not asked")
+        for _ in range(ASK_TRIES):
+            result = self.client.call(owner.peers, asked, timeout_s=ASK_TIMEOUT_S)
+            if not isinstance(result, PeerFailed):
+                break
+        return result
+
+    def _give_up(self, asked: ClaimRequest, owner: Address, reason: str) -> None:
+        end: ClaimEnd = EndedNotRun(proof=f"no grant came: {reason}")
+        report = ClaimReport(
+            organisation=asked.organisation,
+            digest=asked.key.digest,
+            by=asked.by,
+            end=end,
+        )
+        self._report(report, owner)
+
+    def _report(self, report: ClaimReport, owner: Address) -> None:
+        if owner == self.own.peers:
+            self.owner.take(ClaimReports(reports=(report,)))
+            return
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            CLAIM_REPORTS,
+            lambda held: add_report(held, report, owner=owner, now_s=now_s),
+            writer=self.name,
+        )
+
+    def _deliver(self, owner: Address, entries: tuple[PendingReport, ...]) -> None:
+        message = ClaimReports(reports=tuple(entry.report for entry in entries))
+        result = self.client.call(owner, message, timeout_s=REPORT_TIMEOUT_S)
+        taken = isinstance(result, ClaimReportsTaken)
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            CLAIM_REPORTS,
+            lambda held: settle_reports(held, entries, taken=taken, now_s=now_s),
+            writer=self.name,
+        )
+
+    def _is_listed(self) -> bool:
+        return self.board.read(ROSTER).hosts.get(self.own.host_id) == self.own
+
+    def _note(
+        self, admitted: AdmittedRequest, key: ClaimKey | None, result: ClaimResult
+    ) -> ClaimResult:
+        self.accountant.count("claims", type(result).__name__)
+        match result:
+            case ClaimRefused(outcome=NotRun(reason=reason) | Unknown(reason=reason)):
+                self._record(admitted, key, reason)
+            case _:
+                pass
+        return result
+
+    def _record(
+        self, admitted: AdmittedRequest, key: ClaimKey | None, reason: str
+    ) -> None:
+        shown = key.digest.hex()[:SHOWN_DIGEST_CHARS] if key is not None else "none"
+        event = RequestRefused(
+            at_wall_s=self.clock.wall_s(),
+            request_id=admitted.request.request_id,
+            organisation=admitted.organisation,
+            rule="claims",
+            evidence=f"{reason}; key digest {shown}",
+        )
+        self.historian.record(event)
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -34,7 +34,9 @@
     ClaimGranted,
     ClaimRefused,
     ClaimRepeated,
+    ClaimResult,
     Configuration,
+    ConnectFailed,
     DomainName,
     KeyAccess,
     LeaseHeld,
@@ -64,6 +66,7 @@
 MAX_ATTEMPTS = 3
 MIN_ATTEMPT_S = 0.005
 SHORT_RETRY_S = 0.2
+CLAIM_ENDED = "the permission to run ended before the request was sent"
 
 
 @frozen(kw_only=True)
@@ -130,7 +133,7 @@
         claim = self.claimant.begin(admitted)
         match claim:
             case Unclaimed() | ClaimGranted():
-                reply = self._forward(cfg, admitted, is_gone)
+                reply = self._forward(cfg, admitted, claim, is_gone)
                 self.claimant.finish(claim, reply)
                 return reply
             case ClaimRepeated(reply=reply):
@@ -161,7 +164,11 @@
         raise AssertionError("the match above is exhaustive")
 
     def _forward(
-        self, cfg: Configuration, admitted: AdmittedRequest, is_gone: Callable[[], bool]
+        self,
+        cfg: Configuration,
+        admitted: AdmittedRequest,
+        claim: ClaimResult,
+        is_gone: Callable[[], bool],
     ) -> Reply:
         service = cfg.services[admitted.route.service]
         tried: list[_Tried] = []
@@ -169,6 +176,10 @@
             chosen = self._reserve(cfg, service, tried)
             if isinstance(chosen, NoServer):
                 return self._reply_without_server(admitted, tried, chosen)
+            if not self.claimant.may_send(claim):
+                self._release(chosen.server, ConnectFailed(reason=CLAIM_ENDED))
+                request, organisation = admitted.request, admitted.organisation
+                return self._refuse(request, organisation, 503, CLAIM_ENDED, "claims")
             tried.append(self._attempt(admitted, chosen.server, len(tried)))
             may_retry = len(tried) < MAX_ATTEMPTS and self._has_time(admitted)
             may_retry = may_retry and not is_gone()
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -2,7 +2,8 @@
 
 from attrs import define
 
-from ..records import Message, Pull, PullReply, Refused
+from ..records import ClaimReports, ClaimRequest, Message, Pull, Refused
+from .claim_owner import ClaimOwner
 from .puller import Puller
 
 __all__ = ["Responder"]
@@ -13,11 +14,16 @@
     """Answer the calls of other hosts."""
 
     puller: Puller
+    claim_owner: ClaimOwner
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
         match message:
             case Pull():
                 return self.puller.answer(message)
-            case PullReply() | Refused():
+            case ClaimRequest():
+                return self.claim_owner.answer(message)
+            case ClaimReports():
+                return self.claim_owner.take(message)
+            case _:
                 return Refused(reason="a reply came where a call was expected")
--- /dev/null
+++ b/snipespring/controllers/tenure_keeper.py
@@ -0,0 +1,36 @@
+"""Follow since when this host has owned its plain keys."""
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import FENCE, ROSTER, TENURE
+from ..decisions.claims import advance_tenure
+from ..records import Host
+from ..utils import Clock
+
+__all__ = ["TenureKeeper"]
+
+CHECK_INTERVAL_S = 5.0
+
+
+@define(kw_only=True, eq=False)
+class TenureKeeper:
+    """Write the tenure region."""
+
+    board: Board
+    clock: Clock
+    own: Host
+    name: str = "tenure_keeper"
+    watches = (ROSTER, FENCE)
+
+    def step(self) -> float:
+        """Take in the roster and the fence; return seconds until the next check."""
+        tenure = advance_tenure(
+            self.board.read(TENURE),
+            own=self.own,
+            roster=self.board.read(ROSTER),
+            fence=self.board.read(FENCE),
+            now_s=self.clock.monotonic_s(),
+        )
+        self.board.write(TENURE, tenure, writer=self.name)
+        return CHECK_INTERVAL_S
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -7,7 +7,7 @@
 from random import Random
 from types import FrameType
 
-from attrs import define
+from attrs import define, evolve
 
 from ..blackboard import Board
 from ..blackboard.regions import (
@@ -21,6 +21,7 @@
 from ..controllers import (
     Accountant,
     Claimant,
+    ClaimOwner,
     Configurator,
     Controller,
     FenceKeeper,
@@ -33,9 +34,11 @@
     RosterKeeper,
     Runner,
     StatusKeeper,
+    TenureKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
+from ..decisions.claims import derive_issuing_key
 from ..decisions.keys import digest_key, find_key
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
@@ -43,7 +46,14 @@
 from ..frontends.operators import OperatorsApp
 from ..frontends.peers import PeerLinks, PeerServer
 from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT, HttpPlatform
-from ..records import AddressAnswer, Host, Incarnation, Leaving, Request
+from ..records import (
+    AddressAnswer,
+    Host,
+    Incarnation,
+    Leaving,
+    OrganisationName,
+    Request,
+)
 from ..settings import Settings
 from ..utils import Clock, SystemClock
 
@@ -116,6 +126,18 @@
         fanout=settings.peers.fanout,
         interval_s=settings.peers.pull_interval_s,
     )
+    accountant = Accountant(board=board)
+    claim_owner = ClaimOwner(board=board, clock=clock, own=own)
+    claimant = Claimant(
+        board=board,
+        clock=clock,
+        client=links,
+        own=own,
+        owner=claim_owner,
+        historian=historian,
+        accountant=accountant,
+        issuing_key=derive_issuing_key(secret),
+    )
     roster_keeper = RosterKeeper(
         board=board,
         clock=clock,
@@ -157,22 +179,28 @@
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
+        TenureKeeper(board=board, clock=clock, own=own),
+        claim_owner,
+        claimant,
     )
-    responder = Responder(puller=puller)
+    responder = Responder(puller=puller, claim_owner=claim_owner)
     forwarder = Forwarder(
         board=board,
         clock=clock,
         rng=rng,
         transport=HttpTransport(clock=clock),
         historian=historian,
-        accountant=Accountant(board=board),
+        accountant=accountant,
         limiter=Limiter(board=board, clock=clock),
-        claimant=Claimant(board=board, clock=clock),
+        claimant=claimant,
         domain=own.domain,
     )
 
     def answer_addresses(request: Request) -> AddressAnswer:
-        return _answer_addresses(board, own, settings, request)
+        organisation = _find_organisation(board, request)
+        answer = _answer_addresses(board, own, settings, organisation)
+        prefix = claimant.issue_prefix(organisation)
+        return evolve(answer, idempotency_prefix=prefix)
 
     return Proxy(
         board=board,
@@ -230,12 +258,15 @@
     )
 
 
-def _answer_addresses(
-    board: Board, own: Host, settings: Settings, request: Request
-) -> AddressAnswer:
+def _find_organisation(board: Board, request: Request) -> OrganisationName | None:
     key = find_key(request)
     keys = board.read(CONFIGURATION).keys
-    organisation = keys.get(digest_key(key)) if key is not None else None
+    return keys.get(digest_key(key)) if key is not None else None
+
+
+def _answer_addresses(
+    board: Board, own: Host, settings: Settings, organisation: OrganisationName | None
+) -> AddressAnswer:
     statuses = board.read(HOST_STATUSES).by_host
     leaving = frozenset(
         host_id for host_id, view in statuses.items() if view.status.leaving
--- /dev/null
+++ b/snipespring/decisions/claims/asking.py
@@ -0,0 +1,197 @@
+"""Decide, on the host that took a request, whom to ask and what to answer."""
+
+from attrs import frozen
+
+from ...records import (
+    Address,
+    ClaimCrowded,
+    ClaimDiffers,
+    ClaimEnd,
+    ClaimGranted,
+    ClaimKey,
+    ClaimMisdirected,
+    ClaimPermitted,
+    ClaimRan,
+    ClaimRefused,
+    ClaimRepeated,
+    ClaimReplayed,
+    ClaimRequest,
+    ClaimResult,
+    ClaimRunning,
+    ClaimUnknown,
+    EndedNotRun,
+    EndedRan,
+    EndedUnknown,
+    Header,
+    Host,
+    IssuedKey,
+    NotRun,
+    OrganisationName,
+    PeerFailed,
+    PeerResult,
+    PlainKey,
+    Ran,
+    RecordedReply,
+    Reply,
+    Roster,
+    Unknown,
+)
+from ..membership import holder_of
+from .limits import MAX_GRANT_S, MAX_RECORDED_REPLY_BYTES
+from .tenure import role_of
+
+__all__ = [
+    "OwnerGone",
+    "find_owner",
+    "judge_answer",
+    "may_send",
+    "record_end",
+    "refuse_gone",
+    "refuse_malformed",
+]
+
+BAD_REQUEST = 400
+CONFLICT = 409
+UNPROCESSABLE = 422
+UNAVAILABLE = 503
+RETRY_RUNNING_S = 1.0
+RETRY_OWNER_S = 1.0
+RETRY_ROOM_S = 5.0
+
+
+@frozen(kw_only=True)
+class OwnerGone:
+    """State why no host holds the memory of a key any more."""
+
+    reason: str
+
+
+def find_owner(key: ClaimKey, *, roster: Roster, own: Host) -> Host | OwnerGone:
+    """Return the host that remembers a key, by this host's roster."""
+    match key:
+        case IssuedKey(incarnation=incarnation) if incarnation == own.incarnation:
+            return own
+        case IssuedKey(host_id=host_id, incarnation=incarnation):
+            host = roster.hosts.get(host_id)
+            if host is not None and host.incarnation == incarnation:
+                return host
+            return OwnerGone(reason="the host that issued the key has left the fleet")
+        case PlainKey(digest=digest):
+            holder = holder_of(roster, role_of(digest))
+            return holder or OwnerGone(reason="this host knows no other host")
+
+
+def refuse_malformed(reason: str) -> ClaimRefused:
+    """Return the refusal of a key that nobody can ever use."""
+    return ClaimRefused(outcome=NotRun(reason=reason), status=BAD_REQUEST)
+
+
+def refuse_gone(gone: OwnerGone) -> ClaimRefused:
+    """Return the refusal of a key whose memory is lost."""
+    return ClaimRefused(outcome=_not_repeated(gone.reason), status=CONFLICT)
+
+
+def judge_answer(
+    result: PeerResult, asked: ClaimRequest, *, owner: Address, requested_s: float
+) -> ClaimResult:
+    """Return what the owner's answer means; a grant counts from the request."""
+    match result:
+        case ClaimPermitted():
+            return ClaimGranted(
+                organisation=asked.organisation,
+                digest=asked.key.digest,
+                by=asked.by,
+                owner=owner,
+                until_s=requested_s + min(asked.valid_s, MAX_GRANT_S),
+            )
+        case ClaimReplayed(reply=recorded):
+            return ClaimRepeated(reply=_replay(recorded, asked.by.request_id))
+        case ClaimRan():
+            return ClaimRepeated(reply=_ran_without_reply(asked.by.request_id))
+        case _:
+            return _refuse(result)
+
+
+def may_send(claim: ClaimResult, *, now_s: float) -> bool:
+    """Return whether a request may still be sent under its claim."""
+    match claim:
+        case ClaimGranted(until_s=until_s):
+            return now_s < until_s
+        case _:
+            return True
+
+
+def record_end(reply: Reply, *, organisation: OrganisationName | None) -> ClaimEnd:
+    """Return what a reply proves; large or unowned replies are not kept."""
+    match reply.outcome:
+        case Ran():
+            return EndedRan(reply=_record(reply, organisation))
+        case NotRun(reason=reason):
+            return EndedNotRun(proof=reason)
+        case Unknown(reason=reason):
+            return EndedUnknown(reason=reason)
+
+
+def _refuse(result: PeerResult) -> ClaimRefused:
+    match result:
+        case ClaimRunning():
+            outcome = Unknown(
+                reason="another attempt with this idempotency key is under way",
+                retry_after_s=RETRY_RUNNING_S,
+            )
+            return ClaimRefused(outcome=outcome, status=CONFLICT)
+        case ClaimUnknown(reason=reason):
+            return ClaimRefused(outcome=_not_repeated(reason), status=CONFLICT)
+        case ClaimDiffers():
+            differs = NotRun(
+                reason="the idempotency key belongs to another method, path or body"
+            )
+            return ClaimRefused(outcome=differs, status=UNPROCESSABLE)
+        case ClaimCrowded(reason=reason):
+            crowded = NotRun(reason=reason, retry_after_s=RETRY_ROOM_S)
+            return ClaimRefused(outcome=crowded, status=UNAVAILABLE)
+        case ClaimMisdirected(reason=reason) | PeerFailed(reason=reason):
+            return _refuse_unasked(reason)
+        case _:
+            return _refuse_unasked("the owner's answer was of another kind")
+
+
+def _refuse_unasked(reason: str) -> ClaimRefused:
+    text = (
+        "this attempt did not run; whether an earlier one with its idempotency "
+        f"key did is unknown: the key's owner gave no decision: {reason}"
+    )
+    outcome = Unknown(reason=text, retry_after_s=RETRY_OWNER_S)
+    return ClaimRefused(outcome=outcome, status=UNAVAILABLE)
+
+
+def _not_repeated(reason: str) -> Unknown:
+    return Unknown(reason=f"unknown whether the request ran; not repeated: {reason}")
+
+
+def _replay(recorded: RecordedReply, request_id: str) -> Reply:
+    return Reply(
+        request_id=request_id,
+        status=recorded.status,
+        outcome=Ran(),
+        headers=recorded.headers,
+        body=recorded.body,
+    )
+
+
+def _ran_without_reply(request_id: str) -> Reply:
+    return Reply(
+        request_id=request_id,
+        status=CONFLICT,
+        outcome=Ran(),
+        headers=(Header(name="Content-Type", value="text/plain; charset=utf-8"),),
+        body=b"the request ran once; its answer is not kept\n",
+    )
+
+
+def _record(
+    reply: Reply, organisation: OrganisationName | None
+) -> RecordedReply | None:
+    if organisation is None or len(reply.body) > MAX_RECORDED_REPLY_BYTES:
+        return None
+    return RecordedReply(status=reply.status, headers=reply.headers, body=reply.body)
--- /dev/null
+++ b/snipespring/decisions/claims/keys.py
@@ -0,0 +1,150 @@
+"""Read idempotency keys and issue the prefixes that name their owner."""
+
+import hashlib
+import hmac
+from urllib.parse import quote, unquote
+
+from attrs import frozen
+
+from ...records import (
+    Host,
+    HostId,
+    Incarnation,
+    IssuedKey,
+    KeyDigest,
+    OrganisationName,
+    PlainKey,
+    Request,
+    RequestDigest,
+)
+from .limits import MAX_KEY_CHARS
+
+__all__ = [
+    "KeyAbsent",
+    "KeyMalformed",
+    "derive_issuing_key",
+    "digest_request",
+    "issue_prefix",
+    "read_claim_key",
+]
+
+KEY_HEADER = "idempotency-key"
+PREFIX_KIND = "sk1"
+PREFIX_FIELDS = 5
+SEPARATOR = "."
+ISSUING_LABEL = b"snipespring idempotency prefix 1"
+MAC_CHARS = 32
+DIGEST_BYTES = 16
+
+
+@frozen(kw_only=True)
+class KeyAbsent:
+    """State that the request carries no idempotency key."""
+
+
+@frozen(kw_only=True)
+class KeyMalformed:
+    """State why the idempotency key cannot be used."""
+
+    reason: str
+
+
+def derive_issuing_key(secret: bytes) -> bytes:
+    """Return the key that authenticates prefixes, made from the fleet's secret."""
+    return hmac.new(secret, ISSUING_LABEL, hashlib.sha256).digest()
+
+
+def issue_prefix(
+    issuing_key: bytes,
+    *,
+    own: Host,
+    organisation: OrganisationName | None,
+    now_s: float,
+) -> str:
+    """Return a prefix that only this organisation may use, for this incarnation."""
+    named = (
+        PREFIX_KIND,
+        _escape(own.host_id),
+        _escape(own.incarnation),
+        str(int(now_s)),
+    )
+    text = SEPARATOR.join(named)
+    return SEPARATOR.join((text, _authenticate(issuing_key, text, organisation)))
+
+
+def read_claim_key(
+    request: Request,
+    *,
+    organisation: OrganisationName | None,
+    issuing_key: bytes,
+    roster_version: int,
+) -> IssuedKey | PlainKey | KeyAbsent | KeyMalformed:
+    """Return the request's idempotency key, or why it has none to use."""
+    texts = [
+        header.value for header in request.headers if header.name.lower() == KEY_HEADER
+    ]
+    if not texts:
+        return KeyAbsent()
+    text = texts[0].strip()
+    if len(texts) > 1 or not _is_visible(text):
+        return KeyMalformed(
+            reason=f"an idempotency key is one field of 1 to {MAX_KEY_CHARS} "
+            "visible characters"
+        )
+    digest = _digest_key(text, organisation)
+    if text.startswith(PREFIX_KIND + SEPARATOR):
+        return _read_issued(text, organisation, issuing_key, digest)
+    return PlainKey(digest=digest, roster_version=roster_version)
+
+
+def digest_request(request: Request) -> RequestDigest:
+    """Return a digest of the method, the path and the body."""
+    state = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (request.method.encode(), request.path.encode(), request.body):
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return RequestDigest(state.digest())
+
+
+def _read_issued(
+    text: str,
+    organisation: OrganisationName | None,
+    issuing_key: bytes,
+    digest: KeyDigest,
+) -> IssuedKey | KeyMalformed:
+    parts = text.split(SEPARATOR, PREFIX_FIELDS)
+    if len(parts) != PREFIX_FIELDS + 1 or not parts[PREFIX_FIELDS]:
+        return KeyMalformed(reason="the issued prefix is followed by no text")
+    named, mac = SEPARATOR.join(parts[: PREFIX_FIELDS - 1]), parts[PREFIX_FIELDS - 1]
+    expected = _authenticate(issuing_key, named, organisation)
+    if not hmac.compare_digest(mac.encode(), expected.encode()):
+        return KeyMalformed(
+            reason="the prefix was not issued to this organisation by this fleet"
+        )
+    _, host_id, incarnation, issued_s, *_ = parts
+    return IssuedKey(
+        digest=digest,
+        host_id=HostId(unquote(host_id)),
+        incarnation=Incarnation(unquote(incarnation)),
+        issued_s=int(issued_s),
+    )
+
+
+def _is_visible(text: str) -> bool:
+    return 0 < len(text) <= MAX_KEY_CHARS and all("!" <= char <= "~" for char in text)
+
+
+def _escape(text: str) -> str:
+    return quote(text, safe="").replace(SEPARATOR, "%2E")
+
+
+def _authenticate(
+    issuing_key: bytes, text: str, organisation: OrganisationName | None
+) -> str:
+    scope = f"{text}\0{organisation or ''}".encode()
+    return hmac.new(issuing_key, scope, hashlib.sha256).hexdigest()[:MAC_CHARS]
+
+
+def _digest_key(text: str, organisation: OrganisationName | None) -> KeyDigest:
+    content = f"{organisation or ''}\0{text}".encode()
+    return KeyDigest(hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest())
--- /dev/null
+++ b/snipespring/decisions/claims/reports.py
@@ -0,0 +1,66 @@
+"""Decide which reports to deliver now and when to try again."""
+
+from attrs import evolve
+from immutables import Map
+
+from ...records import Address, Attempt, ClaimReport, PendingReport, PendingReports
+
+__all__ = ["add_report", "due_reports", "next_due_s", "settle_reports"]
+
+GIVE_UP_S = 300.0
+FIRST_RETRY_S = 0.25
+MAX_RETRY_S = 15.0
+MAX_PENDING = 10000
+MAX_REPORTS_PER_CALL = 64
+
+
+def add_report(
+    pending: PendingReports, report: ClaimReport, *, owner: Address, now_s: float
+) -> PendingReports:
+    """Return the pending reports with one more, or unchanged if there is no room."""
+    if len(pending.by_attempt) >= MAX_PENDING:
+        return pending
+    added = PendingReport(
+        report=report, owner=owner, due_s=now_s, give_up_s=now_s + GIVE_UP_S
+    )
+    return PendingReports(by_attempt=pending.by_attempt.set(report.by, added))
+
+
+def due_reports(
+    pending: PendingReports, *, now_s: float
+) -> Map[Address, tuple[PendingReport, ...]]:
+    """Return the reports that are due, by owner, as many as one call takes."""
+    due: Map[Address, tuple[PendingReport, ...]] = Map()
+    for entry in pending.by_attempt.values():
+        held = due.get(entry.owner, ())
+        if entry.due_s <= now_s and len(held) < MAX_REPORTS_PER_CALL:
+            due = due.set(entry.owner, (*held, entry))
+    return due
+
+
+def settle_reports(
+    pending: PendingReports,
+    tried: tuple[PendingReport, ...],
+    *,
+    taken: bool,
+    now_s: float,
+) -> PendingReports:
+    """Return what is still pending after one call to an owner."""
+    by_attempt = pending.by_attempt
+    for entry in tried:
+        attempt: Attempt = entry.report.by
+        if taken or entry.give_up_s <= now_s:
+            by_attempt = by_attempt.delete(attempt)
+        else:
+            by_attempt = by_attempt.set(attempt, _postpone(entry, now_s))
+    return PendingReports(by_attempt=by_attempt)
+
+
+def next_due_s(pending: PendingReports) -> float | None:
+    """Return when the next report is due, or None if none is pending."""
+    return min((entry.due_s for entry in pending.by_attempt.values()), default=None)
+
+
+def _postpone(entry: PendingReport, now_s: float) -> PendingReport:
+    delay_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0**entry.tries)
+    return evolve(entry, due_s=now_s + delay_s, tries=entry.tries + 1)
--- /dev/null
+++ b/snipespring/decisions/claims/tenure.py
@@ -0,0 +1,113 @@
+"""Decide since when this host has been the only owner of a plain key."""
+
+from attrs import evolve
+from immutables import Map
+
+from ...records import (
+    Fence,
+    Host,
+    HostId,
+    LeaseHeld,
+    LeaseLapsed,
+    OwnerStanding,
+    Roster,
+    RosterStep,
+    Tenure,
+)
+from ..membership import holder_of
+from .limits import CLAIM_WINDOW_S
+
+__all__ = ["advance_tenure", "find_misdirection", "is_settled", "role_of"]
+
+FIRST_VERSION = 1
+
+
+def role_of(digest: bytes) -> str:
+    """Return the name of the role that owns a plain key."""
+    return f"claim/{digest.hex()}"
+
+
+def advance_tenure(
+    tenure: Tenure, *, own: Host, roster: Roster, fence: Fence, now_s: float
+) -> Tenure:
+    """Return the tenure with a roster taken in; a missed version begins it anew."""
+    steps = _append(tenure.steps, roster)
+    steps = tuple(_note_fence(step, fence, now_s) for step in steps)
+    base = _find_base(steps, now_s)
+    if base is None:
+        return Tenure(steps=steps)
+    steps = steps[base:]
+    return Tenure(steps=steps, contenders=_contenders(steps, own))
+
+
+def find_misdirection(
+    standing: OwnerStanding, digest: bytes, *, roster_version: int, now_s: float
+) -> str | None:
+    """Return why this host may not decide about a plain key now, or None."""
+    roster = standing.roster
+    if roster_version > roster.version:
+        return "the owner's roster is older than the asking host's"
+    match standing.lease:
+        case LeaseLapsed(reason=reason):
+            return f"the owner has no lease: {reason}"
+        case LeaseHeld(until_s=until_s) if until_s <= now_s:
+            return "the owner's lease ended"
+        case LeaseHeld():
+            pass
+    steps = standing.tenure.steps
+    if not steps or steps[-1].roster.version != roster.version:
+        return "the owner has just received a new roster"
+    holder = holder_of(roster, role_of(digest))
+    if holder is None or holder.incarnation != standing.own.incarnation:
+        return "by the asked host's roster another host owns the key"
+    return None
+
+
+def is_settled(standing: OwnerStanding, digest: bytes) -> bool:
+    """Return whether no other host can have granted the key within the window."""
+    contenders = standing.tenure.contenders
+    if contenders is None:
+        return False
+    holder = holder_of(contenders, role_of(digest))
+    return holder is not None and holder.host_id == standing.own.host_id
+
+
+def _append(steps: tuple[RosterStep, ...], roster: Roster) -> tuple[RosterStep, ...]:
+    added = RosterStep(roster=roster)
+    if not steps:
+        return (added,)
+    last = steps[-1].roster.version
+    if roster.version == last:
+        return steps
+    if roster.version == last + 1:
+        return (*steps, added)
+    return (added,)
+
+
+def _note_fence(step: RosterStep, fence: Fence, now_s: float) -> RosterStep:
+    if step.fenced_at_s is not None or step.roster.version > fence.version:
+        return step
+    return evolve(step, fenced_at_s=now_s)
+
+
+def _find_base(steps: tuple[RosterStep, ...], now_s: float) -> int | None:
+    ripe = [index for index, step in enumerate(steps) if _is_ripe(step, now_s)]
+    return ripe[-1] if ripe else None
+
+
+def _is_ripe(step: RosterStep, now_s: float) -> bool:
+    if step.roster.version == FIRST_VERSION:
+        return True
+    if step.fenced_at_s is None:
+        return False
+    return step.fenced_at_s + CLAIM_WINDOW_S <= now_s
+
+
+def _contenders(steps: tuple[RosterStep, ...], own: Host) -> Roster | None:
+    hosts: Map[HostId, Host] = Map()
+    for step in steps:
+        held = step.roster.hosts.get(own.host_id)
+        if held is None or held.incarnation != own.incarnation:
+            return None
+        hosts = hosts.update(step.roster.hosts)
+    return Roster(version=steps[-1].roster.version, hosts=hosts)
--- a/snipespring/frontends/callers/app.py
+++ b/snipespring/frontends/callers/app.py
@@ -105,6 +105,7 @@
             for offer in answer.offers
         ],
         "lifetime_s": answer.lifetime_s,
+        "idempotency_prefix": answer.idempotency_prefix,
     }
     return Reply(
         request_id=request.request_id,
@@ -128,7 +129,10 @@
     headers.append((REQUEST_ID_HEADER, reply.request_id))
     headers.append((OUTCOME_HEADER, _outcome_text(reply.outcome)))
     match reply.outcome:
-        case NotRun(retry_after_s=float() as retry_after_s):
+        case (
+            NotRun(retry_after_s=float() as retry_after_s)
+            | Unknown(retry_after_s=float() as retry_after_s)
+        ):
             headers.append(("Retry-After", f"{retry_after_s:g}"))
         case _:
             pass
--- a/snipespring/records/addresses.py
+++ b/snipespring/records/addresses.py
@@ -17,7 +17,11 @@
 
 @frozen(kw_only=True)
 class AddressAnswer:
-    """List hosts, best first, and how many seconds the list may be kept."""
+    """List hosts, best first, and how many seconds the list may be kept.
+
+    Idempotency keys that begin with the prefix are remembered by its issuer.
+    """
 
     offers: tuple[OfferedAddress, ...]
     lifetime_s: float
+    idempotency_prefix: str | None = None
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from .claim_messages import ClaimMessage
 from .fleet import HostStatus, Versions
 from .identity import HostId
 
@@ -61,7 +62,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused
+Message = Pull | PullReply | Refused | ClaimMessage
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/requests.py
+++ b/snipespring/records/requests.py
@@ -43,6 +43,7 @@
     """State that the request may have run."""
 
     reason: str
+    retry_after_s: float | None = None
 
 
 Outcome = Ran | NotRun | Unknown
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,121 @@
+import hashlib
+import signal
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.harness import Answer, Fleet, FleetPlan, call, free_network, wait_until
+
+NETWORK = free_network()
+KEY = "the-test-key-of-valeters"
+RULES = (
+    "service ledger floor=60% deadline=2s  # Aoife",
+    *(
+        f"server ledger {NETWORK}.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
+        for n in (1, 2, 3)
+    ),
+    "route POST /ledger service=ledger run=once  # Aoife",
+    "organisation valeters rate=900/s burst=900  # Aoife",
+    f"key valeters sha256:{hashlib.sha256(KEY.encode()).hexdigest()}  # Aoife",
+)
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
+    folder: Path = tmp_path_factory.mktemp("claims")
+    plan = FleetPlan(network=NETWORK, rules=RULES, address_lifetime="300ms")
+    with Fleet(plan=plan, folder=folder) as running:
+        yield running
+
+
+def issue_key(fleet: Fleet, index: int) -> str:
+    answer = call(
+        fleet.callers(index), "GET", "/addresses", headers={"Api-Key": KEY}
+    ).json()
+    return f"{answer['idempotency_prefix']}.{uuid.uuid4().hex}"
+
+
+def post(fleet: Fleet, index: int, key: str, body: bytes = b"capture") -> Answer:
+    headers = {"Api-Key": KEY, "Idempotency-Key": key}
+    return call(
+        fleet.callers(index), "POST", "/ledger/captures", body=body, headers=headers
+    )
+
+
+def post_settled(fleet: Fleet, index: int, key: str) -> Answer:
+    answers: list[Answer] = []
+
+    def settled() -> bool:
+        answers.append(post(fleet, index, key))
+        return "retry-after" not in answers[-1].headers
+
+    wait_until(settled, "the key to be settled")
+    return answers[-1]
+
+
+def count_runs(fleet: Fleet, key: str) -> int:
+    return sum(run["idempotency_key"] == key for run in fleet.runs())
+
+
+def test_a_key_through_every_host_runs_once_and_answers_equal(fleet: Fleet) -> None:
+    key = issue_key(fleet, 0)
+    answers = [post_settled(fleet, index, key) for index in (1, 2, 0)]
+    assert {answer.status for answer in answers} == {200}
+    assert {answer.headers["snipespring-outcome"] for answer in answers} == {"ran"}
+    assert len({answer.body for answer in answers}) == 1
+    assert count_runs(fleet, key) == 1
+
+
+def test_another_body_is_a_clear_error(fleet: Fleet) -> None:
+    key = issue_key(fleet, 1)
+    post_settled(fleet, 1, key)
+    answer = post(fleet, 2, key, b"another")
+    assert answer.status == 422
+    assert answer.headers["snipespring-outcome"] == "not-run"
+    assert count_runs(fleet, key) == 1
+
+
+def test_a_forged_prefix_is_refused(fleet: Fleet) -> None:
+    key = issue_key(fleet, 0)
+    answer = post(fleet, 0, key.replace("sk1.host-0", "sk1.host-1"))
+    assert answer.status == 400
+    assert count_runs(fleet, key) == 0
+
+
+def test_issued_keys_work_while_the_platform_is_away(fleet: Fleet) -> None:
+    fleet.set_platform(mode="away")
+    try:
+        key = issue_key(fleet, 0)
+        answers = [post_settled(fleet, index, key) for index in (2, 1)]
+    finally:
+        fleet.set_platform(mode="up")
+    assert [answer.status for answer in answers] == [200, 200]
+    assert count_runs(fleet, key) == 1
+
+
+def test_a_frozen_owner_never_causes_a_second_run(fleet: Fleet) -> None:
+    key = issue_key(fleet, 2)
+    assert post_settled(fleet, 0, key).status == 200
+    fleet.signal("proxy-2", signal.SIGSTOP)
+    try:
+        answer = post(fleet, 0, key)
+    finally:
+        fleet.signal("proxy-2", signal.SIGCONT)
+    assert answer.status == 503
+    assert answer.headers["snipespring-outcome"] == "unknown"
+    assert post_settled(fleet, 1, key).status == 200
+    assert count_runs(fleet, key) == 1
+
+
+def test_a_killed_owner_leaves_the_outcome_unknown(fleet: Fleet) -> None:
+    key = issue_key(fleet, 2)
+    assert post_settled(fleet, 0, key).status == 200
+    fleet.signal("proxy-2", signal.SIGKILL)
+    fleet.wait_exit("proxy-2")
+    assert post(fleet, 0, key).headers["snipespring-outcome"] == "unknown"
+    fleet.start_proxy(2)
+    wait_until(lambda: post(fleet, 1, key).status == 409, "the new incarnation")
+    assert post(fleet, 0, key).headers["snipespring-outcome"] == "unknown"
+    assert count_runs(fleet, key) == 1
