Prove claims by stateful fuzzing and say what callers get

Cause: at most once through several hosts was shown by six end-to-end cases only. Ruled out: waiting for the owner to confirm the end of a run before the caller's reply (a round trip between failure domains on every such request). Change: a state machine drives the claim controllers over a network that loses, delays and duplicates calls, with one-way cuts, kills, restarts, freezes and roster changes; a fake backend server counts runs and checks each reply. A host with no time left does not ask; a graceful stop delivers its reports; the dump leaves out rosters held in the tenure.

--- a/snipespring/controllers/claimant.py
+++ b/snipespring/controllers/claimant.py
@@ -134,7 +134,7 @@
             self.board.read(CLAIM_REPORTS), now_s=self.clock.monotonic_s()
         )
         futs = [
-            self._pool.submit(self._deliver, owner, entries)
+            self._pool.submit(self.deliver, owner, entries)
             for owner, entries in due.items()
         ]
         for fut in futs:
@@ -144,6 +144,18 @@
             return None
         return max(0.0, next_s - self.clock.monotonic_s())
 
+    def deliver(self, owner: Address, entries: tuple[PendingReport, ...]) -> None:
+        """Send reports to their owner and keep those that it does not confirm."""
+        message = ClaimReports(reports=tuple(entry.report for entry in entries))
+        result = self.client.call(owner, message, timeout_s=REPORT_TIMEOUT_S)
+        taken = isinstance(result, ClaimReportsTaken)
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            CLAIM_REPORTS,
+            lambda held: settle_reports(held, entries, taken=taken, now_s=now_s),
+            writer=self.name,
+        )
+
     def _begin_once(self, admitted: AdmittedRequest) -> ClaimResult:
         roster = self.board.read(ROSTER)
         key = read_claim_key(
@@ -177,7 +189,7 @@
             request=digest_request(request),
             valid_s=max(0.0, admitted.deadline_at_s - requested_s),
         )
-        result = self._call(asked, owner)
+        result = self._call(asked, owner, admitted.deadline_at_s)
         match result:
             case PeerFailed(reason=reason):
                 self._give_up(asked, owner.peers, reason)
@@ -185,12 +197,18 @@
                 pass
         return judge_answer(result, asked, owner=owner.peers, requested_s=requested_s)
 
-    def _call(self, asked: ClaimRequest, owner: Host) -> PeerResult:
+    def _call(
+        self, asked: ClaimRequest, owner: Host, deadline_at_s: float
+    ) -> PeerResult:
         if owner.incarnation == self.own.incarnation:
             return self.owner.answer(asked)
-        result: PeerResult = PeerFailed(reason="not asked")
+        result: PeerResult = PeerFailed(reason="no time was left to ask")
         for _ in range(ASK_TRIES):
-            result = self.client.call(owner.peers, asked, timeout_s=ASK_TIMEOUT_S)
+            left_s = deadline_at_s - self.clock.monotonic_s()
+            if left_s <= 0:
+                break
+            timeout_s = min(ASK_TIMEOUT_S, left_s)
+            result = self.client.call(owner.peers, asked, timeout_s=timeout_s)
             if not isinstance(result, PeerFailed):
                 break
         return result
@@ -216,17 +234,6 @@
             writer=self.name,
         )
 
-    def _deliver(self, owner: Address, entries: tuple[PendingReport, ...]) -> None:
-        message = ClaimReports(reports=tuple(entry.report for entry in entries))
-        result = self.client.call(owner, message, timeout_s=REPORT_TIMEOUT_S)
-        taken = isinstance(result, ClaimReportsTaken)
-        now_s = self.clock.monotonic_s()
-        self.board.update(
-            CLAIM_REPORTS,
-            lambda held: settle_reports(held, entries, taken=taken, now_s=now_s),
-            writer=self.name,
-        )
-
     def _is_listed(self) -> bool:
         return self.board.read(ROSTER).hosts.get(self.own.host_id) == self.own
 
--- /dev/null
+++ b/snipespring/controllers/tests/test_claims_machine.py
@@ -0,0 +1,287 @@
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from snipespring.decisions.claims import CLAIM_WINDOW_S
+from snipespring.records import (
+    ClaimGranted,
+    ClaimRefused,
+    ClaimRepeated,
+    ClaimResult,
+    NotRun,
+    Outcome,
+    Ran,
+    Reply,
+    Unclaimed,
+    Unknown,
+)
+from snipespring.utils import ManualClock
+
+from .claims_fleet import (
+    LEASE_S,
+    Delayed,
+    Delivered,
+    Duplicated,
+    FakeHost,
+    Fate,
+    HeldGrant,
+    Network,
+    ReplyLost,
+    RequestLost,
+    Run,
+    SkewedClock,
+    describe_host,
+    list_roster,
+)
+
+HOSTS = 3
+INDEXES = st.integers(0, HOSTS - 1)
+KEYS = st.integers(0, 3)
+BODIES = st.sampled_from([b"one"] * 7 + [b"two"])
+FATES: st.SearchStrategy[list[Fate]] = st.lists(
+    st.sampled_from([Delivered(), RequestLost(), ReplyLost(), Delayed(), Duplicated()]),
+    max_size=2,
+)
+PAUSES_S = st.sampled_from([0.1, 1.0, 4.5, 4.5, 120.0, 700.0])
+ENDS = st.sampled_from(["ran", "ran", "ran", "shed", "late", "lost", "killed"])
+ATTEMPTS = st.lists(st.tuples(INDEXES, BODIES, FATES, ENDS), min_size=1, max_size=4)
+FAULTS = st.sampled_from(["list", "adopt", "restart", "freeze", "cut", "issue"])
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Let callers repeat keys through hosts that fail in every way."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.network = Network()
+        self.incarnations = 0
+        self.requests = 0
+        self.issued = 0
+        self.floor = 0
+        self.grants: list[HeldGrant] = []
+        self.runs: dict[str, list[Run]] = {}
+        self.hosts = [self.start(index) for index in range(HOSTS)]
+        self.listed: set[int] = set()
+        self.roster = list_roster(0, [])
+        for index in range(HOSTS):
+            self.list_or_unlist(index)
+            self.settle_roster()
+        self.let_time_pass(CLAIM_WINDOW_S, True)
+        self.keys = ["plain-a", "plain-b", "plain-c", "plain-d"]
+        self.issue_key(0)
+        self.issue_key(1)
+
+    def start(self, index: int) -> FakeHost:
+        self.incarnations += 1
+        offset_s = 1e6 - 977.0 * self.incarnations
+        return FakeHost(
+            own=describe_host(index, self.incarnations),
+            clock=SkewedClock(base=self.clock, offset_s=offset_s),
+            network=self.network,
+        )
+
+    def awake(self, index: int) -> bool:
+        return self.hosts[index].own.peers not in self.network.frozen_at
+
+    def change_roster(self) -> None:
+        hosts = [self.hosts[index].own for index in sorted(self.listed)]
+        self.roster = list_roster(self.roster.version + 1, hosts)
+
+    def list_or_unlist(self, index: int) -> None:
+        held = self.roster.hosts.get(self.hosts[index].own.host_id)
+        if held == self.hosts[index].own:
+            self.listed.discard(index)
+        else:
+            self.listed.add(index)
+        self.change_roster()
+
+    def adopt_roster(self, index: int) -> None:
+        if self.awake(index) and self.hosts[index].view < self.roster.version:
+            self.hosts[index].adopt(self.roster)
+
+    @rule()
+    def settle_roster(self) -> None:
+        for index in range(HOSTS):
+            self.adopt_roster(index)
+        for index in range(HOSTS):
+            self.renew_lease(index)
+        self.raise_fence()
+
+    def renew_lease(self, index: int) -> None:
+        """Renew unless the host's view is fenced; the platform may be away."""
+        if self.awake(index) and self.hosts[index].view >= self.floor:
+            self.hosts[index].renew_lease()
+
+    def raise_fence(self) -> None:
+        """Fence the newest version that no lease under an older one outlives."""
+        holding = [
+            host.view
+            for host in self.hosts
+            if host.lease_until_s > host.clock.monotonic_s()
+        ]
+        versions = [host.view for host in self.hosts]
+        self.floor = max(self.floor, min(holding, default=max(versions)))
+        for index, host in enumerate(self.hosts):
+            if self.awake(index):
+                host.fence(self.floor)
+
+    def restart(self, index: int) -> None:
+        old = self.hosts[index]
+        self.grants = [grant for grant in self.grants if grant.host is not old]
+        self.network.frozen_at.discard(old.own.peers)
+        self.listed.discard(index)
+        self.change_roster()
+        self.hosts[index] = self.start(index)
+        self.list_or_unlist(index)
+        self.settle_roster()
+
+    def freeze_or_thaw(self, index: int) -> None:
+        self.network.frozen_at ^= {self.hosts[index].own.peers}
+
+    def cut_or_heal_one_way(self, index: int, other: int) -> None:
+        path = (self.hosts[index].own.host_id, self.hosts[other].own.peers)
+        self.network.cut ^= {path}
+
+    @rule(pause_s=PAUSES_S, renew=st.booleans())
+    def let_time_pass(self, pause_s: float, renew: bool) -> None:
+        self.clock.advance(pause_s)
+        for index, host in enumerate(self.hosts):
+            if self.awake(index):
+                host.owner.step()
+                host.tenure.step()
+                if renew:
+                    self.renew_lease(index)
+
+    def issue_key(self, index: int) -> None:
+        self.issued += 1
+        key = self.hosts[index].issue_key(f"text-{self.issued}")
+        if key is not None:
+            self.keys[2 + self.issued % 2] = key
+
+    @rule(fault=FAULTS, index=INDEXES, other=INDEXES)
+    def disturb(self, fault: str, index: int, other: int) -> None:
+        match fault:
+            case "list":
+                self.list_or_unlist(index)
+            case "adopt":
+                self.adopt_roster(index)
+                self.raise_fence()
+            case "restart":
+                self.restart(index)
+            case "freeze":
+                self.freeze_or_thaw(index)
+            case "cut":
+                self.cut_or_heal_one_way(index, other)
+            case "issue":
+                self.issue_key(index)
+
+    @rule(index=INDEXES, changed=INDEXES)
+    def sleep_through(self, index: int, changed: int) -> None:
+        """Freeze a host while the others change the roster and outwait it."""
+        self.network.frozen_at.add(self.hosts[index].own.peers)
+        self.list_or_unlist(changed)
+        self.settle_roster()
+        self.let_time_pass(LEASE_S, True)
+        self.raise_fence()
+        self.let_time_pass(CLAIM_WINDOW_S + LEASE_S, True)
+
+    @rule()
+    def heal(self) -> None:
+        self.network.frozen_at.clear()
+        self.network.cut.clear()
+        self.settle_roster()
+
+    @rule(key=KEYS, attempts=ATTEMPTS)
+    def repeat_key(
+        self, key: int, attempts: list[tuple[int, bytes, list[Fate], str]]
+    ) -> None:
+        for index, body, fates, end in attempts:
+            held = len(self.grants)
+            self.ask(index, key, body, fates)
+            if len(self.grants) > held:
+                self.send(held, end, fates[1:])
+
+    @rule(index=INDEXES, key=KEYS, body=BODIES, fates=FATES)
+    def ask(self, index: int, key: int, body: bytes, fates: list[Fate]) -> None:
+        if not self.awake(index):
+            return
+        self.requests += 1
+        host, text = self.hosts[index], self.keys[key]
+        self.network.fates = list(fates)
+        admitted = host.admit(f"request-{self.requests}", text, body)
+        result = host.claimant.begin(admitted)
+        self.check_result(result, text, body)
+        if isinstance(result, ClaimGranted):
+            grant = HeldGrant(host=host, claim=result, key=text, body=body)
+            self.grants.append(grant)
+
+    @precondition(lambda self: self.grants)
+    @rule(pick=st.integers(0, 9), end=ENDS, fates=FATES)
+    def send(self, pick: int, end: str, fates: list[Fate]) -> None:
+        grant = self.grants[pick % len(self.grants)]
+        if grant.host.own.peers in self.network.frozen_at:
+            return
+        self.grants.remove(grant)
+        outcome: Outcome = NotRun(reason="the permission ended")
+        if grant.host.claimant.may_send(grant.claim):
+            outcome = self.run(grant, end)
+        if end == "killed":
+            return
+        self.network.fates = list(fates)
+        grant.host.claimant.finish(grant.claim, self.reply(grant, outcome))
+
+    @rule(index=INDEXES, fates=FATES, pick=st.integers(0, 9))
+    def deliver(self, index: int, fates: list[Fate], pick: int) -> None:
+        if self.network.late:
+            self.network.deliver_late(pick)
+        if self.awake(index):
+            self.network.fates = list(fates)
+            self.hosts[index].deliver_reports()
+
+    def run(self, grant: HeldGrant, end: str) -> Outcome:
+        if end == "shed":
+            assert not self.recent_runs(grant.key)
+            return NotRun(reason="the server shed it")
+        if end == "lost":
+            return Unknown(reason="no answer")
+        reply = self.reply(grant, Ran())
+        run = Run(at_s=self.clock.now_s, body=grant.body, reply=reply)
+        self.runs.setdefault(grant.key, []).append(run)
+        return Ran() if end == "ran" else Unknown(reason="no answer")
+
+    def reply(self, grant: HeldGrant, outcome: Outcome) -> Reply:
+        request_id = grant.claim.by.request_id
+        content = f"reply to {request_id}".encode()
+        return Reply(request_id=request_id, status=200, outcome=outcome, body=content)
+
+    def recent_runs(self, key: str) -> list[Run]:
+        is_issued = key.startswith("sk1.")
+        since_s = 0.0 if is_issued else self.clock.now_s - CLAIM_WINDOW_S
+        return [run for run in self.runs.get(key, []) if run.at_s > since_s]
+
+    def check_result(self, result: ClaimResult, key: str, body: bytes) -> None:
+        match result:
+            case ClaimRefused(status=422):
+                assert body not in {run.body for run in self.recent_runs(key)}
+            case ClaimRefused(outcome=NotRun()):
+                assert not self.recent_runs(key)
+            case ClaimRepeated(reply=reply):
+                first = self.runs[key][-1]
+                assert isinstance(reply.outcome, Ran)
+                assert (reply.body, body) == (first.reply.body, first.body)
+            case ClaimRefused() | ClaimGranted() | Unclaimed():
+                pass
+
+    @invariant()
+    def no_key_runs_twice(self) -> None:
+        for key, runs in self.runs.items():
+            if key.startswith("sk1."):
+                assert len(runs) <= 1, f"{key} ran {len(runs)} times"
+            times_s = [run.at_s for run in runs]
+            for first_s, second_s in zip(times_s, times_s[1:], strict=False):
+                assert second_s - first_s >= CLAIM_WINDOW_S, f"{key} ran twice"
+
+
+TestClaims = ClaimsMachine.TestCase
+TestClaims.settings = settings(max_examples=500, stateful_step_count=50)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -82,6 +82,7 @@
     peers: PeerServer
     links: PeerLinks
     roster_keeper: RosterKeeper
+    claimant: Claimant
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -99,6 +100,7 @@
         threading.Event().wait(lifetime_s)
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
+        self.claimant.step()
         self.roster_keeper.leave()
         self.callers.close()
         self.runner.stop()
@@ -224,6 +226,7 @@
         peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
         links=links,
         roster_keeper=roster_keeper,
+        claimant=claimant,
     )
 
 
--- a/snipespring/decisions/claims/tenure.py
+++ b/snipespring/decisions/claims/tenure.py
@@ -55,7 +55,7 @@
         case LeaseHeld():
             pass
     steps = standing.tenure.steps
-    if not steps or steps[-1].roster.version != roster.version:
+    if not steps or steps[-1].version != roster.version:
         return "the owner has just received a new roster"
     holder = holder_of(roster, role_of(digest))
     if holder is None or holder.incarnation != standing.own.incarnation:
@@ -73,10 +73,10 @@
 
 
 def _append(steps: tuple[RosterStep, ...], roster: Roster) -> tuple[RosterStep, ...]:
-    added = RosterStep(roster=roster)
+    added = RosterStep(version=roster.version, hosts=roster.hosts)
     if not steps:
         return (added,)
-    last = steps[-1].roster.version
+    last = steps[-1].version
     if roster.version == last:
         return steps
     if roster.version == last + 1:
@@ -85,7 +85,7 @@
 
 
 def _note_fence(step: RosterStep, fence: Fence, now_s: float) -> RosterStep:
-    if step.fenced_at_s is not None or step.roster.version > fence.version:
+    if step.fenced_at_s is not None or step.version > fence.version:
         return step
     return evolve(step, fenced_at_s=now_s)
 
@@ -96,7 +96,7 @@
 
 
 def _is_ripe(step: RosterStep, now_s: float) -> bool:
-    if step.roster.version == FIRST_VERSION:
+    if step.version == FIRST_VERSION:
         return True
     if step.fenced_at_s is None:
         return False
@@ -106,8 +106,8 @@
 def _contenders(steps: tuple[RosterStep, ...], own: Host) -> Roster | None:
     hosts: Map[HostId, Host] = Map()
     for step in steps:
-        held = step.roster.hosts.get(own.host_id)
+        held = step.hosts.get(own.host_id)
         if held is None or held.incarnation != own.incarnation:
             return None
-        hosts = hosts.update(step.roster.hosts)
-    return Roster(version=steps[-1].roster.version, hosts=hosts)
+        hosts = hosts.update(step.hosts)
+    return Roster(version=steps[-1].version, hosts=hosts)
--- /dev/null
+++ b/snipespring/decisions/claims/tests/test_memory.py
@@ -0,0 +1,102 @@
+from collections.abc import Iterator
+from unittest import mock
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from snipespring.decisions.claims import CLAIM_WINDOW_S, memory
+from snipespring.records import (
+    Attempt,
+    Claimed,
+    ClaimMemory,
+    ClaimState,
+    Finished,
+    HostId,
+    KeyDigest,
+    Lost,
+    OrganisationName,
+    RecordedReply,
+    Released,
+    RequestDigest,
+)
+
+BY = Attempt(host_id=HostId("host-0"), request_id="r")
+REQUEST = RequestDigest(b"request")
+DIGESTS = st.integers(0, 9).map(lambda number: KeyDigest(bytes([number])))
+ORGANISATION = OrganisationName("valeters")
+KINDS = st.sampled_from(["claimed", "finished", "released", "lost"])
+
+
+@pytest.fixture(autouse=True, scope="module")
+def small_reply_memory() -> Iterator[None]:
+    with mock.patch.object(memory, "MAX_REPLY_MEMORY_BYTES", 25):
+        yield
+
+
+class MemoryMachine(RuleBasedStateMachine):
+    """Compare the memory with a plain dictionary."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1000.0
+        self.memory = ClaimMemory()
+        self.ended: dict[KeyDigest, float] = {}
+
+    @rule(digest=DIGESTS, kind=KINDS, size=st.integers(0, 15))
+    def remember(self, digest: KeyDigest, kind: str, size: int) -> None:
+        state = self.make_state(kind, size)
+        self.memory = memory.remember(self.memory, digest, ORGANISATION, state)
+        self.ended[digest] = self.now_s + (5.0 if kind == "claimed" else 0.0)
+
+    @rule(pause_s=st.sampled_from([0.5, 30.0, 600.0]))
+    def sweep(self, pause_s: float) -> None:
+        self.now_s += pause_s
+        self.memory = memory.sweep(self.memory, now_s=self.now_s)
+
+    @invariant()
+    def keeps_what_is_inside_the_window(self) -> None:
+        kept = {
+            digest
+            for digest, ended_s in self.ended.items()
+            if ended_s + CLAIM_WINDOW_S > self.now_s
+        }
+        assert kept <= set(self.memory.claims)
+        self.ended = {
+            digest: at_s
+            for digest, at_s in self.ended.items()
+            if digest in self.memory.claims
+        }
+
+    @invariant()
+    def counts_agree(self) -> None:
+        states = [claim.state for claim in self.memory.claims.values()]
+        replies = [s.reply for s in states if isinstance(s, Finished) and s.reply]
+        total_bytes = sum(len(reply.body) for reply in replies)
+        assert self.memory.reply_bytes == total_bytes <= 25
+        assert self.memory.counts.get(ORGANISATION, 0) == len(states)
+        scheduled = [digest for second in self.memory.due.values() for digest in second]
+        assert sorted(scheduled) == sorted(self.memory.claims)
+
+    @invariant()
+    def forgets_after_the_window(self) -> None:
+        limit_s = self.now_s - 2 * CLAIM_WINDOW_S - 10.0
+        assert all(ended_s > limit_s for ended_s in self.ended.values())
+
+    def make_state(self, kind: str, size: int) -> ClaimState:
+        now_s = self.now_s
+        match kind:
+            case "claimed":
+                return Claimed(by=BY, request=REQUEST, until_s=now_s + 5.0)
+            case "finished":
+                reply = RecordedReply(status=200, headers=(), body=b"x" * size)
+                return Finished(by=BY, request=REQUEST, reply=reply, ended_s=now_s)
+            case "released":
+                return Released(by=BY, ended_s=now_s)
+            case _:
+                return Lost(by=BY, request=REQUEST, reason="late", ended_s=now_s)
+
+
+TestMemory = MemoryMachine.TestCase
+TestMemory.settings = settings(max_examples=60, stateful_step_count=30)
--- a/snipespring/records/claims.py
+++ b/snipespring/records/claims.py
@@ -151,7 +151,8 @@
 class RosterStep:
     """Hold a roster version and when this host saw every older lease ended."""
 
-    roster: Roster
+    version: int
+    hosts: Map[HostId, Host] = field(repr=False)
     fenced_at_s: float | None = None
 
 
@@ -165,7 +166,7 @@
     """
 
     steps: tuple[RosterStep, ...] = ()
-    contenders: Roster | None = None
+    contenders: Roster | None = field(default=None, repr=False)
 
 
 @frozen(kw_only=True)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,7 @@
 import signal
 import uuid
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -11,7 +12,7 @@
 NETWORK = free_network()
 KEY = "the-test-key-of-valeters"
 RULES = (
-    "service ledger floor=60% deadline=2s  # Aoife",
+    "service ledger floor=60% deadline=1s  # Aoife",
     *(
         f"server ledger {NETWORK}.2.{n}:9001 domain=domain-{n - 1}  # Aoife"
         for n in (1, 2, 3)
@@ -109,6 +110,30 @@
     assert count_runs(fleet, key) == 1
 
 
+def test_a_host_frozen_past_its_grant_never_causes_a_second_run(
+    fleet: Fleet,
+) -> None:
+    key = issue_key(fleet, 1)
+    for index in range(3):
+        fleet.set_fault(index, mode="late", delay_s=0.5)
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(post, fleet, 0, key)
+        wait_until(lambda: count_runs(fleet, key) == 1, "the run to begin")
+        fleet.signal("proxy-0", signal.SIGSTOP)
+        try:
+            running = post(fleet, 2, key)
+            lost = post_settled(fleet, 2, key)
+        finally:
+            fleet.signal("proxy-0", signal.SIGCONT)
+        answers = [fut.result(), running, lost]
+    for index in range(3):
+        fleet.set_fault(index, mode="ok")
+    assert [answer.status for answer in answers[1:]] == [409, 409]
+    assert lost.headers["snipespring-outcome"] == "unknown"
+    assert post_settled(fleet, 1, key).headers["snipespring-outcome"] != "not-run"
+    assert count_runs(fleet, key) == 1
+
+
 def test_a_killed_owner_leaves_the_outcome_unknown(fleet: Fleet) -> None:
     key = issue_key(fleet, 2)
     assert post_settled(fleet, 0, key).status == 200
