--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -1,5 +1,10 @@
 """List every region of the blackboard and the controller that writes it."""
 
+from .claims import (
+    CLAIM_MEMORY,
+    CLAIM_REPORTS,
+    TENURE,
+)
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -33,6 +38,8 @@
 )
 
 __all__ = [
+    "CLAIM_MEMORY",
+    "CLAIM_REPORTS",
     "CONFIGURATION",
     "COUNTERS",
     "CREDIT_NEEDS",
@@ -54,4 +61,5 @@
     "SERVER_STATES",
     "SHARE_LEDGER",
     "STOP",
+    "TENURE",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .claim_owner import (
+    ClaimOwner,
+)
 from .claimant import (
     Claimant,
 )
@@ -66,6 +69,9 @@
 from .status_keeper import (
     StatusKeeper,
 )
+from .tenure_keeper import (
+    TenureKeeper,
+)
 from .watcher import (
     Watcher,
 )
@@ -74,6 +80,7 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "ClaimOwner",
     "Claimant",
     "Configurator",
     "Conflicted",
@@ -96,6 +103,7 @@
     "ShareBorrower",
     "ShareMover",
     "StatusKeeper",
+    "TenureKeeper",
     "Unreachable",
     "Watcher",
 ]
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -3,17 +3,16 @@
 from attrs import define
 
 from ..records import (
+    ClaimReports,
+    ClaimRequest,
     CreditAsks,
-    CreditGrants,
-    EjectionList,
     EvidenceReport,
     Message,
     Pull,
-    PullReply,
     Refused,
     ShareHandovers,
-    SharesTaken,
 )
+from .claim_owner import ClaimOwner
 from .health_judge import HealthJudge
 from .puller import Puller
 from .share_book import ShareBook
@@ -28,6 +27,7 @@
     puller: Puller
     shares: ShareBook
     health_judge: HealthJudge
+    claim_owner: ClaimOwner
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
@@ -40,11 +40,9 @@
                 return self.shares.take(message)
             case EvidenceReport():
                 return self.health_judge.answer(message)
-            case (
-                PullReply()
-                | EjectionList()
-                | Refused()
-                | CreditGrants()
-                | SharesTaken()
-            ):
+            case ClaimRequest():
+                return self.claim_owner.answer(message)
+            case ClaimReports():
+                return self.claim_owner.take(message)
+            case _:
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -8,7 +8,7 @@
 from random import Random
 from types import FrameType
 
-from attrs import define
+from attrs import define, evolve
 
 from ..blackboard import Board
 from ..blackboard.regions import (
@@ -22,6 +22,7 @@
 from ..controllers import (
     Accountant,
     Claimant,
+    ClaimOwner,
     Configurator,
     Controller,
     FenceKeeper,
@@ -40,9 +41,11 @@
     ShareBorrower,
     ShareMover,
     StatusKeeper,
+    TenureKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
+from ..decisions.claims import derive_issuing_key
 from ..decisions.keys import digest_key, find_key
 from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
@@ -51,7 +54,14 @@
 from ..frontends.operators import OperatorsApp
 from ..frontends.peers import PeerLinks, PeerServer
 from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT, HttpPlatform
-from ..records import AddressAnswer, Host, Incarnation, Leaving, Request
+from ..records import (
+    AddressAnswer,
+    Host,
+    Incarnation,
+    Leaving,
+    OrganisationName,
+    Request,
+)
 from ..settings import Settings
 from ..utils import Clock, SystemClock
 
@@ -82,6 +92,7 @@
     roster_keeper: RosterKeeper
     lease_keeper: LeaseKeeper
     share_mover: ShareMover
+    claimant: Claimant
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -99,6 +110,7 @@
         threading.Event().wait(lifetime_s)
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
+        self.claimant.step()
         self.callers.close()
         finished = Leaving(until_s=until_s, finished=True)
         self.board.write(STOP, finished, writer="stopper")
@@ -141,6 +153,17 @@
         interval_s=settings.peers.pull_interval_s,
         seeds=settings.peers.seeds,
     )
+    claim_owner = ClaimOwner(board=board, clock=clock, own=own)
+    claimant = Claimant(
+        board=board,
+        clock=clock,
+        client=links,
+        own=own,
+        owner=claim_owner,
+        historian=historian,
+        accountant=accountant,
+        issuing_key=derive_issuing_key(secret),
+    )
     roster_keeper = RosterKeeper(
         board=board,
         clock=clock,
@@ -205,8 +228,16 @@
             accountant=accountant,
             own=own,
         ),
+        TenureKeeper(board=board, clock=clock, own=own),
+        claim_owner,
+        claimant,
+    )
+    responder = Responder(
+        puller=puller,
+        shares=book,
+        health_judge=health_judge,
+        claim_owner=claim_owner,
     )
-    responder = Responder(puller=puller, shares=book, health_judge=health_judge)
     forwarder = Forwarder(
         board=board,
         clock=clock,
@@ -215,12 +246,15 @@
         historian=historian,
         accountant=accountant,
         limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
-        claimant=Claimant(board=board, clock=clock),
+        claimant=claimant,
         domain=own.domain,
     )
 
     def answer_addresses(request: Request) -> AddressAnswer:
-        return _answer_addresses(board, own, settings, request)
+        organisation = _find_organisation(board, request)
+        answer = _answer_addresses(board, own, settings, organisation)
+        prefix = claimant.issue_prefix(organisation)
+        return evolve(answer, idempotency_prefix=prefix)
 
     return Proxy(
         board=board,
@@ -251,6 +285,7 @@
         roster_keeper=roster_keeper,
         lease_keeper=lease_keeper,
         share_mover=share_mover,
+        claimant=claimant,
     )
 
 
@@ -285,12 +320,15 @@
     )
 
 
-def _answer_addresses(
-    board: Board, own: Host, settings: Settings, request: Request
-) -> AddressAnswer:
+def _find_organisation(board: Board, request: Request) -> OrganisationName | None:
     key = find_key(request)
     keys = board.read(CONFIGURATION).keys
-    organisation = keys.get(digest_key(key)) if key is not None else None
+    return keys.get(digest_key(key)) if key is not None else None
+
+
+def _answer_addresses(
+    board: Board, own: Host, settings: Settings, organisation: OrganisationName | None
+) -> AddressAnswer:
     statuses = board.read(HOST_STATUSES).by_host
     leaving = frozenset(
         host_id for host_id, view in statuses.items() if view.status.leaving
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from .claim_messages import ClaimMessage
 from .fleet import HostStatus, Versions
 from .health_messages import HealthMessage
 from .identity import HostId
@@ -63,7 +64,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused | HealthMessage | LimitMessage
+Message = Pull | PullReply | Refused | ClaimMessage | HealthMessage | LimitMessage
 
 
 @frozen(kw_only=True)
