Route by subsets, failure domain, load, drain signs, sheds and health states

Cause: the choice ignored Retry-After, server states, the age and origin of reported load, and forgot a drain never; every host used every server. Ruled out: rendezvous hashing for subsets (unbalanced per server: a server can get more hosts than its connection limit); clearing a drain sign by any answer (an attempt sent before the sign can be processed after it). Change: rings give each host consecutive servers by its rank, half of the connections to near hosts; a sign of draining bars a server for 5 s, then one request checks it, with doubled waits; sheds bar it for Retry-After; ejected servers get nothing, avoided ones only without others, those on trial a share of idempotent work; servers that join or return take a ramp of 10 s.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -22,6 +22,7 @@
 )
 from .routing import (
     SERVER_LOADS,
+    SERVER_SUBSETS,
 )
 
 __all__ = [
@@ -39,5 +40,6 @@
     "ROSTER",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SERVER_SUBSETS",
     "STOP",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -48,6 +48,9 @@
 from .status_keeper import (
     StatusKeeper,
 )
+from .subset_keeper import (
+    SubsetKeeper,
+)
 from .watcher import (
     Watcher,
 )
@@ -72,6 +75,7 @@
     "RulesHeld",
     "Runner",
     "StatusKeeper",
+    "SubsetKeeper",
     "Unreachable",
     "Watcher",
 ]
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -6,7 +6,14 @@
 from attrs import define, evolve, frozen
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, EVIDENCE, LEASE, SERVER_LOADS
+from ..blackboard.regions import (
+    CONFIGURATION,
+    EVIDENCE,
+    LEASE,
+    SERVER_LOADS,
+    SERVER_STATES,
+    SERVER_SUBSETS,
+)
 from ..decisions.attempts import (
     Finish,
     TryAgain,
@@ -28,7 +35,6 @@
 from ..records import (
     Admitted,
     AdmittedRequest,
-    Answered,
     BackendRequest,
     BackendResult,
     ClaimGranted,
@@ -43,14 +49,17 @@
     OpenAccess,
     OrganisationName,
     OverLimit,
+    Placement,
     Reply,
     Request,
     RequestRefused,
     RouteRule,
+    RunAsUpload,
+    RunIdempotent,
+    RunPolicy,
     ServerId,
     ServerLoads,
     ServiceRule,
-    ShedByServer,
     Unclaimed,
 )
 from ..utils import Clock
@@ -166,7 +175,7 @@
         service = cfg.services[admitted.route.service]
         tried: list[_Tried] = []
         while True:
-            chosen = self._reserve(cfg, service, tried)
+            chosen = self._reserve(service, admitted.route.run, tried)
             if isinstance(chosen, NoServer):
                 return self._reply_without_server(admitted, tried, chosen)
             tried.append(self._attempt(admitted, chosen.server, len(tried)))
@@ -181,21 +190,22 @@
                     return self._finish(admitted, reply)
 
     def _reserve(
-        self, cfg: Configuration, service: ServiceRule, tried: list[_Tried]
+        self, service: ServiceRule, run: RunPolicy, tried: list[_Tried]
     ) -> Chosen | NoServer:
-        servers = cfg.servers.get(service.name, ())
-        excluded = frozenset(attempt.server for attempt in tried)
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service.name)
+        if subset is None:
+            return NoServer(reason=f"the servers of {service.name} are not chosen yet")
+        states = self.board.read(SERVER_STATES)
+        placement = Placement(
+            domain=self.domain,
+            excluded=frozenset(attempt.server for attempt in tried),
+            repeatable=isinstance(run, RunIdempotent | RunAsUpload),
+        )
         now_s = self.clock.monotonic_s()
 
         def reserve(loads: ServerLoads) -> tuple[ServerLoads, Chosen | NoServer]:
             chosen = choose_server(
-                service,
-                servers,
-                loads,
-                domain=self.domain,
-                excluded=excluded,
-                now_s=now_s,
-                rng=self.rng,
+                subset, loads, states, placement, now_s=now_s, rng=self.rng
             )
             match chosen:
                 case Chosen(server=server):
@@ -223,23 +233,23 @@
                 last=count + 1 == MAX_ATTEMPTS,
             ),
         )
+        started_s = self.clock.monotonic_s()
         self._record_start(server, attempt.request_id)
         result = self.transport.send(server, attempt)
-        self._release(server, result)
+        self._release(server, result, started_s)
         self._record_end(server, attempt.request_id, result)
         self.accountant.count("attempts", type(result).__name__)
         return _Tried(result=result, server=server)
 
-    def _release(self, server: ServerId, result: BackendResult) -> None:
-        match result:
-            case Answered(load=load) | ShedByServer(load=load):
-                report = load
-            case _:
-                report = None
+    def _release(
+        self, server: ServerId, result: BackendResult, started_s: float
+    ) -> None:
         now_s = self.clock.monotonic_s()
         self.board.update(
             SERVER_LOADS,
-            lambda loads: release_server(loads, server, report, now_s),
+            lambda loads: release_server(
+                loads, server, result, started_s=started_s, now_s=now_s
+            ),
             writer=self.name,
         )
 
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -33,6 +33,7 @@
     RosterKeeper,
     Runner,
     StatusKeeper,
+    SubsetKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
@@ -142,6 +143,7 @@
         Configurator(board=board, clock=clock, historian=historian),
         roster_keeper,
         StatusKeeper(board=board, own=own),
+        SubsetKeeper(board=board, clock=clock, own=own),
         puller,
         LeaseKeeper(
             board=board,
--- a/snipespring/decisions/routing/__init__.py
+++ b/snipespring/decisions/routing/__init__.py
@@ -1,17 +1,24 @@
 """Choose backend servers by load, failure domain and health."""
 
-from .choice import (
-    Chosen,
-    NoServer,
-    choose_server,
+from .choice import Chosen, NoServer, choose_server
+from .loads import (
+    drain_check_at_s,
+    estimate_busy,
+    load_of,
     release_server,
     reserve_server,
 )
+from .subsets import choose_subset, order_hosts
 
 __all__ = [
     "Chosen",
     "NoServer",
     "choose_server",
+    "choose_subset",
+    "drain_check_at_s",
+    "estimate_busy",
+    "load_of",
+    "order_hosts",
     "release_server",
     "reserve_server",
 ]
--- /dev/null
+++ b/snipespring/decisions/routing/subsets.py
@@ -0,0 +1,103 @@
+"""Choose, without messages, which servers each host uses."""
+
+from collections.abc import Iterable
+from itertools import zip_longest
+
+import xxhash
+
+from ...records import (
+    DomainName,
+    Host,
+    HostId,
+    Roster,
+    ServerId,
+    ServerRule,
+    ServerSubset,
+    ServiceRule,
+    SubsetMember,
+)
+
+__all__ = ["choose_subset", "order_hosts"]
+
+CONNECTION_SHARE = 0.9  # the rest is left to hosts that hold an older roster
+NEAR_SHARE = 0.5
+
+
+def order_hosts(roster: Roster) -> tuple[Host, ...]:
+    """Return the roster's hosts in the order in which rings place them."""
+
+    def place(host: Host) -> int:
+        return xxhash.xxh3_64_intdigest(host.host_id.encode())
+
+    return tuple(sorted(roster.hosts.values(), key=place))
+
+
+def choose_subset(
+    service: ServiceRule,
+    servers: tuple[ServerRule, ...],
+    hosts: tuple[Host, ...],
+    own: Host,
+    *,
+    held: ServerSubset | None,
+    now_s: float,
+) -> ServerSubset:
+    """Return the servers that a host uses, `hosts` being ordered for rings."""
+    per_server = int(service.connections * CONNECTION_SHARE)
+    cap = min(service.slots, per_server // max(1, len(hosts)))
+    if cap >= 1:
+        rules: tuple[ServerRule, ...] = servers
+    else:
+        cap = 1
+        rules = _choose_from_rings(servers, hosts, own, per_server)
+    members = _date_members(rules, held, now_s)
+    return ServerSubset(members=members, slots=service.slots, in_flight_cap=cap)
+
+
+def _choose_from_rings(
+    servers: tuple[ServerRule, ...], hosts: tuple[Host, ...], own: Host, per_server: int
+) -> tuple[ServerRule, ...]:
+    near_connections = int(per_server * NEAR_SHARE)
+    near_servers = sorted(
+        (rule for rule in servers if rule.domain == own.domain), key=_server_of
+    )
+    near_hosts = [host for host in hosts if host.domain == own.domain]
+    near = _window(near_servers, near_hosts, own.host_id, near_connections)
+    ring = _alternate_domains(servers)
+    wide = _window(ring, hosts, own.host_id, per_server - near_connections)
+    chosen = {rule.server for rule in (*near, *wide)}
+    return tuple(rule for rule in servers if rule.server in chosen)
+
+
+def _window(
+    ring: list[ServerRule], hosts: Iterable[Host], own: HostId, per_server: int
+) -> list[ServerRule]:
+    """Return consecutive servers from the place that the host's rank gives it."""
+    ids = [host.host_id for host in hosts]
+    if own not in ids or not ring:
+        return ring[:1]
+    width = min(len(ring), max(1, per_server * len(ring) // len(ids)))
+    start = ids.index(own) * len(ring) // len(ids)
+    return [ring[(start + step) % len(ring)] for step in range(width)]
+
+
+def _alternate_domains(servers: Iterable[ServerRule]) -> list[ServerRule]:
+    by_domain: dict[DomainName, list[ServerRule]] = {}
+    for rule in sorted(servers, key=_server_of):
+        by_domain.setdefault(rule.domain, []).append(rule)
+    rows = zip_longest(*(by_domain[domain] for domain in sorted(by_domain)))
+    return [rule for row in rows for rule in row if rule is not None]
+
+
+def _date_members(
+    rules: tuple[ServerRule, ...], held: ServerSubset | None, now_s: float
+) -> tuple[SubsetMember, ...]:
+    known = {} if held is None else {m.rule.server: m.since_s for m in held.members}
+    joined_s = now_s if known else 0.0
+    return tuple(
+        SubsetMember(rule=rule, since_s=known.get(rule.server, joined_s))
+        for rule in rules
+    )
+
+
+def _server_of(rule: ServerRule) -> ServerId:
+    return rule.server
--- /dev/null
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -0,0 +1,211 @@
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from immutables import Map
+
+from snipespring.decisions.routing import (
+    Chosen,
+    NoServer,
+    choose_server,
+    load_of,
+    release_server,
+    reserve_server,
+)
+from snipespring.records import (
+    Address,
+    Answered,
+    BackendResult,
+    ConnectFailed,
+    DomainName,
+    Placement,
+    ReportedLoad,
+    ServerAvoided,
+    ServerEjected,
+    ServerId,
+    ServerLoads,
+    ServerOnTrial,
+    ServerRule,
+    ServerState,
+    ServerStates,
+    ServerSubset,
+    ServiceName,
+    ShedByServer,
+    SubsetMember,
+)
+
+NEAR, FAR = DomainName("near"), DomainName("far")
+HERE = Placement(domain=NEAR, repeatable=True)
+
+
+def member(number: int, domain: DomainName, since_s: float = 0.0) -> SubsetMember:
+    address = Address(ip="127.0.0.2", port=number + 1)
+    server = ServerId(service=ServiceName("ledger"), address=address)
+    placed = ServerRule(server=server, domain=domain, asked_by="a test")
+    return SubsetMember(rule=placed, since_s=since_s)
+
+
+MEMBERS = tuple(member(number, NEAR if number < 2 else FAR) for number in range(4))
+SERVERS = tuple(one.rule.server for one in MEMBERS)
+SUBSET = ServerSubset(members=MEMBERS, slots=3, in_flight_cap=2)
+
+
+def choose(
+    loads: ServerLoads,
+    states: dict[ServerId, ServerState] | None = None,
+    placement: Placement = HERE,
+    now_s: float = 100.0,
+    seed: int = 1,
+    subset: ServerSubset = SUBSET,
+) -> Chosen | NoServer:
+    held = ServerStates(by_server=Map(states or {}))
+    return choose_server(subset, loads, held, placement, now_s=now_s, rng=Random(seed))
+
+
+def answered(busy: int = 0, draining: bool = False) -> Answered:
+    load = ReportedLoad(busy=busy, slots=3, draining=draining)
+    return Answered(status=200, headers=(), body=b"", load=load)
+
+
+def after(loads: ServerLoads, number: int, result: BackendResult) -> ServerLoads:
+    loads = reserve_server(loads, SERVERS[number])
+    return release_server(loads, SERVERS[number], result, started_s=99.0, now_s=100.0)
+
+
+@given(seed=st.integers(0, 1000))
+def test_near_servers_come_first_and_far_ones_when_those_are_full(seed: int) -> None:
+    loads = ServerLoads()
+    chosen = [choose(loads, seed=seed)]
+    assert chosen[0] in [Chosen(server=server) for server in SERVERS[:2]]
+    for server in SERVERS[:2] * 2:
+        loads = reserve_server(loads, server)
+    assert choose(loads, seed=seed) in [Chosen(server=one) for one in SERVERS[2:]]
+
+
+@given(seed=st.integers(0, 1000))
+def test_reported_load_of_other_hosts_counts_while_fresh(seed: int) -> None:
+    loads = after(ServerLoads(), 0, answered(busy=2))
+    assert choose(loads, seed=seed, now_s=100.01) == Chosen(server=SERVERS[1])
+    full = after(after(ServerLoads(), 0, answered(busy=3)), 1, answered(busy=3))
+    near = [Chosen(server=server) for server in SERVERS[:2]]
+    assert choose(full, seed=seed, now_s=100.01) not in near
+    assert choose(full, seed=seed, now_s=105.0) in near
+
+
+@pytest.mark.parametrize("asked_s", [None, 0.5, 2.0])
+def test_shed_answer_is_obeyed(asked_s: float | None) -> None:
+    loads = after(ServerLoads(), 0, ShedByServer(retry_after_s=asked_s))
+    until_s = 100.0 + (asked_s or 0.05)
+    servers = [choose(loads, now_s=until_s - 0.01, seed=s) for s in range(30)]
+    assert Chosen(server=SERVERS[0]) not in servers
+    servers = [choose(loads, now_s=until_s + 0.01, seed=s) for s in range(30)]
+    assert Chosen(server=SERVERS[0]) in servers
+
+
+@given(
+    kinds=st.lists(st.integers(0, 3), min_size=4, max_size=4),
+    repeatable=st.booleans(),
+    seed=st.integers(0, 50),
+)
+def test_states_of_servers_are_kept(
+    kinds: list[int], repeatable: bool, seed: int
+) -> None:
+    states: list[ServerState | None] = [
+        None,
+        ServerAvoided(reason="path"),
+        ServerEjected(reason="slow", until_s=1e9),
+        ServerOnTrial(share=0.2),
+    ]
+    held = {
+        server: state
+        for server, kind in zip(SERVERS, kinds, strict=True)
+        if (state := states[kind]) is not None
+    }
+    placement = Placement(domain=NEAR, repeatable=repeatable)
+    chosen = choose(ServerLoads(), held, placement, seed=seed)
+    match chosen:
+        case NoServer():
+            assert all(kind == 2 or (kind == 3 and not repeatable) for kind in kinds)
+        case Chosen(server=server):
+            kind = kinds[SERVERS.index(server)]
+            assert kind != 2
+            assert kind != 3 or repeatable
+            assert kind != 1 or 0 not in kinds
+
+
+def test_new_server_takes_a_small_part_of_the_work_at_first() -> None:
+    members = (member(0, NEAR), member(1, NEAR, since_s=99.0))
+    subset = ServerSubset(members=members, slots=3, in_flight_cap=2)
+    chosen = [choose(ServerLoads(), seed=s, subset=subset) for s in range(200)]
+    share = chosen.count(Chosen(server=SERVERS[1])) / 200
+    assert 0 < share < 0.2
+
+
+class DrainMachine(RuleBasedStateMachine):
+    """Compare the choice with the truth about one server that drains and returns."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loads = ServerLoads()
+        self.now_s = 100.0
+        self.draining = False
+        self.signed_s: float | None = None
+        self.open: list[float] = []
+        self.only = ServerSubset(members=MEMBERS[:1], slots=3, in_flight_cap=3)
+
+    @rule()
+    def toggle(self) -> None:
+        self.draining = not self.draining
+
+    @rule(delta_s=st.sampled_from([0.001, 0.2, 2.9, 8.0, 100.0]))
+    def wait(self, delta_s: float) -> None:
+        self.now_s += delta_s
+
+    @rule()
+    def send(self) -> None:
+        chosen = choose(self.loads, now_s=self.now_s, subset=self.only)
+        if isinstance(chosen, NoServer):
+            return
+        if self.signed_s is not None:
+            assert self.now_s >= self.signed_s + 5.0
+            assert not self.open
+        self.loads = reserve_server(self.loads, chosen.server)
+        self.open.append(self.now_s)
+
+    @rule(broken=st.booleans())
+    def finish(self, broken: bool) -> None:
+        if not self.open:
+            return
+        started_s = self.open.pop(0)
+        self.now_s += 0.001
+        result: BackendResult = ConnectFailed(reason="refused")
+        if not broken:
+            result = answered(draining=self.draining)
+            if self.draining:
+                self.signed_s = self.now_s
+            elif self.signed_s is not None and started_s > self.signed_s:
+                self.signed_s = None
+        self.loads = release_server(
+            self.loads, SERVERS[0], result, started_s=started_s, now_s=self.now_s
+        )
+
+    @invariant()
+    def in_flight_is_counted(self) -> None:
+        assert load_of(self.loads, SERVERS[0]).in_flight == len(self.open)
+
+
+TestDrain = DrainMachine.TestCase
+
+
+def test_recovered_server_is_used_again() -> None:
+    loads = after(ServerLoads(), 0, answered(draining=True))
+    only = ServerSubset(members=MEMBERS[:1], slots=3, in_flight_cap=3)
+    assert isinstance(choose(loads, now_s=104.9, subset=only), NoServer)
+    assert choose(loads, now_s=105.1, subset=only) == Chosen(server=SERVERS[0])
+    loads = reserve_server(loads, SERVERS[0])
+    assert isinstance(choose(loads, now_s=105.2, subset=only), NoServer)
+    loads = release_server(loads, SERVERS[0], answered(), started_s=105.1, now_s=105.2)
+    assert load_of(loads, SERVERS[0]).drain is None
+    assert choose(loads, now_s=105.3, subset=only) == Chosen(server=SERVERS[0])
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -14,6 +14,7 @@
     "BackendRequest",
     "BackendResult",
     "ConnectFailed",
+    "DrainSign",
     "ReportedLoad",
     "SendBroken",
     "ServerLoad",
@@ -110,13 +111,29 @@
 )
 
 
+@frozen(kw_only=True)
+class DrainSign:
+    """Hold when a server last reported that it drains, and how often since."""
+
+    at_s: float
+    renewals: int = 0
+
+
 @frozen(kw_only=True)
 class ServerLoad:
-    """Hold this host's view of one server's use of its slots."""
+    """Hold this host's view of one server's use of its slots.
+
+    `others` counts the busy slots in the last report that were not this host's;
+    `backoff_until_s` and `ramp_from_s` are readings of the monotonic clock.
+    """
 
     in_flight: int = 0
     reported: ReportedLoad | None = None
     reported_at_s: float = 0.0
+    others: int = 0
+    backoff_until_s: float = 0.0
+    ramp_from_s: float = 0.0
+    drain: DrainSign | None = None
 
 
 @frozen(kw_only=True)
