Queue fairly by organisation and bound retries by a share of first attempts

Cause: without a free slot a request was refused at once, whoever sent it; any failure was tried three times; "not run" was said of a request whose earlier attempt may have run, when a later attempt was shed. Change: the dispatcher owns loads and queues and hands out slots; waiters go by start-time fair queuing; a full queue evicts the last waiter of the organisation that waits most; who cannot meet the deadline is refused at once. The sender tries attempts; each first attempt earns retry_share of a retry, at most 3 are kept; the reply states the strongest result of all attempts.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -21,6 +21,8 @@
     STOP,
 )
 from .routing import (
+    REQUEST_QUEUES,
+    RETRY_BUDGETS,
     SERVER_LOADS,
     SERVER_SUBSETS,
 )
@@ -37,6 +39,8 @@
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
     "ROSTER",
     "SERVER_LOADS",
     "SERVER_STATES",
--- a/snipespring/blackboard/regions/health.py
+++ b/snipespring/blackboard/regions/health.py
@@ -5,7 +5,7 @@
 
 __all__ = ["EVIDENCE", "SERVER_STATES"]
 
-EVIDENCE = Region[Evidence](name="evidence", writer="forwarder", initial=Evidence())
+EVIDENCE = Region[Evidence](name="evidence", writer="sender", initial=Evidence())
 SERVER_STATES = Region[ServerStates](
     name="server_states", writer="health_keeper", initial=ServerStates()
 )
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -17,6 +17,9 @@
 from .configurator import (
     Configurator,
 )
+from .dispatcher import (
+    Dispatcher,
+)
 from .fence_keeper import (
     FenceKeeper,
 )
@@ -45,6 +48,9 @@
     Controller,
     Runner,
 )
+from .sender import (
+    Sender,
+)
 from .status_keeper import (
     StatusKeeper,
 )
@@ -63,6 +69,7 @@
     "Configurator",
     "Conflicted",
     "Controller",
+    "Dispatcher",
     "FenceKeeper",
     "Forwarder",
     "Historian",
@@ -74,6 +81,7 @@
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "Sender",
     "StatusKeeper",
     "SubsetKeeper",
     "Unreachable",
--- /dev/null
+++ b/snipespring/controllers/dispatcher.py
@@ -0,0 +1,252 @@
+"""Hand servers' slots to requests, in fair order while slots are short."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+from math import inf
+from random import Random
+from typing import Any
+
+from attrs import define, field, frozen
+
+from ..blackboard import Board, Region
+from ..blackboard.regions import (
+    REQUEST_QUEUES,
+    SERVER_LOADS,
+    SERVER_STATES,
+    SERVER_SUBSETS,
+)
+from ..decisions.queueing import (
+    Joined,
+    QueueRefused,
+    join_queue,
+    leave_queue,
+    queue_of,
+    serve_waiter,
+)
+from ..decisions.routing import (
+    Chosen,
+    NoServer,
+    ServersBusy,
+    cancel_reservation,
+    choose_server,
+    load_of,
+    release_server,
+    reserve_server,
+)
+from ..records import (
+    BackendResult,
+    ServerId,
+    ServerLoads,
+    ServiceName,
+    SlotRequest,
+    Waiter,
+)
+from ..utils import Clock
+
+__all__ = ["Dispatcher", "NotPlaced", "Placed"]
+
+MIN_WAKE_S = 0.001
+RETRY_AFTER_S = 0.2
+
+
+@frozen(kw_only=True)
+class Placed:
+    """Grant a slot of a server; `tag` is the request's place in the fair order."""
+
+    server: ServerId
+    tag: float
+
+
+@frozen(kw_only=True)
+class NotPlaced:
+    """State why the request got no slot."""
+
+    reason: str
+    retry_after_s: float
+
+
+@define(kw_only=True, eq=False)
+class Dispatcher:
+    """Write the server loads and request queues regions."""
+
+    board: Board
+    clock: Clock
+    rng: Random
+    bound: int
+    name: str = "dispatcher"
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+    _futs: dict[int, Future[Placed | NotPlaced]] = field(factory=dict, init=False)
+
+    @property
+    def watches(self) -> tuple[Region[Any], ...]:
+        """Return the regions whose writes wake the controller."""
+        return (REQUEST_QUEUES, SERVER_STATES, SERVER_SUBSETS)
+
+    def step(self) -> float | None:
+        """Place the waiters that can go; return seconds until one more may."""
+        with self._lock:
+            queues = self.board.read(REQUEST_QUEUES).by_service
+            waiting = [name for name, queue in queues.items() if queue.waiters]
+            free_at_s = min((self._dispatch(name) for name in waiting), default=inf)
+        if free_at_s == inf:
+            return None
+        return max(MIN_WAKE_S, free_at_s - self.clock.monotonic_s())
+
+    def place(self, wanted: SlotRequest) -> Placed | NotPlaced:
+        """Return a server with a free slot, after waiting for it if need be."""
+        with self._lock:
+            placed = self._place_now(wanted)
+            if placed is not None:
+                return placed
+            fut, ticket = self._join(wanted)
+            self._dispatch(wanted.service)
+        return self._wait(fut, ticket, wanted)
+
+    def release(
+        self, server: ServerId, result: BackendResult, *, started_s: float
+    ) -> None:
+        """Take back the slot of an attempt that ended."""
+        now_s = self.clock.monotonic_s()
+        with self._lock:
+            self._change_loads(
+                lambda loads: release_server(
+                    loads, server, result, started_s=started_s, now_s=now_s
+                )
+            )
+            self._dispatch(server.service)
+
+    def cancel(self, server: ServerId) -> None:
+        """Take back a slot to which nothing was sent."""
+        with self._lock:
+            self._change_loads(lambda loads: cancel_reservation(loads, server))
+            self._dispatch(server.service)
+
+    def _place_now(self, wanted: SlotRequest) -> Placed | NotPlaced | None:
+        queue = queue_of(self.board.read(REQUEST_QUEUES), wanted.service)
+        if queue.waiters:
+            return None
+        match self._reserve(wanted):
+            case Chosen(server=server):
+                return Placed(server=server, tag=queue.virtual)
+            case NoServer(reason=reason):
+                return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+            case ServersBusy(free_at_s=free_at_s):
+                return self._refuse_hopeless(wanted, free_at_s)
+
+    def _refuse_hopeless(
+        self, wanted: SlotRequest, free_at_s: float
+    ) -> NotPlaced | None:
+        """Refuse where every server backs off until after the deadline."""
+        if self._in_flight(wanted.service) > 0:
+            return None
+        if free_at_s + self._service_s(wanted.service) <= wanted.deadline_at_s:
+            return None
+        delay_s = min(RETRY_AFTER_S, free_at_s - self.clock.monotonic_s())
+        reason = "every server is busy until after the deadline"
+        return NotPlaced(reason=reason, retry_after_s=delay_s)
+
+    def _join(self, wanted: SlotRequest) -> tuple[Future[Placed | NotPlaced], int]:
+        fut: Future[Placed | NotPlaced] = Future()
+        joined = join_queue(
+            self.board.read(REQUEST_QUEUES),
+            wanted,
+            bound=self.bound,
+            in_flight=self._in_flight(wanted.service),
+            service_s=self._service_s(wanted.service),
+            now_s=self.clock.monotonic_s(),
+        )
+        match joined:
+            case QueueRefused(reason=reason, retry_after_s=retry_after_s):
+                fut.set_result(NotPlaced(reason=reason, retry_after_s=retry_after_s))
+                return fut, -1
+            case Joined(queues=queues, waiter=waiter, evicted=evicted):
+                self._futs[waiter.ticket] = fut
+                self.board.write(REQUEST_QUEUES, queues, writer=self.name)
+                if evicted is not None:
+                    self._resolve(evicted, _evicted())
+                return fut, waiter.ticket
+
+    def _wait(
+        self, fut: Future[Placed | NotPlaced], ticket: int, wanted: SlotRequest
+    ) -> Placed | NotPlaced:
+        latest_s = wanted.deadline_at_s - self._service_s(wanted.service)
+        try:
+            return fut.result(max(0.0, latest_s - self.clock.monotonic_s()))
+        except TimeoutError:
+            pass
+        with self._lock:
+            if fut.done():
+                return fut.result()
+            self._leave(ticket)
+            del self._futs[ticket]
+        reason = "no slot came free in time for the deadline"
+        return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+
+    def _dispatch(self, service: ServiceName) -> float:
+        """Place waiters in order; return when one more may have room."""
+        free_at_s = inf
+        for waiter in queue_of(self.board.read(REQUEST_QUEUES), service).waiters:
+            match self._reserve(waiter.wanted):
+                case Chosen(server=server):
+                    queues = serve_waiter(self.board.read(REQUEST_QUEUES), waiter)
+                    self.board.write(REQUEST_QUEUES, queues, writer=self.name)
+                    self._resolve(waiter, Placed(server=server, tag=waiter.tag))
+                case NoServer(reason=reason):
+                    self._leave(waiter.ticket)
+                    none = NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+                    self._resolve(waiter, none)
+                case ServersBusy(free_at_s=at_s):
+                    free_at_s = min(free_at_s, at_s)
+                    if _asks_least(waiter):
+                        break
+        return free_at_s
+
+    def _leave(self, ticket: int) -> None:
+        queues = leave_queue(self.board.read(REQUEST_QUEUES), ticket)
+        self.board.write(REQUEST_QUEUES, queues, writer=self.name)
+
+    def _resolve(self, waiter: Waiter, answer: Placed | NotPlaced) -> None:
+        self._futs.pop(waiter.ticket).set_result(answer)
+
+    def _reserve(self, wanted: SlotRequest) -> Chosen | NoServer | ServersBusy:
+        service = wanted.service
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        if subset is None:
+            return NoServer(reason=f"the servers of {service} are not chosen yet")
+        chosen = choose_server(
+            subset,
+            self.board.read(SERVER_LOADS),
+            self.board.read(SERVER_STATES),
+            wanted.placement,
+            now_s=self.clock.monotonic_s(),
+            rng=self.rng,
+        )
+        match chosen:
+            case Chosen(server=server):
+                self._change_loads(lambda loads: reserve_server(loads, server))
+            case NoServer() | ServersBusy():
+                pass
+        return chosen
+
+    def _change_loads(self, change: Callable[[ServerLoads], ServerLoads]) -> None:
+        self.board.update(SERVER_LOADS, change, writer=self.name)
+
+    def _in_flight(self, service: ServiceName) -> int:
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        members = () if subset is None else subset.members
+        loads = self.board.read(SERVER_LOADS)
+        return sum(load_of(loads, member.rule.server).in_flight for member in members)
+
+    def _service_s(self, service: ServiceName) -> float:
+        return self.board.read(SERVER_LOADS).service_s.get(service, 0.0)
+
+
+def _asks_least(waiter: Waiter) -> bool:
+    placement = waiter.wanted.placement
+    return placement.repeatable and not placement.excluded
+
+
+def _evicted() -> NotPlaced:
+    reason = "the queue is full, most of it of this organisation"
+    return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -1,47 +1,24 @@
 """Take one request from its route to a truthful reply."""
 
 from collections.abc import Callable
-from random import Random
 
-from attrs import define, evolve, frozen
+from attrs import define, evolve
 
 from ..blackboard import Board
 from ..blackboard.regions import (
     CONFIGURATION,
-    EVIDENCE,
     LEASE,
-    SERVER_LOADS,
-    SERVER_STATES,
-    SERVER_SUBSETS,
 )
-from ..decisions.attempts import (
-    Finish,
-    TryAgain,
-    attempt_timeout_s,
-    decide_after_attempt,
-)
-from ..decisions.health import record_end, record_start
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
-from ..decisions.replies import refusal_reply, result_reply
-from ..decisions.routing import (
-    Chosen,
-    NoServer,
-    choose_server,
-    release_server,
-    reserve_server,
-)
+from ..decisions.replies import refusal_reply
 from ..decisions.rules import find_route
-from ..frontends.backends import Transport
 from ..records import (
     Admitted,
     AdmittedRequest,
-    BackendRequest,
-    BackendResult,
     ClaimGranted,
     ClaimRefused,
     ClaimRepeated,
     Configuration,
-    DomainName,
     KeyAccess,
     LeaseHeld,
     LeaseLapsed,
@@ -49,17 +26,10 @@
     OpenAccess,
     OrganisationName,
     OverLimit,
-    Placement,
     Reply,
     Request,
     RequestRefused,
     RouteRule,
-    RunAsUpload,
-    RunIdempotent,
-    RunPolicy,
-    ServerId,
-    ServerLoads,
-    ServiceRule,
     Unclaimed,
 )
 from ..utils import Clock
@@ -67,34 +37,24 @@
 from .claimant import Claimant
 from .historian import Historian
 from .limiter import Limiter
+from .sender import Sender
 
 __all__ = ["Forwarder"]
 
-MAX_ATTEMPTS = 3
-MIN_ATTEMPT_S = 0.005
 SHORT_RETRY_S = 0.2
 
 
-@frozen(kw_only=True)
-class _Tried:
-    result: BackendResult
-    server: ServerId
-
-
 @define(kw_only=True, eq=False)
 class Forwarder:
-    """Write the server loads region; serve requests on the callers' threads."""
+    """Serve requests on the callers' threads."""
 
     board: Board
     clock: Clock
-    rng: Random
-    transport: Transport
     historian: Historian
     accountant: Accountant
     limiter: Limiter
     claimant: Claimant
-    domain: DomainName
-    name: str = "forwarder"
+    sender: Sender
 
     def handle(self, request: Request, is_gone: Callable[[], bool]) -> Reply:
         """Return the reply to a request; `is_gone` tells that its caller left."""
@@ -148,7 +108,7 @@
                 reply = refusal_reply(
                     admitted.request.request_id, outcome, status=status
                 )
-                return self._finish(admitted, reply)
+                return self._finish(admitted, reply, "claims")
 
     def _refuse_over_limit(self, admitted: AdmittedRequest, over: OverLimit) -> Reply:
         request = admitted.request
@@ -173,125 +133,14 @@
         self, cfg: Configuration, admitted: AdmittedRequest, is_gone: Callable[[], bool]
     ) -> Reply:
         service = cfg.services[admitted.route.service]
-        tried: list[_Tried] = []
-        while True:
-            chosen = self._reserve(service, admitted.route.run, tried)
-            if isinstance(chosen, NoServer):
-                return self._reply_without_server(admitted, tried, chosen)
-            tried.append(self._attempt(admitted, chosen.server, len(tried)))
-            may_retry = len(tried) < MAX_ATTEMPTS and self._has_time(admitted)
-            may_retry = may_retry and not is_gone()
-            last = tried[-1].result
-            match decide_after_attempt(last, admitted.route.run, may_retry=may_retry):
-                case TryAgain():
-                    self.accountant.count("retries", service.name)
-                case Finish(outcome=outcome):
-                    reply = result_reply(admitted.request.request_id, last, outcome)
-                    return self._finish(admitted, reply)
-
-    def _reserve(
-        self, service: ServiceRule, run: RunPolicy, tried: list[_Tried]
-    ) -> Chosen | NoServer:
-        subset = self.board.read(SERVER_SUBSETS).by_service.get(service.name)
-        if subset is None:
-            return NoServer(reason=f"the servers of {service.name} are not chosen yet")
-        states = self.board.read(SERVER_STATES)
-        placement = Placement(
-            domain=self.domain,
-            excluded=frozenset(attempt.server for attempt in tried),
-            repeatable=isinstance(run, RunIdempotent | RunAsUpload),
-        )
-        now_s = self.clock.monotonic_s()
-
-        def reserve(loads: ServerLoads) -> tuple[ServerLoads, Chosen | NoServer]:
-            chosen = choose_server(
-                subset, loads, states, placement, now_s=now_s, rng=self.rng
-            )
-            match chosen:
-                case Chosen(server=server):
-                    return reserve_server(loads, server), chosen
-                case NoServer():
-                    return loads, chosen
-
-        return self.board.transact(SERVER_LOADS, reserve, writer=self.name)
-
-    def _attempt(
-        self, admitted: AdmittedRequest, server: ServerId, count: int
-    ) -> _Tried:
-        request = admitted.request
-        attempt = BackendRequest(
-            request_id=f"{request.request_id}-{count}",
-            attempt=count,
-            method=request.method,
-            path=request.path,
-            organisation=admitted.organisation,
-            headers=request.headers,
-            body=request.body,
-            timeout_s=attempt_timeout_s(
-                admitted.route.run,
-                left_s=admitted.deadline_at_s - self.clock.monotonic_s(),
-                last=count + 1 == MAX_ATTEMPTS,
-            ),
-        )
-        started_s = self.clock.monotonic_s()
-        self._record_start(server, attempt.request_id)
-        result = self.transport.send(server, attempt)
-        self._release(server, result, started_s)
-        self._record_end(server, attempt.request_id, result)
-        self.accountant.count("attempts", type(result).__name__)
-        return _Tried(result=result, server=server)
-
-    def _release(
-        self, server: ServerId, result: BackendResult, started_s: float
-    ) -> None:
-        now_s = self.clock.monotonic_s()
-        self.board.update(
-            SERVER_LOADS,
-            lambda loads: release_server(
-                loads, server, result, started_s=started_s, now_s=now_s
-            ),
-            writer=self.name,
-        )
-
-    def _record_start(self, server: ServerId, attempt_id: str) -> None:
-        now_s = self.clock.monotonic_s()
-        self.board.update(
-            EVIDENCE,
-            lambda held: record_start(held, server, attempt_id, now_s),
-            writer=self.name,
-        )
-
-    def _record_end(
-        self, server: ServerId, attempt_id: str, result: BackendResult
-    ) -> None:
-        now_s = self.clock.monotonic_s()
-        self.board.update(
-            EVIDENCE,
-            lambda held: record_end(held, server, attempt_id, result, now_s),
-            writer=self.name,
-        )
-
-    def _has_time(self, admitted: AdmittedRequest) -> bool:
-        return admitted.deadline_at_s - self.clock.monotonic_s() > MIN_ATTEMPT_S
-
-    def _reply_without_server(
-        self, admitted: AdmittedRequest, tried: list[_Tried], none: NoServer
-    ) -> Reply:
-        request = admitted.request
-        if not tried:
-            return self._refuse(
-                request, admitted.organisation, 503, none.reason, "routing"
-            )
-        last = tried[-1].result
-        decided = decide_after_attempt(last, admitted.route.run, may_retry=False)
-        reply = result_reply(request.request_id, last, decided.outcome)
-        return self._finish(admitted, reply)
+        delivery = self.sender.deliver(service, admitted, is_gone)
+        return self._finish(admitted, delivery.reply, delivery.rule)
 
-    def _finish(self, admitted: AdmittedRequest, reply: Reply) -> Reply:
+    def _finish(self, admitted: AdmittedRequest, reply: Reply, rule: str) -> Reply:
         self.accountant.count("replies", type(reply.outcome).__name__)
         match reply.outcome:
             case NotRun(reason=reason):
-                self._record(admitted.request, admitted.organisation, reason, "attempt")
+                self._record(admitted.request, admitted.organisation, reason, rule)
             case _:
                 pass
         return reply
--- /dev/null
+++ b/snipespring/controllers/sender.py
@@ -0,0 +1,260 @@
+"""Send an admitted request to backend servers until it ends truthfully."""
+
+import threading
+from collections.abc import Callable
+from random import Random
+
+from attrs import define, evolve, field, frozen
+
+from ..blackboard import Board
+from ..blackboard.regions import EVIDENCE, RETRY_BUDGETS
+from ..decisions.attempts import (
+    Finish,
+    TryAgain,
+    attempt_limit,
+    attempt_timeout_s,
+    best_result,
+    decide_after_attempt,
+    outcome_of,
+    retry_delay_s,
+)
+from ..decisions.health import record_end, record_start
+from ..decisions.replies import refusal_reply, result_reply
+from ..decisions.retries import NoBudget, earn_retry, spend_retry
+from ..frontends.backends import Transport
+from ..records import (
+    AdmittedRequest,
+    BackendRequest,
+    BackendResult,
+    DomainName,
+    NotRun,
+    Placement,
+    Reply,
+    RetryBudget,
+    RetryBudgets,
+    RunAsUpload,
+    RunIdempotent,
+    RunOnce,
+    RunPolicy,
+    ServerId,
+    ServiceRule,
+    SlotRequest,
+)
+from ..utils import Clock
+from .accountant import Accountant
+from .dispatcher import Dispatcher, NotPlaced, Placed
+
+__all__ = ["Delivery", "Sender"]
+
+MIN_ATTEMPT_S = 0.005
+
+
+@frozen(kw_only=True)
+class Delivery:
+    """Hold the reply, the seconds that servers took, and the rule behind it."""
+
+    reply: Reply
+    backend_s: float
+    rule: str
+
+
+@frozen(kw_only=True)
+class _Tried:
+    result: BackendResult
+    server: ServerId
+    took_s: float
+
+
+def _pause(delay_s: float) -> None:
+    threading.Event().wait(delay_s)
+
+
+@define(kw_only=True, eq=False)
+class Sender:
+    """Write the evidence and retry budgets regions."""
+
+    board: Board
+    clock: Clock
+    rng: Random
+    transport: Transport
+    dispatcher: Dispatcher
+    accountant: Accountant
+    domain: DomainName
+    pause: Callable[[float], None] = field(default=_pause)
+    name: str = "sender"
+
+    def deliver(
+        self,
+        service: ServiceRule,
+        admitted: AdmittedRequest,
+        is_gone: Callable[[], bool],
+    ) -> Delivery:
+        """Return what came of the request after all its attempts."""
+        tried: list[_Tried] = []
+        tag: float | None = None
+        while True:
+            placed = self.dispatcher.place(self._ask_slot(admitted, tried, tag))
+            match placed:
+                case NotPlaced() as none:
+                    return _deliver_unplaced(admitted, tried, none)
+                case Placed(server=server) if is_gone():
+                    self.dispatcher.cancel(server)
+                    return _deliver_unplaced(admitted, tried, _caller_left())
+                case Placed(server=server, tag=tag):
+                    self._count_attempt(service, tried)
+                    tried.append(self._attempt(admitted, server, len(tried)))
+            match decide_after_attempt(tried[-1].result, admitted.route.run):
+                case TryAgain() if self._may_retry(service, admitted, tried, is_gone):
+                    self.accountant.count("retries", service.name)
+                case TryAgain() | Finish():
+                    return _deliver(admitted, tried)
+
+    def _ask_slot(
+        self, admitted: AdmittedRequest, tried: list[_Tried], tag: float | None
+    ) -> SlotRequest:
+        run = admitted.route.run
+        placement = Placement(
+            domain=self.domain,
+            excluded=_excluded(run, tried),
+            repeatable=not isinstance(run, RunOnce),
+        )
+        return SlotRequest(
+            service=admitted.route.service,
+            organisation=admitted.organisation,
+            placement=placement,
+            deadline_at_s=admitted.deadline_at_s,
+            tag=tag,
+        )
+
+    def _attempt(
+        self, admitted: AdmittedRequest, server: ServerId, count: int
+    ) -> _Tried:
+        attempt = self._build_attempt(admitted, count)
+        started_s = self.clock.monotonic_s()
+        self._record_start(server, attempt.request_id)
+        result = self.transport.send(server, attempt)
+        took_s = self.clock.monotonic_s() - started_s
+        self.dispatcher.release(server, result, started_s=started_s)
+        self._record_end(server, attempt.request_id, result)
+        self.accountant.count("attempts", type(result).__name__)
+        return _Tried(result=result, server=server, took_s=took_s)
+
+    def _build_attempt(self, admitted: AdmittedRequest, count: int) -> BackendRequest:
+        request = admitted.request
+        run = admitted.route.run
+        return BackendRequest(
+            request_id=f"{request.request_id}-{count}",
+            attempt=count,
+            method=request.method,
+            path=request.path,
+            organisation=admitted.organisation,
+            headers=request.headers,
+            body=request.body,
+            timeout_s=attempt_timeout_s(
+                run,
+                left_s=admitted.deadline_at_s - self.clock.monotonic_s(),
+                last=count + 1 == attempt_limit(run),
+            ),
+        )
+
+    def _may_retry(
+        self,
+        service: ServiceRule,
+        admitted: AdmittedRequest,
+        tried: list[_Tried],
+        is_gone: Callable[[], bool],
+    ) -> bool:
+        run = admitted.route.run
+        if len(tried) >= attempt_limit(run):
+            return False
+        retries = len(tried) - 1
+        while True:
+            delay_s = retry_delay_s(run, retries, self.rng)
+            if is_gone() or self._left_s(admitted) < delay_s + MIN_ATTEMPT_S:
+                return False
+            if delay_s > 0.0:
+                self.pause(delay_s)
+            if self._spend_retry(service):
+                return True
+            match run:
+                case RunAsUpload():
+                    retries += 1
+                case RunIdempotent() | RunOnce():
+                    return False
+
+    def _left_s(self, admitted: AdmittedRequest) -> float:
+        return admitted.deadline_at_s - self.clock.monotonic_s()
+
+    def _count_attempt(self, service: ServiceRule, tried: list[_Tried]) -> None:
+        if tried:
+            return
+        now_s = self.clock.monotonic_s()
+
+        def earn(held: RetryBudgets) -> RetryBudgets:
+            budget = held.by_service.get(service.name, RetryBudget(at_s=now_s))
+            budget = earn_retry(budget, service.retry_share, now_s)
+            by_service = held.by_service.set(service.name, budget)
+            return evolve(held, by_service=by_service)
+
+        self.board.update(RETRY_BUDGETS, earn, writer=self.name)
+
+    def _spend_retry(self, service: ServiceRule) -> bool:
+        now_s = self.clock.monotonic_s()
+
+        def spend(held: RetryBudgets) -> tuple[RetryBudgets, bool]:
+            budget = held.by_service.get(service.name, RetryBudget(at_s=now_s))
+            match spend_retry(budget, now_s):
+                case NoBudget():
+                    return held, False
+                case RetryBudget() as left:
+                    by_service = held.by_service.set(service.name, left)
+                    return evolve(held, by_service=by_service), True
+
+        return self.board.transact(RETRY_BUDGETS, spend, writer=self.name)
+
+    def _record_start(self, server: ServerId, attempt_id: str) -> None:
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            EVIDENCE,
+            lambda held: record_start(held, server, attempt_id, now_s),
+            writer=self.name,
+        )
+
+    def _record_end(
+        self, server: ServerId, attempt_id: str, result: BackendResult
+    ) -> None:
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            EVIDENCE,
+            lambda held: record_end(held, server, attempt_id, result, now_s),
+            writer=self.name,
+        )
+
+
+def _excluded(run: RunPolicy, tried: list[_Tried]) -> frozenset[ServerId]:
+    match run:
+        case RunAsUpload():
+            return frozenset(one.server for one in tried[-1:])
+        case RunIdempotent() | RunOnce():
+            return frozenset(one.server for one in tried)
+
+
+def _caller_left() -> NotPlaced:
+    return NotPlaced(reason="the caller left", retry_after_s=0.0)
+
+
+def _deliver(admitted: AdmittedRequest, tried: list[_Tried]) -> Delivery:
+    best = best_result(tuple(one.result for one in tried))
+    reply = result_reply(admitted.request.request_id, best, outcome_of(best))
+    backend_s = sum(one.took_s for one in tried)
+    return Delivery(reply=reply, backend_s=backend_s, rule="attempt")
+
+
+def _deliver_unplaced(
+    admitted: AdmittedRequest, tried: list[_Tried], none: NotPlaced
+) -> Delivery:
+    if tried:
+        return _deliver(admitted, tried)
+    outcome = NotRun(reason=none.reason, retry_after_s=none.retry_after_s)
+    reply = refusal_reply(admitted.request.request_id, outcome)
+    return Delivery(reply=reply, backend_s=0.0, rule="routing")
--- /dev/null
+++ b/snipespring/controllers/tests/routing_fakes.py
@@ -0,0 +1,97 @@
+"""Build a board with the servers of one service and a scripted transport."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from immutables import Map
+
+from snipespring.blackboard import Board
+from snipespring.blackboard.regions import SERVER_SUBSETS
+from snipespring.records import (
+    Address,
+    AdmittedRequest,
+    Answered,
+    BackendRequest,
+    BackendResult,
+    DomainName,
+    KeyAccess,
+    OrganisationName,
+    Placement,
+    Request,
+    RouteRule,
+    RunPolicy,
+    ServerId,
+    ServerRule,
+    ServerSubset,
+    ServerSubsets,
+    ServiceName,
+    ServiceRule,
+    SlotRequest,
+    SubsetMember,
+)
+
+SERVICE = ServiceRule(name=ServiceName("ledger"), asked_by="a test")
+NEAR = DomainName("near")
+OK = Answered(status=200, headers=(), body=b"whole")
+
+
+def server(number: int) -> ServerId:
+    address = Address(ip="127.0.0.2", port=number + 1)
+    return ServerId(service=SERVICE.name, address=address)
+
+
+def board_with_servers(count: int, cap: int = 1) -> Board:
+    members = tuple(
+        SubsetMember(
+            rule=ServerRule(server=server(number), domain=NEAR, asked_by="a test")
+        )
+        for number in range(count)
+    )
+    subset = ServerSubset(members=members, slots=3, in_flight_cap=cap)
+    board = Board()
+    subsets = ServerSubsets(by_service=Map({SERVICE.name: subset}))
+    board.write(SERVER_SUBSETS, subsets, writer="subset_keeper")
+    return board
+
+
+def slot_request(deadline_at_s: float, organisation: str = "valeters") -> SlotRequest:
+    return SlotRequest(
+        service=SERVICE.name,
+        organisation=OrganisationName(organisation),
+        placement=Placement(domain=NEAR, repeatable=True),
+        deadline_at_s=deadline_at_s,
+    )
+
+
+def admitted(run: RunPolicy, deadline_at_s: float) -> AdmittedRequest:
+    route = RouteRule(
+        methods=("POST",),
+        prefix="/",
+        service=SERVICE.name,
+        access=KeyAccess(),
+        run=run,
+        asked_by="a test",
+    )
+    return AdmittedRequest(
+        request=Request(request_id="r", method="POST", path="/", body=b"body"),
+        route=route,
+        organisation=OrganisationName("valeters"),
+        deadline_at_s=deadline_at_s,
+    )
+
+
+@define(kw_only=True, eq=False)
+class ScriptedTransport:
+    """Answer attempts from a list of results, then well; keep what was sent."""
+
+    results: list[BackendResult] = field(factory=list)
+    sent: list[tuple[ServerId, BackendRequest]] = field(factory=list)
+    on_send: Callable[[], None] = lambda: None
+
+    def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
+        self.sent.append((server, attempt))
+        self.on_send()
+        return self.results.pop(0) if self.results else OK
+
+    def cancel(self, attempt_id: str) -> None:
+        pass
--- /dev/null
+++ b/snipespring/controllers/tests/test_sender.py
@@ -0,0 +1,136 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipespring.blackboard.regions import SERVER_LOADS
+from snipespring.controllers import Accountant
+from snipespring.controllers.dispatcher import Dispatcher
+from snipespring.controllers.sender import Sender
+from snipespring.decisions.retries import MAX_ALLOWED
+from snipespring.decisions.routing import load_of
+from snipespring.records import (
+    AnswerBroken,
+    Answered,
+    AnswerLate,
+    BackendResult,
+    ConnectFailed,
+    NotRun,
+    Ran,
+    RunAsUpload,
+    RunIdempotent,
+    RunOnce,
+    RunPolicy,
+    SendBroken,
+    ShedByServer,
+    Unknown,
+)
+from snipespring.utils import ManualClock
+
+from .routing_fakes import (
+    NEAR,
+    OK,
+    SERVICE,
+    ScriptedTransport,
+    admitted,
+    board_with_servers,
+    server,
+)
+
+RESULTS: list[BackendResult] = [
+    OK,
+    Answered(status=503, headers=(), body=b""),
+    ShedByServer(retry_after_s=None),
+    ConnectFailed(reason="refused"),
+    SendBroken(reason="reset"),
+    AnswerLate(waited_s=0.5),
+    AnswerBroken(reason="short"),
+]
+PROOFS = (ShedByServer, ConnectFailed)
+RUNS: list[RunPolicy] = [RunIdempotent(), RunOnce(), RunAsUpload()]
+
+
+def make_sender(results: list[BackendResult], servers: int = 4) -> Sender:
+    board, clock = board_with_servers(servers, cap=3), ManualClock()
+    return Sender(
+        board=board,
+        clock=clock,
+        rng=Random(1),
+        transport=ScriptedTransport(results=results),
+        dispatcher=Dispatcher(board=board, clock=clock, rng=Random(1), bound=64),
+        accountant=Accountant(board=board),
+        domain=NEAR,
+        pause=clock.advance,
+    )
+
+
+@given(
+    results=st.lists(st.sampled_from(RESULTS), max_size=6), run=st.sampled_from(RUNS)
+)
+def test_reply_tells_the_truth_about_every_attempt(
+    results: list[BackendResult], run: RunPolicy
+) -> None:
+    sender = make_sender(list(results))
+    transport = sender.transport
+    assert isinstance(transport, ScriptedTransport)
+    reply = sender.deliver(SERVICE, admitted(run, 1010.0), lambda: False).reply
+    sent = len(transport.sent)
+    seen = (results + [OK] * 20)[:sent]
+    match reply.outcome:
+        case NotRun():
+            assert all(isinstance(one, PROOFS) for one in seen)
+        case Unknown():
+            assert not any(isinstance(one, Answered) for one in seen)
+        case Ran():
+            assert reply.status in [x.status for x in seen if isinstance(x, Answered)]
+    if isinstance(run, RunOnce):
+        assert all(isinstance(one, PROOFS) for one in seen[:-1])
+    loads = sender.board.read(SERVER_LOADS)
+    assert all(load_of(loads, server(n)).in_flight == 0 for n in range(4))
+
+
+def test_full_outage_is_amplified_by_the_share_and_a_constant() -> None:
+    failures: list[BackendResult] = [AnswerLate(waited_s=0.5)] * 5000
+    sender = make_sender(failures)
+    transport = sender.transport
+    assert isinstance(transport, ScriptedTransport)
+    for _ in range(1000):
+        sender.deliver(SERVICE, admitted(RunIdempotent(), 1010.0), lambda: False)
+    assert len(transport.sent) <= 1000 * (1 + SERVICE.retry_share) + MAX_ALLOWED
+
+
+def test_upload_waits_for_a_server_that_stores_it() -> None:
+    sender = make_sender([])
+    for _ in range(40):
+        sender.deliver(SERVICE, admitted(RunOnce(), 1010.0), lambda: False)
+    failures: list[BackendResult] = [AnswerLate(waited_s=1.0), RESULTS[1]]
+    transport = sender.transport
+    assert isinstance(transport, ScriptedTransport)
+    transport.results, transport.sent = failures, []
+    reply = sender.deliver(
+        SERVICE, admitted(RunAsUpload(), 1010.0), lambda: False
+    ).reply
+    assert (reply.status, reply.outcome) == (200, Ran())
+    assert len(transport.sent) == 3
+    servers = [one for one, _ in transport.sent]
+    assert servers[0] != servers[1] != servers[2]
+
+
+def test_nothing_is_sent_for_a_caller_that_left() -> None:
+    sender = make_sender([])
+    reply = sender.deliver(SERVICE, admitted(RunOnce(), 1010.0), lambda: True).reply
+    assert isinstance(reply.outcome, NotRun)
+    transport = sender.transport
+    assert isinstance(transport, ScriptedTransport)
+    assert transport.sent == []
+
+
+def test_no_retry_after_the_caller_left() -> None:
+    sender = make_sender([AnswerLate(waited_s=0.5)] * 3)
+    transport = sender.transport
+    assert isinstance(transport, ScriptedTransport)
+    reply = sender.deliver(
+        SERVICE, admitted(RunIdempotent(), 1010.0), lambda: bool(transport.sent)
+    ).reply
+    assert len(transport.sent) == 1
+    assert isinstance(reply.outcome, Unknown)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -23,6 +23,7 @@
     Claimant,
     Configurator,
     Controller,
+    Dispatcher,
     FenceKeeper,
     Forwarder,
     Historian,
@@ -32,6 +33,7 @@
     Responder,
     RosterKeeper,
     Runner,
+    Sender,
     StatusKeeper,
     SubsetKeeper,
     Watcher,
@@ -125,6 +127,9 @@
         historian=historian,
         own=own,
     )
+    dispatcher = Dispatcher(
+        board=board, clock=clock, rng=rng, bound=settings.callers.queue
+    )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -141,6 +146,7 @@
             region=PLATFORM_ROSTER,
         ),
         Configurator(board=board, clock=clock, historian=historian),
+        dispatcher,
         roster_keeper,
         StatusKeeper(board=board, own=own),
         SubsetKeeper(board=board, clock=clock, own=own),
@@ -161,16 +167,24 @@
         ),
     )
     responder = Responder(puller=puller)
-    forwarder = Forwarder(
+    accountant = Accountant(board=board)
+    sender = Sender(
         board=board,
         clock=clock,
         rng=rng,
         transport=HttpTransport(clock=clock),
+        dispatcher=dispatcher,
+        accountant=accountant,
+        domain=own.domain,
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
         historian=historian,
-        accountant=Accountant(board=board),
+        accountant=accountant,
         limiter=Limiter(board=board, clock=clock),
         claimant=Claimant(board=board, clock=clock),
-        domain=own.domain,
+        sender=sender,
     )
 
     def answer_addresses(request: Request) -> AddressAnswer:
@@ -184,7 +198,7 @@
         callers=HttpServer(
             address=own.callers,
             app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
-            threads=settings.callers.threads,
+            threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
         ),
--- a/snipespring/decisions/attempts.py
+++ b/snipespring/decisions/attempts.py
@@ -1,4 +1,6 @@
-"""Decide what the result of one attempt means for the caller and for a retry."""
+"""Decide what the results of attempts mean for the caller and for a retry."""
+
+from random import Random
 
 from attrs import frozen
 
@@ -24,29 +26,34 @@
 __all__ = [
     "Finish",
     "TryAgain",
+    "attempt_limit",
     "attempt_timeout_s",
+    "best_result",
     "decide_after_attempt",
     "outcome_of",
+    "retry_delay_s",
 ]
 
+MAX_ATTEMPTS = 3
+MAX_UPLOAD_ATTEMPTS = 20
 OVERLOADED_RETRY_S = 0.2
 MIN_ATTEMPT_S = 0.005
-RETRY_RESERVE = 0.5
+ATTEMPT_SHARE = 0.5
+MIN_UPLOAD_ATTEMPT_S = 1.0
+UPLOAD_DELAY_S = 0.1
+MAX_UPLOAD_DELAY_S = 2.0
+RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 
 @frozen(kw_only=True)
 class Finish:
-    """End the request with this outcome."""
-
-    outcome: Outcome
+    """End the request with what its attempts gave."""
 
 
 @frozen(kw_only=True)
 class TryAgain:
     """Send the request once more, to another server."""
 
-    outcome: Outcome
-
 
 def outcome_of(result: BackendResult) -> Outcome:
     """Return what the result proves about the request having run."""
@@ -69,30 +76,56 @@
             return Unknown(reason="the answer belonged to another request")
 
 
-def decide_after_attempt(
-    result: BackendResult, run: RunPolicy, *, may_retry: bool
-) -> Finish | TryAgain:
-    """Return whether to try again; only proof or idempotence permits it."""
-    outcome = outcome_of(result)
-    if not may_retry:
-        return Finish(outcome=outcome)
-    match outcome, run:
-        case Ran(), _:
-            return Finish(outcome=outcome)
-        case NotRun(), _:
-            return TryAgain(outcome=outcome)
-        case Unknown(), RunIdempotent() | RunAsUpload():
-            return TryAgain(outcome=outcome)
-        case Unknown(), RunOnce():
-            return Finish(outcome=outcome)
-    raise AssertionError("the match above is exhaustive")
+def best_result(results: tuple[BackendResult, ...]) -> BackendResult:
+    """Return the result that tells most: an answer, else a doubt, else the last."""
+    for kind in (Ran, Unknown):
+        for result in reversed(results):
+            if isinstance(outcome_of(result), kind):
+                return result
+    return results[-1]
+
+
+def decide_after_attempt(result: BackendResult, run: RunPolicy) -> Finish | TryAgain:
+    """Return whether another attempt is safe; only proof or idempotence makes it."""
+    match result, outcome_of(result), run:
+        case Answered(status=status), _, RunIdempotent() | RunAsUpload():
+            return TryAgain() if status in RETRIED_STATUSES else Finish()
+        case Answered(), _, RunOnce():
+            return Finish()
+        case _, NotRun(), _:
+            return TryAgain()
+        case _, Unknown(), RunIdempotent() | RunAsUpload():
+            return TryAgain()
+        case _:
+            return Finish()
+
+
+def attempt_limit(run: RunPolicy) -> int:
+    """Return how often a request may be sent."""
+    match run:
+        case RunIdempotent() | RunOnce():
+            return MAX_ATTEMPTS
+        case RunAsUpload():
+            return MAX_UPLOAD_ATTEMPTS
 
 
 def attempt_timeout_s(run: RunPolicy, *, left_s: float, last: bool) -> float:
     """Return the timeout of one attempt in seconds, keeping time for a retry."""
     match run:
         case RunIdempotent() if not last:
-            share_s = left_s * RETRY_RESERVE
+            share_s = left_s * ATTEMPT_SHARE
+        case RunAsUpload() if not last:
+            share_s = min(left_s, max(MIN_UPLOAD_ATTEMPT_S, left_s * ATTEMPT_SHARE))
         case RunIdempotent() | RunOnce() | RunAsUpload():
             share_s = left_s
     return max(MIN_ATTEMPT_S, share_s)
+
+
+def retry_delay_s(run: RunPolicy, retries: int, rng: Random) -> float:
+    """Return the seconds to wait before a retry, `retries` having gone before."""
+    match run:
+        case RunIdempotent() | RunOnce():
+            return 0.0
+        case RunAsUpload():
+            delay_s = min(MAX_UPLOAD_DELAY_S, UPLOAD_DELAY_S * 2.0**retries)
+            return delay_s * rng.uniform(0.5, 1.5)
--- a/snipespring/decisions/routing/__init__.py
+++ b/snipespring/decisions/routing/__init__.py
@@ -1,7 +1,8 @@
 """Choose backend servers by load, failure domain and health."""
 
-from .choice import Chosen, NoServer, choose_server
+from .choice import Chosen, NoServer, ServersBusy, choose_server
 from .loads import (
+    cancel_reservation,
     drain_check_at_s,
     estimate_busy,
     load_of,
@@ -13,6 +14,8 @@
 __all__ = [
     "Chosen",
     "NoServer",
+    "ServersBusy",
+    "cancel_reservation",
     "choose_server",
     "choose_subset",
     "drain_check_at_s",
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -1,5 +1,6 @@
 """Choose a backend server for one attempt."""
 
+from math import inf
 from random import Random
 
 from attrs import frozen
@@ -10,15 +11,16 @@
     ServerEjected,
     ServerHealthy,
     ServerId,
+    ServerLoad,
     ServerLoads,
     ServerOnTrial,
     ServerStates,
     ServerSubset,
     SubsetMember,
 )
-from .loads import drain_check_at_s, estimate_busy, load_of
+from .loads import drain_check_at_s, estimate_busy, load_of, report_end_s
 
-__all__ = ["Chosen", "NoServer", "choose_server"]
+__all__ = ["Chosen", "NoServer", "ServersBusy", "choose_server"]
 
 RAMP_S = 10.0
 RAMP_START = 0.1
@@ -34,11 +36,21 @@
 
 @frozen(kw_only=True)
 class NoServer:
-    """State why no server can take an attempt."""
+    """State why no server will take an attempt."""
 
     reason: str
 
 
+@frozen(kw_only=True)
+class ServersBusy:
+    """State that servers exist but none has room; `free_at_s` is the earliest.
+
+    It is infinite where only the end of an attempt of this host can give room.
+    """
+
+    free_at_s: float
+
+
 @frozen(kw_only=True)
 class _Preferred:
     """Use the server before others."""
@@ -73,44 +85,57 @@
     *,
     now_s: float,
     rng: Random,
-) -> Chosen | NoServer:
+) -> Chosen | NoServer | ServersBusy:
     """Return the less busy of two servers, near ones first; spare ones last."""
     ranked: dict[int, list[SubsetMember]] = {}
+    room_at_s: list[float] = []
     for member in subset.members:
-        if not _has_room(member, subset, loads, placement, now_s):
+        if member.rule.server in placement.excluded:
+            continue
+        rank = _rank_of(member, loads, states, placement, now_s, rng)
+        if rank is None:
             continue
-        match _use_of(member, loads, states, placement, now_s, rng):
-            case _Preferred():
-                ranked.setdefault(0, []).append(member)
-            case _Spare(rank=rank):
-                ranked.setdefault(rank, []).append(member)
-            case _Barred():
-                pass
+        load = load_of(loads, member.rule.server)
+        member_room_at_s = _room_at_s(load, subset, now_s)
+        room_at_s.append(member_room_at_s)
+        if member_room_at_s <= now_s:
+            ranked.setdefault(rank, []).append(member)
+    if not room_at_s:
+        return NoServer(reason="every server is ejected, on trial or was tried")
     if not ranked:
-        return NoServer(reason="no server has a free slot")
+        return ServersBusy(free_at_s=min(room_at_s))
     pool = ranked[min(ranked)]
     near = [member for member in pool if member.rule.domain == placement.domain]
     return Chosen(server=_less_busy_of_two(near or pool, loads, now_s, rng))
 
 
-def _has_room(
+def _room_at_s(load: ServerLoad, subset: ServerSubset, now_s: float) -> float:
+    """Return when the server has room without the end of one of our attempts."""
+    if load.drain is not None:
+        check_at_s = max(load.backoff_until_s, drain_check_at_s(load.drain))
+        return inf if load.in_flight else check_at_s
+    if load.in_flight >= subset.in_flight_cap:
+        return inf
+    if estimate_busy(load, now_s) >= subset.slots:
+        return max(load.backoff_until_s, report_end_s(load))
+    return max(now_s, load.backoff_until_s)
+
+
+def _rank_of(
     member: SubsetMember,
-    subset: ServerSubset,
     loads: ServerLoads,
+    states: ServerStates,
     placement: Placement,
     now_s: float,
-) -> bool:
-    server = member.rule.server
-    if server in placement.excluded:
-        return False
-    load = load_of(loads, server)
-    if now_s < load.backoff_until_s:
-        return False
-    if load.drain is not None:
-        return load.in_flight == 0 and now_s >= drain_check_at_s(load.drain)
-    if load.in_flight >= subset.in_flight_cap:
-        return False
-    return estimate_busy(load, now_s) < subset.slots
+    rng: Random,
+) -> int | None:
+    match _use_of(member, loads, states, placement, now_s, rng):
+        case _Preferred():
+            return 0
+        case _Spare(rank=rank):
+            return rank
+        case _Barred():
+            return None
 
 
 def _use_of(
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -14,10 +14,12 @@
 )
 
 __all__ = [
+    "cancel_reservation",
     "drain_check_at_s",
     "estimate_busy",
     "load_of",
     "release_server",
+    "report_end_s",
     "reserve_server",
 ]
 
@@ -27,6 +29,7 @@
 DRAIN_CHECK_S = 5.0
 MAX_DRAIN_CHECK_S = 60.0
 MAX_DRAIN_RENEWALS = 4
+SERVICE_TIME_WEIGHT = 0.1
 UNUSED = ServerLoad()
 
 
@@ -37,11 +40,16 @@
 
 def estimate_busy(load: ServerLoad, now_s: float) -> int:
     """Return the slots in use: this host's own and the others' last reported."""
-    if now_s - load.reported_at_s < REPORT_LIFETIME_S:
+    if now_s < report_end_s(load):
         return load.in_flight + load.others
     return load.in_flight
 
 
+def report_end_s(load: ServerLoad) -> float:
+    """Return when the last report is too old to count."""
+    return load.reported_at_s + REPORT_LIFETIME_S
+
+
 def drain_check_at_s(sign: DrainSign) -> float:
     """Return when a server that drained may be tried by one request again."""
     delay_s = min(MAX_DRAIN_CHECK_S, DRAIN_CHECK_S * 2.0**sign.renewals)
@@ -69,6 +77,7 @@
     match result:
         case Answered(load=report):
             load = _note_report(load, report, started_s=started_s, now_s=now_s)
+            loads = _observe_service_time(loads, server, now_s - started_s)
         case ShedByServer(load=report, retry_after_s=retry_after_s):
             load = _note_report(load, report, started_s=started_s, now_s=now_s)
             load = _back_off(load, retry_after_s, now_s)
@@ -77,6 +86,21 @@
     return evolve(loads, by_server=loads.by_server.set(server, load))
 
 
+def cancel_reservation(loads: ServerLoads, server: ServerId) -> ServerLoads:
+    """Return the loads with one attempt less, which was never sent."""
+    load = load_of(loads, server)
+    load = evolve(load, in_flight=load.in_flight - 1)
+    return evolve(loads, by_server=loads.by_server.set(server, load))
+
+
+def _observe_service_time(
+    loads: ServerLoads, server: ServerId, duration_s: float
+) -> ServerLoads:
+    mean_s = loads.service_s.get(server.service, duration_s)
+    mean_s += SERVICE_TIME_WEIGHT * (duration_s - mean_s)
+    return evolve(loads, service_s=loads.service_s.set(server.service, mean_s))
+
+
 def _note_report(
     load: ServerLoad, report: ReportedLoad | None, *, started_s: float, now_s: float
 ) -> ServerLoad:
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -1,3 +1,4 @@
+from math import inf
 from random import Random
 
 import pytest
@@ -9,6 +10,7 @@
 from snipespring.decisions.routing import (
     Chosen,
     NoServer,
+    ServersBusy,
     choose_server,
     load_of,
     release_server,
@@ -59,7 +61,7 @@
     now_s: float = 100.0,
     seed: int = 1,
     subset: ServerSubset = SUBSET,
-) -> Chosen | NoServer:
+) -> Chosen | NoServer | ServersBusy:
     held = ServerStates(by_server=Map(states or {}))
     return choose_server(subset, loads, held, placement, now_s=now_s, rng=Random(seed))
 
@@ -126,7 +128,7 @@
     placement = Placement(domain=NEAR, repeatable=repeatable)
     chosen = choose(ServerLoads(), held, placement, seed=seed)
     match chosen:
-        case NoServer():
+        case NoServer() | ServersBusy():
             assert all(kind == 2 or (kind == 3 and not repeatable) for kind in kinds)
         case Chosen(server=server):
             kind = kinds[SERVERS.index(server)]
@@ -166,7 +168,7 @@
     @rule()
     def send(self) -> None:
         chosen = choose(self.loads, now_s=self.now_s, subset=self.only)
-        if isinstance(chosen, NoServer):
+        if isinstance(chosen, NoServer | ServersBusy):
             return
         if self.signed_s is not None:
             assert self.now_s >= self.signed_s + 5.0
@@ -202,10 +204,10 @@
 def test_recovered_server_is_used_again() -> None:
     loads = after(ServerLoads(), 0, answered(draining=True))
     only = ServerSubset(members=MEMBERS[:1], slots=3, in_flight_cap=3)
-    assert isinstance(choose(loads, now_s=104.9, subset=only), NoServer)
+    assert choose(loads, now_s=104.9, subset=only) == ServersBusy(free_at_s=105.0)
     assert choose(loads, now_s=105.1, subset=only) == Chosen(server=SERVERS[0])
     loads = reserve_server(loads, SERVERS[0])
-    assert isinstance(choose(loads, now_s=105.2, subset=only), NoServer)
+    assert choose(loads, now_s=105.2, subset=only) == ServersBusy(free_at_s=inf)
     loads = release_server(loads, SERVERS[0], answered(), started_s=105.1, now_s=105.2)
     assert load_of(loads, SERVERS[0]).drain is None
     assert choose(loads, now_s=105.3, subset=only) == Chosen(server=SERVERS[0])
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -101,6 +101,12 @@
     WriteResult,
     WriteUncertain,
 )
+from .queues import (
+    RequestQueue,
+    RequestQueues,
+    SlotRequest,
+    Waiter,
+)
 from .requests import (
     AdmittedRequest,
     Header,
@@ -111,6 +117,10 @@
     Request,
     Unknown,
 )
+from .retries import (
+    RetryBudget,
+    RetryBudgets,
+)
 from .routing import (
     Placement,
     ServerSubset,
@@ -219,7 +229,11 @@
     "Reply",
     "ReportedLoad",
     "Request",
+    "RequestQueue",
+    "RequestQueues",
     "RequestRefused",
+    "RetryBudget",
+    "RetryBudgets",
     "Roster",
     "RouteRule",
     "Rule",
@@ -247,11 +261,13 @@
     "Serving",
     "ShedByServer",
     "Sighting",
+    "SlotRequest",
     "StopState",
     "SubsetMember",
     "Unclaimed",
     "Unknown",
     "Versions",
+    "Waiter",
     "WriteResult",
     "WriteUncertain",
 ]
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -3,7 +3,7 @@
 from attrs import field, frozen
 from immutables import Map
 
-from .identity import OrganisationName, ServerId
+from .identity import OrganisationName, ServerId, ServiceName
 from .requests import Header
 
 __all__ = [
@@ -138,6 +138,10 @@
 
 @frozen(kw_only=True)
 class ServerLoads:
-    """Hold the load of every server that this host has used."""
+    """Hold the load of every server that this host has used.
+
+    `service_s` holds the mean seconds of an answered attempt by service.
+    """
 
     by_server: Map[ServerId, ServerLoad] = Map()
+    service_s: Map[ServiceName, float] = Map()
