Cancel attempts whose caller left or whose time is over; prove answers whole

Cause: nothing called cancel, and a server that sends single bytes held a request past its deadline. A cancel could close a connection that another request already used: the attempt was listed until after the connection went back to the pool, and the close came outside the lock. Closing from another thread also frees a descriptor that the owner still writes to. An answer without a request id was taken on a used connection, and a request that cannot be encoded raised or was called unknown. Ruled out: waking the canceller for every attempt (two wakes a request; it now wakes for the first attempt and then every 0.1 s while any is under way); calling a reset of a reused connection "not run" (TCP gives no proof). Change: the canceller; cancel only shuts the socket down, its owner closes; an answer without an id counts only on a new connection, which is then closed; differing lengths are refused.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -21,13 +21,16 @@
     STOP,
 )
 from .routing import (
+    ATTEMPT_WATCH,
     REQUEST_QUEUES,
     RETRY_BUDGETS,
+    RUNNING_ATTEMPTS,
     SERVER_LOADS,
     SERVER_SUBSETS,
 )
 
 __all__ = [
+    "ATTEMPT_WATCH",
     "CONFIGURATION",
     "COUNTERS",
     "EVENTS",
@@ -42,6 +45,7 @@
     "REQUEST_QUEUES",
     "RETRY_BUDGETS",
     "ROSTER",
+    "RUNNING_ATTEMPTS",
     "SERVER_LOADS",
     "SERVER_STATES",
     "SERVER_SUBSETS",
--- a/snipespring/blackboard/regions/routing.py
+++ b/snipespring/blackboard/regions/routing.py
@@ -1,10 +1,30 @@
-"""List the regions about the choice of backend servers."""
+"""List the regions about requests on their way to backend servers."""
 
-from ...records import RequestQueues, RetryBudgets, ServerLoads, ServerSubsets
+from ...records import (
+    AttemptWatch,
+    RequestQueues,
+    RetryBudgets,
+    RunningAttempts,
+    ServerLoads,
+    ServerSubsets,
+)
 from ..region import Region
 
-__all__ = ["REQUEST_QUEUES", "RETRY_BUDGETS", "SERVER_LOADS", "SERVER_SUBSETS"]
+__all__ = [
+    "ATTEMPT_WATCH",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
+    "RUNNING_ATTEMPTS",
+    "SERVER_LOADS",
+    "SERVER_SUBSETS",
+]
 
+RUNNING_ATTEMPTS = Region[RunningAttempts](
+    name="running_attempts", writer="canceller", initial=RunningAttempts()
+)
+ATTEMPT_WATCH = Region[AttemptWatch](
+    name="attempt_watch", writer="canceller", initial=AttemptWatch()
+)
 REQUEST_QUEUES = Region[RequestQueues](
     name="request_queues", writer="dispatcher", initial=RequestQueues()
 )
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .canceller import (
+    Canceller,
+)
 from .claimant import (
     Claimant,
 )
@@ -65,6 +68,7 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "Canceller",
     "Claimant",
     "Configurator",
     "Conflicted",
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -42,6 +42,7 @@
 )
 from ..utils import Clock
 from .accountant import Accountant
+from .canceller import Canceller
 from .dispatcher import Dispatcher, NotPlaced, Placed
 
 __all__ = ["Delivery", "Sender"]
@@ -78,6 +79,7 @@
     rng: Random
     transport: Transport
     dispatcher: Dispatcher
+    canceller: Canceller
     accountant: Accountant
     domain: DomainName
     pause: Callable[[float], None] = field(default=_pause)
@@ -102,7 +104,7 @@
                     return _deliver_unplaced(admitted, tried, _caller_left())
                 case Placed(server=server, tag=tag):
                     self._count_attempt(service, tried)
-                    tried.append(self._attempt(admitted, server, len(tried)))
+                    tried.append(self._attempt(admitted, server, len(tried), is_gone))
             match decide_after_attempt(tried[-1].result, admitted.route.run):
                 case TryAgain() if self._may_retry(service, admitted, tried, is_gone):
                     self.accountant.count("retries", service.name)
@@ -127,12 +129,19 @@
         )
 
     def _attempt(
-        self, admitted: AdmittedRequest, server: ServerId, count: int
+        self,
+        admitted: AdmittedRequest,
+        server: ServerId,
+        count: int,
+        is_gone: Callable[[], bool],
     ) -> _Tried:
         attempt = self._build_attempt(admitted, count)
         started_s = self.clock.monotonic_s()
         self._record_start(server, attempt.request_id)
-        result = self.transport.send(server, attempt)
+        with self.canceller.watch(
+            attempt.request_id, timeout_s=attempt.timeout_s, is_gone=is_gone
+        ):
+            result = self.transport.send(server, attempt)
         took_s = self.clock.monotonic_s() - started_s
         self.dispatcher.release(server, result, started_s=started_s)
         self._record_end(server, attempt.request_id, result)
--- a/snipespring/controllers/tests/routing_fakes.py
+++ b/snipespring/controllers/tests/routing_fakes.py
@@ -1,7 +1,5 @@
 """Build a board with the servers of one service and a scripted transport."""
 
-from collections.abc import Callable
-
 from attrs import define, field
 from immutables import Map
 
@@ -88,12 +86,11 @@
 
     results: list[BackendResult] = field(factory=list)
     sent: list[tuple[ServerId, BackendRequest]] = field(factory=list)
-    on_send: Callable[[], None] = lambda: None
+    cancelled: list[str] = field(factory=list)
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         self.sent.append((server, attempt))
-        self.on_send()
         return self.results.pop(0) if self.results else OK
 
     def cancel(self, attempt_id: str) -> None:
-        pass
+        self.cancelled.append(attempt_id)
--- /dev/null
+++ b/snipespring/controllers/tests/test_canceller.py
@@ -0,0 +1,77 @@
+from contextlib import AbstractContextManager
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from snipespring.blackboard import Board
+from snipespring.blackboard.regions import ATTEMPT_WATCH, RUNNING_ATTEMPTS
+from snipespring.controllers import Canceller
+from snipespring.utils import ManualClock
+
+from .routing_fakes import ScriptedTransport
+
+
+class CancelMachine(RuleBasedStateMachine):
+    """Compare what is cancelled with who left and whose time is over."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.transport = ScriptedTransport()
+        self.canceller = Canceller(
+            board=Board(), clock=self.clock, transport=self.transport
+        )
+        self.open: dict[str, AbstractContextManager[None]] = {}
+        self.ends: dict[str, float] = {}
+        self.left: set[str] = set()
+        self.count = 0
+
+    @rule(timeout_s=st.floats(0.01, 5.0))
+    def begin(self, timeout_s: float) -> None:
+        attempt_id = f"attempt-{self.count}"
+        self.count += 1
+        watch = self.canceller.watch(
+            attempt_id,
+            timeout_s=timeout_s,
+            is_gone=lambda: attempt_id in self.left,
+        )
+        watch.__enter__()
+        self.open[attempt_id] = watch
+        self.ends[attempt_id] = self.clock.now_s + timeout_s
+        assert self.canceller.board.read(ATTEMPT_WATCH).is_active
+
+    @rule(index=st.integers(0, 5))
+    def end(self, index: int) -> None:
+        if index < len(self.open):
+            attempt_id = list(self.open)[index]
+            self.open.pop(attempt_id).__exit__(None, None, None)
+
+    @rule(index=st.integers(0, 5))
+    def leave(self, index: int) -> None:
+        if index < len(self.open):
+            self.left.add(list(self.open)[index])
+
+    @rule(delta_s=st.floats(0.0, 3.0))
+    def step(self, delta_s: float) -> None:
+        self.clock.advance(delta_s)
+        self.transport.cancelled.clear()
+        wait_s = self.canceller.step()
+        due = {
+            one
+            for one in self.open
+            if one in self.left or self.ends[one] <= self.clock.now_s
+        }
+        assert set(self.transport.cancelled) == due
+        if self.open:
+            assert wait_s is not None
+            assert 0 < wait_s <= 0.1
+        else:
+            assert wait_s is None
+
+    @invariant()
+    def running_attempts_are_listed(self) -> None:
+        running = self.canceller.board.read(RUNNING_ATTEMPTS).by_id
+        assert set(running) == set(self.open)
+
+
+TestCancel = CancelMachine.TestCase
--- a/snipespring/controllers/tests/test_sender.py
+++ b/snipespring/controllers/tests/test_sender.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from snipespring.blackboard.regions import SERVER_LOADS
-from snipespring.controllers import Accountant
+from snipespring.controllers import Accountant, Canceller
 from snipespring.controllers.dispatcher import Dispatcher
 from snipespring.controllers.sender import Sender
 from snipespring.decisions.retries import MAX_ALLOWED
@@ -52,11 +52,13 @@
 
 def make_sender(results: list[BackendResult], servers: int = 4) -> Sender:
     board, clock = board_with_servers(servers, cap=3), ManualClock()
+    transport = ScriptedTransport(results=results)
     return Sender(
         board=board,
         clock=clock,
         rng=Random(1),
-        transport=ScriptedTransport(results=results),
+        transport=transport,
+        canceller=Canceller(board=board, clock=clock, transport=transport),
         dispatcher=Dispatcher(board=board, clock=clock, rng=Random(1), bound=64),
         accountant=Accountant(board=board),
         domain=NEAR,
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -20,6 +20,7 @@
 )
 from ..controllers import (
     Accountant,
+    Canceller,
     Claimant,
     Configurator,
     Controller,
@@ -127,6 +128,8 @@
         historian=historian,
         own=own,
     )
+    transport = HttpTransport(clock=clock)
+    canceller = Canceller(board=board, clock=clock, transport=transport)
     dispatcher = Dispatcher(
         board=board, clock=clock, rng=rng, bound=settings.callers.queue
     )
@@ -147,6 +150,7 @@
         ),
         Configurator(board=board, clock=clock, historian=historian),
         dispatcher,
+        canceller,
         roster_keeper,
         StatusKeeper(board=board, own=own),
         SubsetKeeper(board=board, clock=clock, own=own),
@@ -172,8 +176,9 @@
         board=board,
         clock=clock,
         rng=rng,
-        transport=HttpTransport(clock=clock),
+        transport=transport,
         dispatcher=dispatcher,
+        canceller=canceller,
         accountant=accountant,
         domain=own.domain,
     )
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -15,14 +15,22 @@
 
 @define(kw_only=True, eq=False)
 class PooledConnection:
-    """Hold one connection and the socket that carries it."""
+    """Hold one connection, owned by the thread that took it."""
 
     address: Address
     conn: HTTPConnection
     sock: socket.socket
+    is_used: bool = False
+    is_aborted: bool = False
+
+    def abort(self) -> None:
+        """Wake the owner, which must close; the descriptor stays its own."""
+        self.is_aborted = True
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Close the connection, also under a thread that reads from it."""
+        """Close the connection; only its owner may."""
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.conn.close()
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -30,6 +30,7 @@
 READ_CHUNK_BYTES = 65536
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MS_PER_S = 1000.0
+MIN_WAIT_S = 0.001
 REQUEST_ID = "Request-Id"
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -63,40 +64,51 @@
             return ConnectFailed(reason=str(exc))
         with self._lock:
             self._running[attempt.request_id] = conn
+        is_reusable = False
         try:
-            return self._exchange(conn, attempt, started_s)
+            result, is_reusable = self._exchange(conn, attempt, started_s)
         finally:
             with self._lock:
-                self._running.pop(attempt.request_id, None)
+                del self._running[attempt.request_id]
+            if is_reusable and not conn.is_aborted:
+                self.pool.give_back(conn)
+            else:
+                conn.close()
+        return result
 
     def cancel(self, attempt_id: str) -> None:
-        """Close the connection of a running attempt."""
+        """Break off a running attempt; its connection is never used again."""
         with self._lock:
             conn = self._running.get(attempt_id)
-        if conn is not None:
-            conn.close()
+            if conn is not None:
+                conn.abort()
 
     def _exchange(
         self, conn: PooledConnection, attempt: BackendRequest, started_s: float
-    ) -> BackendResult:
+    ) -> tuple[BackendResult, bool]:
         def left_s() -> float:
             spent_s = self.clock.monotonic_s() - started_s
-            return max(0.001, attempt.timeout_s - spent_s)
+            return max(MIN_WAIT_S, attempt.timeout_s - spent_s)
 
-        result, reusable = _send_and_read(conn, attempt, left_s)
-        if reusable:
-            self.pool.give_back(conn)
-        else:
-            conn.close()
-        return result
+        result, is_reusable = _send_and_read(conn, attempt, left_s)
+        match result:
+            case SendBroken() | AnswerBroken() if conn.is_aborted:
+                waited_s = self.clock.monotonic_s() - started_s
+                return AnswerLate(waited_s=waited_s), False
+            case _:
+                return result, is_reusable
 
 
 def _send_and_read(
     conn: PooledConnection, attempt: BackendRequest, left_s: Callable[[], float]
 ) -> tuple[BackendResult, bool]:
+    try:
+        _write_head(conn, attempt, left_s())
+    except (HTTPException, ValueError) as exc:
+        return ConnectFailed(reason=f"the request cannot be encoded: {exc}"), False
     try:
         conn.sock.settimeout(left_s())
-        _write_request(conn, attempt, left_s())
+        conn.conn.endheaders(attempt.body or None)
     except TimeoutError:
         return AnswerLate(waited_s=attempt.timeout_s), False
     except (OSError, HTTPException) as exc:
@@ -107,19 +119,34 @@
         body = _read_whole(conn, resp, left_s)
     except TimeoutError:
         return AnswerLate(waited_s=attempt.timeout_s), False
-    except (OSError, HTTPException) as exc:
+    except (OSError, HTTPException, ValueError) as exc:
         reason = f"{type(exc).__name__}: {exc}"
         return AnswerBroken(reason=reason), False
     if body is None:
         return AnswerBroken(reason="the answer's length could not be verified"), False
-    result = _read_result(resp, body, attempt)
-    reusable = not resp.will_close and not isinstance(result, AnswerForeign)
-    return result, reusable
+    return _check_owner(conn, resp, body, attempt)
 
 
-def _write_request(
-    conn: PooledConnection, attempt: BackendRequest, left_s: float
-) -> None:
+def _check_owner(
+    conn: PooledConnection, resp: HTTPResponse, body: bytes, attempt: BackendRequest
+) -> tuple[BackendResult, bool]:
+    """Accept an answer without an id only where no other request can own it."""
+    match resp.getheader(REQUEST_ID):
+        case None if conn.is_used:
+            return AnswerBroken(reason="no request id on a used connection"), False
+        case None:
+            return _read_result(resp, body), False
+        case str() as received_id if received_id != attempt.request_id:
+            foreign = AnswerForeign(
+                expected_id=attempt.request_id, received_id=received_id
+            )
+            return foreign, False
+        case _:
+            conn.is_used = True
+            return _read_result(resp, body), not resp.will_close
+
+
+def _write_head(conn: PooledConnection, attempt: BackendRequest, left_s: float) -> None:
     http = conn.conn
     http.putrequest(
         attempt.method, attempt.path, skip_host=True, skip_accept_encoding=True
@@ -133,7 +160,6 @@
     http.putheader("Deadline-Ms", str(int(left_s * MS_PER_S)))
     if attempt.body or attempt.method not in ("GET", "HEAD", "OPTIONS"):
         http.putheader("Content-Length", str(len(attempt.body)))
-    http.endheaders(attempt.body or None)
 
 
 def _read_whole(
@@ -144,7 +170,8 @@
         resp.read()
         return b""
     expected = resp.length
-    if expected is None and not resp.chunked:
+    lengths = set(resp.headers.get_all("Content-Length", ()))
+    if len(lengths) > 1 or (expected is None and not resp.chunked):
         return None
     parts: list[bytes] = []
     size = 0
@@ -162,12 +189,7 @@
     return b"".join(parts)
 
 
-def _read_result(
-    resp: HTTPResponse, body: bytes, attempt: BackendRequest
-) -> BackendResult:
-    received_id = resp.getheader(REQUEST_ID)
-    if received_id is not None and received_id != attempt.request_id:
-        return AnswerForeign(expected_id=attempt.request_id, received_id=received_id)
+def _read_result(resp: HTTPResponse, body: bytes) -> BackendResult:
     load = parse_reported_load(resp.getheader("Load"))
     if resp.getheader("Shed") == "not-run":
         retry_after_s = _parse_seconds(resp.getheader("Retry-After"))
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -4,6 +4,11 @@
     AddressAnswer,
     OfferedAddress,
 )
+from .attempts import (
+    AttemptWatch,
+    RunningAttempt,
+    RunningAttempts,
+)
 from .backends import (
     AnswerBroken,
     Answered,
@@ -166,6 +171,7 @@
     "AnswerForeign",
     "AnswerLate",
     "Answered",
+    "AttemptWatch",
     "BackendRequest",
     "BackendResult",
     "ClaimGranted",
@@ -242,6 +248,8 @@
     "RunIdempotent",
     "RunOnce",
     "RunPolicy",
+    "RunningAttempt",
+    "RunningAttempts",
     "SendBroken",
     "ServerAvoided",
     "ServerEjected",
