--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -34,10 +34,16 @@
     STOP,
 )
 from .routing import (
+    ATTEMPT_WATCH,
+    REQUEST_QUEUES,
+    RETRY_BUDGETS,
+    RUNNING_ATTEMPTS,
     SERVER_LOADS,
+    SERVER_SUBSETS,
 )
 
 __all__ = [
+    "ATTEMPT_WATCH",
     "CLAIM_MEMORY",
     "CLAIM_REPORTS",
     "CONFIGURATION",
@@ -56,9 +62,13 @@
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
     "ROSTER",
+    "RUNNING_ATTEMPTS",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SERVER_SUBSETS",
     "SHARE_LEDGER",
     "STOP",
     "TENURE",
--- a/snipespring/blackboard/regions/health.py
+++ b/snipespring/blackboard/regions/health.py
@@ -11,7 +11,7 @@
     "SERVER_STATES",
 ]
 
-EVIDENCE = Region[Evidence](name="evidence", writer="forwarder", initial=Evidence())
+EVIDENCE = Region[Evidence](name="evidence", writer="sender", initial=Evidence())
 SERVER_STATES = Region[ServerStates](
     name="server_states", writer="health_keeper", initial=ServerStates()
 )
--- a/snipespring/blackboard/regions/routing.py
+++ b/snipespring/blackboard/regions/routing.py
@@ -1,10 +1,39 @@
-"""List the regions about backend servers' load."""
+"""List the regions about requests on their way to backend servers."""
 
-from ...records import ServerLoads
+from ...records import (
+    AttemptWatch,
+    RequestQueues,
+    RetryBudgets,
+    RunningAttempts,
+    ServerLoads,
+    ServerSubsets,
+)
 from ..region import Region
 
-__all__ = ["SERVER_LOADS"]
+__all__ = [
+    "ATTEMPT_WATCH",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
+    "RUNNING_ATTEMPTS",
+    "SERVER_LOADS",
+    "SERVER_SUBSETS",
+]
 
+RUNNING_ATTEMPTS = Region[RunningAttempts](
+    name="running_attempts", writer="canceller", initial=RunningAttempts()
+)
+ATTEMPT_WATCH = Region[AttemptWatch](
+    name="attempt_watch", writer="canceller", initial=AttemptWatch()
+)
+REQUEST_QUEUES = Region[RequestQueues](
+    name="request_queues", writer="dispatcher", initial=RequestQueues()
+)
+RETRY_BUDGETS = Region[RetryBudgets](
+    name="retry_budgets", writer="sender", initial=RetryBudgets()
+)
 SERVER_LOADS = Region[ServerLoads](
-    name="server_loads", writer="forwarder", initial=ServerLoads()
+    name="server_loads", writer="dispatcher", initial=ServerLoads()
+)
+SERVER_SUBSETS = Region[ServerSubsets](
+    name="server_subsets", writer="subset_keeper", initial=ServerSubsets()
 )
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .canceller import (
+    Canceller,
+)
 from .claim_owner import (
     ClaimOwner,
 )
@@ -20,6 +23,11 @@
 from .configurator import (
     Configurator,
 )
+from .dispatcher import (
+    Dispatcher,
+    NotPlaced,
+    Placed,
+)
 from .fence_keeper import (
     FenceKeeper,
 )
@@ -57,6 +65,10 @@
     Controller,
     Runner,
 )
+from .sender import (
+    Delivery,
+    Sender,
+)
 from .share_book import (
     ShareBook,
 )
@@ -69,6 +81,9 @@
 from .status_keeper import (
     StatusKeeper,
 )
+from .subset_keeper import (
+    SubsetKeeper,
+)
 from .tenure_keeper import (
     TenureKeeper,
 )
@@ -80,11 +95,14 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "Canceller",
     "ClaimOwner",
     "Claimant",
     "Configurator",
     "Conflicted",
     "Controller",
+    "Delivery",
+    "Dispatcher",
     "FenceKeeper",
     "Forwarder",
     "HealthJudge",
@@ -93,16 +111,20 @@
     "Historian",
     "LeaseKeeper",
     "Limiter",
+    "NotPlaced",
     "NothingHeld",
+    "Placed",
     "Puller",
     "Responder",
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "Sender",
     "ShareBook",
     "ShareBorrower",
     "ShareMover",
     "StatusKeeper",
+    "SubsetKeeper",
     "TenureKeeper",
     "Unreachable",
     "Watcher",
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -21,10 +21,12 @@
 )
 from ..controllers import (
     Accountant,
+    Canceller,
     Claimant,
     ClaimOwner,
     Configurator,
     Controller,
+    Dispatcher,
     FenceKeeper,
     Forwarder,
     HealthJudge,
@@ -37,10 +39,12 @@
     Responder,
     RosterKeeper,
     Runner,
+    Sender,
     ShareBook,
     ShareBorrower,
     ShareMover,
     StatusKeeper,
+    SubsetKeeper,
     TenureKeeper,
     Watcher,
 )
@@ -182,6 +186,11 @@
         lease_s=settings.peers.lease_s,
     )
     health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
+    transport = HttpTransport(clock=clock)
+    canceller = Canceller(board=board, clock=clock, transport=transport)
+    dispatcher = Dispatcher(
+        board=board, clock=clock, rng=rng, bound=settings.callers.queue
+    )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -204,8 +213,11 @@
             region=PLATFORM_ROSTER,
         ),
         Configurator(board=board, clock=clock, historian=historian),
+        dispatcher,
+        canceller,
         roster_keeper,
         StatusKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, own=own),
         puller,
         lease_keeper,
         FenceKeeper(
@@ -238,16 +250,24 @@
         health_judge=health_judge,
         claim_owner=claim_owner,
     )
-    forwarder = Forwarder(
+    sender = Sender(
         board=board,
         clock=clock,
         rng=rng,
-        transport=HttpTransport(clock=clock),
+        transport=transport,
+        dispatcher=dispatcher,
+        canceller=canceller,
+        accountant=accountant,
+        domain=own.domain,
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
         historian=historian,
         accountant=accountant,
         limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
         claimant=claimant,
-        domain=own.domain,
+        sender=sender,
     )
 
     def answer_addresses(request: Request) -> AddressAnswer:
@@ -264,7 +284,7 @@
         callers=HttpServer(
             address=own.callers,
             app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
-            threads=settings.callers.threads,
+            threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
         ),
--- /dev/null
+++ b/snipespring/decisions/routing/loads.py
@@ -0,0 +1,170 @@
+"""Keep this host's view of the load of each backend server."""
+
+from collections.abc import Iterable
+from math import exp
+
+from attrs import evolve
+
+from ...records import (
+    Answered,
+    BackendResult,
+    DrainSign,
+    ReportedLoad,
+    ServerId,
+    ServerLoad,
+    ServerLoads,
+    ServiceLoad,
+    ServiceName,
+    ShedByServer,
+)
+from .limits import note_result
+
+__all__ = [
+    "cancel_reservation",
+    "drain_check_at_s",
+    "estimate_busy",
+    "load_of",
+    "mean_others",
+    "release_server",
+    "reserve_server",
+    "service_load_of",
+]
+
+REPORT_DECAY_S = 0.1
+MEAN_DECAY_S = 1.0
+PRIOR_WEIGHT = 0.1  # of an idle server, so that unknown ones are tried
+SHED_BACKOFF_S = 0.05
+MAX_SHED_BACKOFF_S = 30.0
+DRAIN_CHECK_S = 5.0
+MAX_DRAIN_CHECK_S = 60.0
+MAX_DRAIN_RENEWALS = 4
+UNUSED = ServerLoad()
+UNUSED_SERVICE = ServiceLoad()
+
+
+def load_of(loads: ServerLoads, server: ServerId) -> ServerLoad:
+    """Return the view of one server, an empty one if it was never used."""
+    return loads.by_server.get(server, UNUSED)
+
+
+def service_load_of(loads: ServerLoads, service: ServiceName) -> ServiceLoad:
+    """Return the view of one service, an empty one if it was never used."""
+    return loads.by_service.get(service, UNUSED_SERVICE)
+
+
+def mean_others(loads: ServerLoads, servers: Iterable[ServerId], now_s: float) -> float:
+    """Return the busy slots of other hosts a server, by reports of the last second."""
+    total, weights = 0.0, 0.0
+    for server in servers:
+        load = load_of(loads, server)
+        if load.reported is not None:
+            weight = exp((load.reported_at_s - now_s) / MEAN_DECAY_S)
+            total += weight * load.others
+            weights += weight
+    return total / (PRIOR_WEIGHT + weights)
+
+
+def estimate_busy(load: ServerLoad, mean: float, now_s: float) -> float:
+    """Return the slots in use: this host's own and the others' expected.
+
+    The expectation goes from the last report to the mean of all servers.
+    """
+    if load.reported is None:
+        return load.in_flight + mean
+    trust = exp((load.reported_at_s - now_s) / REPORT_DECAY_S)
+    return load.in_flight + mean + trust * (load.others - mean)
+
+
+def drain_check_at_s(sign: DrainSign) -> float:
+    """Return when a server that drained may be tried by one request again."""
+    delay_s = min(MAX_DRAIN_CHECK_S, DRAIN_CHECK_S * 2.0**sign.renewals)
+    return sign.at_s + delay_s
+
+
+def reserve_server(loads: ServerLoads, server: ServerId) -> ServerLoads:
+    """Return the loads with one more attempt in flight on the server."""
+    return _add_in_flight(loads, server, 1)
+
+
+def cancel_reservation(loads: ServerLoads, server: ServerId) -> ServerLoads:
+    """Return the loads with one attempt less, which was never sent."""
+    return _add_in_flight(loads, server, -1)
+
+
+def release_server(
+    loads: ServerLoads,
+    server: ServerId,
+    result: BackendResult,
+    *,
+    started_s: float,
+    now_s: float,
+) -> ServerLoads:
+    """Return the loads with one attempt less and with what its result told."""
+    loads = _add_in_flight(loads, server, -1)
+    load = load_of(loads, server)
+    match result:
+        case Answered(load=report):
+            load = _note_report(load, report, started_s=started_s, now_s=now_s)
+        case ShedByServer(load=report, retry_after_s=retry_after_s):
+            load = _note_report(load, report, started_s=started_s, now_s=now_s)
+            load = _back_off(load, retry_after_s, now_s)
+        case _:
+            load = _renew_sign(load, started_s=started_s, now_s=now_s)
+    service = note_result(
+        service_load_of(loads, server.service), result, duration_s=now_s - started_s
+    )
+    return evolve(
+        loads,
+        by_server=loads.by_server.set(server, load),
+        by_service=loads.by_service.set(server.service, service),
+    )
+
+
+def _add_in_flight(loads: ServerLoads, server: ServerId, delta: int) -> ServerLoads:
+    load = load_of(loads, server)
+    load = evolve(load, in_flight=load.in_flight + delta)
+    service = service_load_of(loads, server.service)
+    service = evolve(service, in_flight=service.in_flight + delta)
+    return evolve(
+        loads,
+        by_server=loads.by_server.set(server, load),
+        by_service=loads.by_service.set(server.service, service),
+    )
+
+
+def _note_report(
+    load: ServerLoad, report: ReportedLoad | None, *, started_s: float, now_s: float
+) -> ServerLoad:
+    if report is None:
+        return _renew_sign(load, started_s=started_s, now_s=now_s)
+    others = max(0, report.busy - load.in_flight)
+    load = evolve(load, reported=report, reported_at_s=now_s, others=others)
+    match report.draining, load.drain:
+        case True, None:
+            return evolve(load, drain=DrainSign(at_s=now_s))
+        case True, DrainSign(at_s=at_s) as sign if started_s <= at_s:
+            return evolve(load, drain=evolve(sign, at_s=now_s))
+        case True, DrainSign():
+            return _renew_sign(load, started_s=started_s, now_s=now_s)
+        case False, DrainSign(at_s=at_s) if started_s > at_s:
+            return evolve(load, drain=None, ramp_from_s=now_s)
+        case _:
+            return load
+
+
+def _renew_sign(load: ServerLoad, *, started_s: float, now_s: float) -> ServerLoad:
+    """Lengthen the wait if an attempt later than the sign did not clear it."""
+    match load.drain:
+        case DrainSign(at_s=at_s, renewals=renewals) if started_s > at_s:
+            renewals = min(MAX_DRAIN_RENEWALS, renewals + 1)
+            return evolve(load, drain=DrainSign(at_s=now_s, renewals=renewals))
+        case _:
+            return load
+
+
+def _back_off(
+    load: ServerLoad, retry_after_s: float | None, now_s: float
+) -> ServerLoad:
+    delay_s = SHED_BACKOFF_S if retry_after_s is None else retry_after_s
+    until_s = now_s + min(MAX_SHED_BACKOFF_S, max(SHED_BACKOFF_S, delay_s))
+    return evolve(load, backoff_until_s=max(load.backoff_until_s, until_s))
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -4,6 +4,11 @@
     AddressAnswer,
     OfferedAddress,
 )
+from .attempts import (
+    AttemptWatch,
+    RunningAttempt,
+    RunningAttempts,
+)
 from .backends import (
     AnswerBroken,
     Answered,
@@ -12,10 +17,12 @@
     BackendRequest,
     BackendResult,
     ConnectFailed,
+    DrainSign,
     ReportedLoad,
     SendBroken,
     ServerLoad,
     ServerLoads,
+    ServiceLoad,
     ShedByServer,
 )
 from .claim_messages import (
@@ -191,6 +198,12 @@
     WriteResult,
     WriteUncertain,
 )
+from .queues import (
+    RequestQueue,
+    RequestQueues,
+    SlotRequest,
+    Waiter,
+)
 from .requests import (
     AdmittedRequest,
     Header,
@@ -201,6 +214,16 @@
     Request,
     Unknown,
 )
+from .retries import (
+    RetryBudget,
+    RetryBudgets,
+)
+from .routing import (
+    Placement,
+    ServerSubset,
+    ServerSubsets,
+    SubsetMember,
+)
 from .rules import (
     Access,
     Configuration,
@@ -241,6 +264,7 @@
     "AnswerLate",
     "Answered",
     "Attempt",
+    "AttemptWatch",
     "BackendRequest",
     "BackendResult",
     "ClaimAnswer",
@@ -277,6 +301,7 @@
     "CreditGrants",
     "CreditNeeds",
     "DomainName",
+    "DrainSign",
     "EjectCarefully",
     "EjectQuickly",
     "EjectedServer",
@@ -349,6 +374,7 @@
     "PendingFence",
     "PendingReport",
     "PendingReports",
+    "Placement",
     "PlainKey",
     "PlatformUnavailable",
     "Pool",
@@ -367,7 +393,11 @@
     "Reporter",
     "Request",
     "RequestDigest",
+    "RequestQueue",
+    "RequestQueues",
     "RequestRefused",
+    "RetryBudget",
+    "RetryBudgets",
     "Returned",
     "Roster",
     "RosterChange",
@@ -380,6 +410,8 @@
     "RunIdempotent",
     "RunOnce",
     "RunPolicy",
+    "RunningAttempt",
+    "RunningAttempts",
     "SendBroken",
     "ServerAvoided",
     "ServerEjected",
@@ -394,6 +426,9 @@
     "ServerState",
     "ServerStates",
     "ServerStep",
+    "ServerSubset",
+    "ServerSubsets",
+    "ServiceLoad",
     "ServiceName",
     "ServiceRule",
     "Serving",
@@ -406,7 +441,9 @@
     "ShedByServer",
     "Sighting",
     "SlotLimit",
+    "SlotRequest",
     "StopState",
+    "SubsetMember",
     "Tally",
     "Tenure",
     "TrialHeld",
@@ -414,6 +451,7 @@
     "Unclaimed",
     "Unknown",
     "Versions",
+    "Waiter",
     "WriteResult",
     "WriteUncertain",
 ]
