--- a/snipespring/blackboard/regions/fleet.py
+++ b/snipespring/blackboard/regions/fleet.py
@@ -4,11 +4,13 @@
     Configuration,
     Fence,
     HeardHosts,
+    HeldSegments,
     HostStatuses,
     HostView,
     LeaseLapsed,
     LeaseState,
     PeerView,
+    RefusedConfiguration,
     Roster,
     Sighting,
 )
@@ -18,12 +20,14 @@
     "CONFIGURATION",
     "FENCE",
     "HEARD_HOSTS",
+    "HELD_SEGMENTS",
     "HOST_STATUSES",
     "LEASE",
     "OWN_STATUS",
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
+    "REFUSED_CONFIGURATION",
     "ROSTER",
 ]
 
@@ -46,6 +50,14 @@
 CONFIGURATION = Region[Configuration](
     name="configuration", writer="configurator", initial=Configuration()
 )
+HELD_SEGMENTS = Region[HeldSegments](
+    name="held_segments", writer="segment_keeper", initial=HeldSegments()
+)
+REFUSED_CONFIGURATION = Region[RefusedConfiguration](
+    name="refused_configuration",
+    writer="configurator",
+    initial=RefusedConfiguration(),
+)
 ROSTER = Region[Roster](name="roster", writer="roster_keeper", initial=Roster())
 LEASE = Region[LeaseState](
     name="lease",
--- a/snipespring/cli/rules.py
+++ b/snipespring/cli/rules.py
@@ -11,6 +11,7 @@
     Accepted,
     Applier,
     Conflicted,
+    Damaged,
     NothingHeld,
     RulesHeld,
     Unreachable,
@@ -93,6 +94,9 @@
         case NothingHeld():
             print("the platform holds no rules", file=sys.stderr)
             return REFUSED
+        case Damaged(version=version, reason=reason):
+            print(f"version {version} is damaged: {reason}", file=sys.stderr)
+            return REFUSED
         case Unreachable(reason=reason):
             print(f"the platform is out of reach: {reason}", file=sys.stderr)
             return OUT_OF_REACH
@@ -149,7 +153,7 @@
         case Unreachable(reason=reason):
             print(f"the platform is out of reach: {reason}", file=sys.stderr)
             return OUT_OF_REACH
-        case NothingHeld():
+        case NothingHeld() | Damaged():
             return _print_changes(b"", rules)
         case RulesHeld(content=content):
             return _print_changes(content, rules)
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -45,6 +45,9 @@
     Controller,
     Runner,
 )
+from .segment_keeper import (
+    SegmentKeeper,
+)
 from .status_keeper import (
     StatusKeeper,
 )
@@ -71,6 +74,7 @@
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "SegmentKeeper",
     "StatusKeeper",
     "Unreachable",
     "Watcher",
--- a/snipespring/controllers/configurator.py
+++ b/snipespring/controllers/configurator.py
@@ -1,17 +1,28 @@
 """Bring the highest accepted configuration into force."""
 
-from attrs import define
+from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, PEER_VIEW, PLATFORM_CONFIGURATION
+from ..blackboard.regions import (
+    CONFIGURATION,
+    HELD_SEGMENTS,
+    PEER_VIEW,
+    PLATFORM_CONFIGURATION,
+    REFUSED_CONFIGURATION,
+)
 from ..decisions.membership import merge_sightings
 from ..decisions.rules import (
-    ParsedRules,
+    CheckedRules,
+    ParsedSegment,
+    RootRecord,
     RuleProblems,
+    assemble_rules,
     make_configuration,
-    parse_rules,
+    missing_segments,
+    parse_segment,
 )
-from ..records import ConfigurationStep, Sighting
+from ..frontends.platform import decode_root
+from ..records import ConfigurationStep, HeldSegments, RefusedConfiguration, Sighting
 from ..utils import Clock
 from .historian import Historian
 
@@ -20,14 +31,14 @@
 
 @define(kw_only=True, eq=False)
 class Configurator:
-    """Write the configuration region; versions only rise."""
+    """Write the configuration and the refused version; versions only rise."""
 
     board: Board
     clock: Clock
     historian: Historian
     name: str = "configurator"
-    watches = (PLATFORM_CONFIGURATION, PEER_VIEW)
-    _refused_version: int = 0
+    watches = (PLATFORM_CONFIGURATION, PEER_VIEW, HELD_SEGMENTS)
+    _parsed: dict[str, ParsedSegment] = field(factory=dict, init=False)
 
     def step(self) -> None:
         """Apply the newest sighting if it is newer than what is in force."""
@@ -36,24 +47,42 @@
             self.board.read(PEER_VIEW).configuration,
         )
         held = self.board.read(CONFIGURATION).version
-        if seen is None or seen.version <= max(held, self._refused_version):
+        refused = self.board.read(REFUSED_CONFIGURATION).version
+        if seen is None or seen.version <= max(held, refused):
             return
         self._apply(seen)
 
     def _apply(self, seen: Sighting) -> None:
-        match parse_rules(seen.content):
-            case ParsedRules() as parsed:
-                rules = tuple(placed.rule for placed in parsed.rules)
-                cfg = make_configuration(rules, seen.version)
+        root = decode_root(seen.content, version=seen.version)
+        if root is None:
+            self._refuse(seen.version, "not a root of segments")
+            return
+        segments = self.board.read(HELD_SEGMENTS)
+        if missing_segments(root, segments.by_digest):
+            return
+        self._parse(root, segments)
+        match assemble_rules(root, segments.by_digest, self._parsed):
+            case CheckedRules(rules=placed):
+                rules = (entry.rule for entry in placed)
+                cfg = make_configuration(rules, root.version)
                 self.board.write(CONFIGURATION, cfg, writer=self.name)
-                self._record(seen.version, "in force")
+                self._record(root.version, "in force")
             case RuleProblems(problems=problems):
-                self._refused_version = seen.version
                 first = problems[0]
-                self._record(
-                    seen.version,
-                    f"refused: line {first.line}: {first.reason}; last good kept",
-                )
+                self._refuse(root.version, f"line {first.line}: {first.reason}")
+
+    def _parse(self, root: RootRecord, segments: HeldSegments) -> None:
+        """Parse the segments that changed and forget those that are gone."""
+        self._parsed = {
+            digest: self._parsed.get(digest)
+            or parse_segment(segments.by_digest[digest])
+            for digest in root.digests
+        }
+
+    def _refuse(self, version: int, reason: str) -> None:
+        refused = RefusedConfiguration(version=version, reason=reason)
+        self.board.write(REFUSED_CONFIGURATION, refused, writer=self.name)
+        self._record(version, f"refused: {reason}; last good kept")
 
     def _record(self, version: int, evidence: str) -> None:
         event = ConfigurationStep(
--- a/snipespring/controllers/lease_keeper.py
+++ b/snipespring/controllers/lease_keeper.py
@@ -10,6 +10,7 @@
     PEER_VIEW,
     PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
+    REFUSED_CONFIGURATION,
     ROSTER,
     STOP,
 )
@@ -60,10 +61,13 @@
                 pass
         view = board.read(PEER_VIEW)
         roster = board.read(ROSTER)
-        cfg = board.read(CONFIGURATION)
+        configuration = max(
+            board.read(CONFIGURATION).version,
+            board.read(REFUSED_CONFIGURATION).version,
+        )
         return decide_lease(
             own=self.own,
-            in_force=Versions(configuration=cfg.version, roster=roster.version),
+            in_force=Versions(configuration=configuration, roster=roster.version),
             configuration=merge_sightings(
                 board.read(PLATFORM_CONFIGURATION), view.configuration
             ),
--- /dev/null
+++ b/snipespring/controllers/segment_keeper.py
@@ -0,0 +1,142 @@
+"""Gather the segments that the newest root names and hand them to other hosts."""
+
+from random import Random
+
+from attrs import define, evolve, field
+from immutables import Map
+
+from ..blackboard import Board
+from ..blackboard.regions import (
+    HELD_SEGMENTS,
+    PEER_VIEW,
+    PLATFORM_CONFIGURATION,
+    ROSTER,
+)
+from ..decisions.membership import backoff_s, choose_neighbours, merge_sightings
+from ..decisions.rules import RootRecord, Segment, missing_segments, verify_segment
+from ..frontends.peers import PeerClient
+from ..frontends.platform import Platform, decode_root, segment_object
+from ..records import (
+    Address,
+    FetchSegment,
+    HeldSegments,
+    Host,
+    ObjectRead,
+    SegmentAbsent,
+    SegmentFound,
+    Sighting,
+)
+from .accountant import Accountant
+
+__all__ = ["SegmentKeeper"]
+
+FETCH_TIMEOUT_S = 2.0
+RETRY_MAX_S = 2.0
+ROUNDS_OF_PEERS = 3
+
+
+@define(kw_only=True, eq=False)
+class SegmentKeeper:
+    """Write the held segments; only verified ones are kept."""
+
+    board: Board
+    rng: Random
+    platform: Platform
+    client: PeerClient
+    accountant: Accountant
+    own: Host
+    fanout: int
+    seeds: tuple[Address, ...] = ()
+    name: str = "segment_keeper"
+    watches = (PLATFORM_CONFIGURATION, PEER_VIEW)
+    _gathered_version: int = field(default=0, init=False)
+    _failures: int = field(default=0, init=False)
+
+    def step(self) -> float | None:
+        """Fetch what the newest root misses; return seconds until the next try."""
+        from_platform = self.board.read(PLATFORM_CONFIGURATION)
+        seen = merge_sightings(from_platform, self.board.read(PEER_VIEW).configuration)
+        if seen is None or seen.version <= self._gathered_version:
+            return None
+        root = decode_root(seen.content, version=seen.version)
+        if root is None:
+            self._gathered_version = seen.version
+            return None
+        if self._gather(root, is_watcher=_holds(from_platform, seen.version)):
+            self._finish(root)
+            return None
+        self._failures += 1
+        return backoff_s(self._failures, max_s=RETRY_MAX_S, rng=self.rng)
+
+    def answer(self, fetch: FetchSegment) -> SegmentFound | SegmentAbsent:
+        """Answer another host that asks for a segment."""
+        content = self.board.read(HELD_SEGMENTS).by_digest.get(fetch.digest)
+        if content is None:
+            return SegmentAbsent(digest=fetch.digest)
+        return SegmentFound(digest=fetch.digest, content=content)
+
+    def _gather(self, root: RootRecord, *, is_watcher: bool) -> bool:
+        held = self.board.read(HELD_SEGMENTS).by_digest
+        for digest in missing_segments(root, held):
+            content = self._fetch(digest, is_watcher=is_watcher)
+            if content is None:
+                return False
+            self._hold(digest, content)
+        return True
+
+    def _hold(self, digest: str, content: bytes) -> None:
+        def add(held: HeldSegments) -> HeldSegments:
+            return evolve(held, by_digest=held.by_digest.set(digest, content))
+
+        self.board.update(HELD_SEGMENTS, add, writer=self.name)
+
+    def _finish(self, root: RootRecord) -> None:
+        """Drop the segments that the root no longer names."""
+        self._gathered_version = root.version
+        self._failures = 0
+
+        def keep(held: HeldSegments) -> HeldSegments:
+            kept = {digest: held.by_digest[digest] for digest in root.digests}
+            return HeldSegments(by_digest=Map(kept))
+
+        self.board.update(HELD_SEGMENTS, keep, writer=self.name)
+
+    def _fetch(self, digest: str, *, is_watcher: bool) -> bytes | None:
+        if is_watcher or self._failures >= ROUNDS_OF_PEERS:
+            return self._fetch_platform(digest) or self._fetch_peers(digest)
+        return self._fetch_peers(digest)
+
+    def _fetch_platform(self, digest: str) -> bytes | None:
+        self.accountant.count("platform_calls", "read")
+        match self.platform.read(segment_object(digest)):
+            case ObjectRead(content=content):
+                return self._verify(digest, content)
+            case _:
+                return None
+
+    def _fetch_peers(self, digest: str) -> bytes | None:
+        fetch = FetchSegment(digest=digest)
+        for address in self._peers():
+            match self.client.call(address, fetch, timeout_s=FETCH_TIMEOUT_S):
+                case SegmentFound(content=content):
+                    verified = self._verify(digest, content)
+                    if verified is not None:
+                        return verified
+                case _:
+                    continue
+        return None
+
+    def _peers(self) -> list[Address]:
+        neighbours = choose_neighbours(self.board.read(ROSTER), self.own, self.fanout)
+        peers = [host.peers for host in neighbours]
+        return peers or [seed for seed in self.seeds if seed != self.own.peers]
+
+    def _verify(self, digest: str, content: bytes) -> bytes | None:
+        if verify_segment(Segment(digest=digest, content=content)):
+            return content
+        self.accountant.count("malformed", "segment")
+        return None
+
+
+def _holds(seen: Sighting | None, version: int) -> bool:
+    return seen is not None and seen.version >= version
--- a/snipespring/controllers/tests/fake_platform.py
+++ b/snipespring/controllers/tests/fake_platform.py
@@ -25,6 +25,8 @@
     away: bool = False
     reads: list[str] = field(factory=list)
     writes: list[str] = field(factory=list)
+    delays_deletions: bool = False
+    delayed: list[tuple[str, int]] = field(factory=list)
 
     def read(self, name: str) -> ReadResult:
         self.reads.append(name)
@@ -56,6 +58,9 @@
         return ObjectWritten(name=name, version=version)
 
     def delete(self, name: str, *, expected: int) -> WriteResult:
+        if self.delays_deletions:
+            self.delayed.append((name, expected))
+            return WriteUncertain(reason="under way")
         held = self.objects.get(name)
         if held is None or held.version != expected:
             return ObjectConflict(name=name)
--- /dev/null
+++ b/snipespring/controllers/tests/test_applier.py
@@ -0,0 +1,131 @@
+import hashlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipespring.controllers.applier import (
+    Accepted,
+    Applier,
+    Conflicted,
+    Damaged,
+    NothingHeld,
+    RulesHeld,
+    Unreachable,
+)
+from snipespring.frontends.platform import (
+    CONFIGURATION_OBJECT,
+    decode_root,
+    segment_object,
+)
+from snipespring.records import ObjectRead
+
+from .fake_platform import MAX_VALUE_BYTES, FakePlatform
+
+FIRST = b"service a # Nora\n"
+SECOND = b"service b # Nora\n"
+edits = st.lists(st.sampled_from([FIRST, SECOND, FIRST + SECOND, b""]), max_size=6)
+
+
+def large_rules(changed: int = -1) -> bytes:
+    lines = [f"service s{n:03d} # Nora" for n in range(620)]
+    lines += [f"route GET /r{n:05d}/x service=s{n % 620:03d} # N" for n in range(15000)]
+    for number in range(24000):
+        rate = 20 if number == changed else 10
+        digest = hashlib.sha256(str(number).encode()).hexdigest()
+        lines.append(f"organisation o{number:05d} rate={rate}/s burst=10 # Nora")
+        lines.append(f"key o{number:05d} sha256:{digest} # Nora")
+    return "\n".join(lines).encode() + b"\n"
+
+
+def held_text(platform: FakePlatform) -> bytes | None:
+    match Applier(platform=platform).read():
+        case RulesHeld(content=content):
+            return content
+        case _:
+            return None
+
+
+def test_nothing_then_a_text_is_held() -> None:
+    applier = Applier(platform=FakePlatform())
+    assert applier.read() == NothingHeld()
+    assert applier.apply(FIRST, expected=None) == Accepted(version=1)
+    assert applier.read() == RulesHeld(version=1, content=FIRST)
+
+
+def test_one_of_two_operators_wins_and_the_other_sees_the_winner() -> None:
+    platform = FakePlatform()
+    first, second = Applier(platform=platform), Applier(platform=platform)
+    assert first.apply(FIRST, expected=0) == Accepted(version=1)
+    held = RulesHeld(version=1, content=FIRST)
+    assert second.apply(SECOND, expected=0) == Conflicted(held=held)
+    assert held_text(platform) == FIRST
+
+
+@given(edits, st.integers(0, 6), st.integers(0, 6))
+def test_an_answer_tells_what_the_platform_holds(
+    texts: list[bytes], lost_answers: int, lost_writes: int
+) -> None:
+    platform = FakePlatform(lose_answers=lost_answers, lose_writes=lost_writes)
+    accepted: bytes | None = None
+    for text in texts:
+        match Applier(platform=platform).apply(text, expected=None):
+            case Accepted():
+                accepted = text
+            case Conflicted():
+                raise AssertionError("nobody else writes")
+            case Unreachable():
+                pass
+        assert held_text(platform) == accepted
+
+
+def test_a_large_text_fits_values_of_a_megabyte_and_an_edit_writes_little() -> None:
+    platform = FakePlatform()
+    applier = Applier(platform=platform)
+    assert applier.apply(large_rules(), expected=None) == Accepted(version=1)
+    sizes = [len(held.content) for held in platform.objects.values()]
+    assert max(sizes) <= MAX_VALUE_BYTES
+    written = len(platform.writes)
+    assert applier.apply(large_rules(changed=9), expected=None) == Accepted(version=2)
+    assert len(platform.writes) - written <= 3
+    assert held_text(platform) == large_rules(changed=9)
+    root = decode_root(platform.objects[CONFIGURATION_OBJECT].content, version=2)
+    assert root is not None
+    assert len(platform.objects) == len(set(root.digests)) + 1
+
+
+def test_a_late_deletion_spares_a_segment_that_came_back() -> None:
+    platform = FakePlatform()
+    Applier(platform=platform).apply(FIRST, expected=None)
+    platform.delays_deletions = True
+    Applier(platform=platform).apply(SECOND, expected=None)
+    platform.delays_deletions = False
+    Applier(platform=platform).apply(FIRST, expected=None)
+    for name, expected in platform.delayed:
+        platform.delete(name, expected=expected)
+    assert platform.delayed
+    assert held_text(platform) == FIRST
+
+
+@pytest.mark.parametrize("content", [b"", b"\xff", b"\xa0", b"service a # Nora\n"])
+def test_a_damaged_root_is_told_and_can_be_replaced(content: bytes) -> None:
+    platform = FakePlatform()
+    platform.objects[CONFIGURATION_OBJECT] = ObjectRead(
+        name=CONFIGURATION_OBJECT, version=4, content=content
+    )
+    applier = Applier(platform=platform)
+    assert isinstance(applier.read(), Damaged)
+    assert applier.apply(FIRST, expected=4) == Accepted(version=5)
+
+
+def test_a_damaged_segment_is_told() -> None:
+    platform = FakePlatform()
+    Applier(platform=platform).apply(FIRST, expected=None)
+    name = segment_object(hashlib.sha256(FIRST).hexdigest())
+    platform.objects[name] = ObjectRead(name=name, version=9, content=SECOND)
+    assert isinstance(Applier(platform=platform).read(), Damaged)
+
+
+def test_an_absent_platform_is_told() -> None:
+    applier = Applier(platform=FakePlatform(away=True))
+    assert isinstance(applier.apply(FIRST, expected=None), Unreachable)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -33,6 +33,7 @@
     Responder,
     RosterKeeper,
     Runner,
+    SegmentKeeper,
     StatusKeeper,
     Watcher,
 )
@@ -133,6 +134,16 @@
         own=own,
         fanout=settings.peers.fanout,
     )
+    segment_keeper = SegmentKeeper(
+        board=board,
+        rng=rng,
+        platform=platform,
+        client=links,
+        accountant=accountant,
+        own=own,
+        fanout=settings.peers.fanout,
+        seeds=settings.peers.seeds,
+    )
     lease_keeper = LeaseKeeper(
         board=board,
         clock=clock,
@@ -161,6 +172,7 @@
             object_name=ROSTER_OBJECT,
             region=PLATFORM_ROSTER,
         ),
+        segment_keeper,
         Configurator(board=board, clock=clock, historian=historian),
         roster_keeper,
         StatusKeeper(board=board, clock=clock, own=own),
@@ -174,7 +186,7 @@
             drift_margin_s=settings.peers.drift_margin_s,
         ),
     )
-    responder = Responder(puller=puller)
+    responder = Responder(puller=puller, segment_keeper=segment_keeper)
     forwarder = Forwarder(
         board=board,
         clock=clock,
--- a/snipespring/decisions/rules/__init__.py
+++ b/snipespring/decisions/rules/__init__.py
@@ -1,5 +1,6 @@
 """Decide what a rules text means."""
 
+from .assembly import assemble_rules, parse_segment
 from .check import check_address, check_rules
 from .configuration import make_configuration
 from .diff import diff_rules, render_difference
@@ -13,6 +14,7 @@
     CheckedRules,
     InvalidValue,
     ParsedRules,
+    ParsedSegment,
     PlacedRule,
     Removed,
     RootRecord,
@@ -38,6 +40,7 @@
     "CheckedRules",
     "InvalidValue",
     "ParsedRules",
+    "ParsedSegment",
     "PlacedRule",
     "Removed",
     "RootRecord",
@@ -46,6 +49,7 @@
     "RuleProblem",
     "RuleProblems",
     "Segment",
+    "assemble_rules",
     "check_address",
     "check_rules",
     "diff_rules",
@@ -58,6 +62,7 @@
     "parse_address",
     "parse_duration_s",
     "parse_rules",
+    "parse_segment",
     "render_difference",
     "render_problem",
     "render_rule",
--- /dev/null
+++ b/snipespring/decisions/rules/assembly.py
@@ -0,0 +1,70 @@
+"""Put rules together from parsed segments."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from hashlib import sha256
+
+from attrs import evolve
+
+from .check import check_rules
+from .parse import parse_rules
+from .records import (
+    CheckedRules,
+    ParsedRules,
+    ParsedSegment,
+    PlacedRule,
+    RootRecord,
+    RuleProblem,
+    RuleProblems,
+)
+
+__all__ = ["assemble_rules", "parse_segment"]
+
+
+def parse_segment(content: bytes) -> ParsedSegment:
+    """Parse one segment and count its lines."""
+    return ParsedSegment(parsed=parse_rules(content), line_count=content.count(b"\n"))
+
+
+def assemble_rules(
+    root: RootRecord, contents: Mapping[str, bytes], parsed: Mapping[str, ParsedSegment]
+) -> CheckedRules | RuleProblems:
+    """Return the rules of a whole text, or all that is wrong with them."""
+    if _digest_text(contents[digest] for digest in root.digests) != root.text_digest:
+        reason = "the text does not have the digest of the root"
+        return RuleProblems(problems=(_whole_text_problem(reason),))
+    rules: list[PlacedRule] = []
+    problems: list[RuleProblem] = []
+    line = 0
+    for digest in root.digests:
+        match parsed[digest].parsed:
+            case ParsedRules(rules=found):
+                rules.extend(_shift_rules(found, line))
+            case RuleProblems(problems=found_problems):
+                problems.extend(_shift_problems(found_problems, line))
+        line += parsed[digest].line_count
+    if problems:
+        return RuleProblems(problems=tuple(problems))
+    return check_rules(tuple(rules))
+
+
+def _digest_text(contents: Iterable[bytes]) -> str:
+    digest = sha256()
+    for content in contents:
+        digest.update(content)
+    return digest.hexdigest()
+
+
+def _shift_rules(rules: Iterable[PlacedRule], lines: int) -> Iterator[PlacedRule]:
+    for placed in rules:
+        yield PlacedRule(rule=placed.rule, line=placed.line + lines)
+
+
+def _shift_problems(
+    problems: Iterable[RuleProblem], lines: int
+) -> Iterator[RuleProblem]:
+    for problem in problems:
+        yield evolve(problem, line=problem.line + lines)
+
+
+def _whole_text_problem(reason: str) -> RuleProblem:
+    return RuleProblem(line=1, column=1, word="", reason=reason)
--- a/snipespring/decisions/rules/records.py
+++ b/snipespring/decisions/rules/records.py
@@ -10,6 +10,7 @@
     "CheckedRules",
     "InvalidValue",
     "ParsedRules",
+    "ParsedSegment",
     "PlacedRule",
     "Removed",
     "RootRecord",
@@ -53,6 +54,14 @@
     rules: tuple[PlacedRule, ...]
 
 
+@frozen(kw_only=True)
+class ParsedSegment:
+    """Hold what one segment parsed to, its lines counted from its own start."""
+
+    parsed: "ParsedRules | RuleProblems"
+    line_count: int
+
+
 @frozen(kw_only=True)
 class CheckedRules:
     """Hold rules that are consistent with each other, with warnings."""
--- /dev/null
+++ b/snipespring/frontends/cbor.py
@@ -0,0 +1,46 @@
+"""Read CBOR strictly: exact types, finite numbers, no unknown fields."""
+
+from math import isfinite
+from typing import Any
+
+import cattrs
+from cattrs.preconf.cbor2 import make_converter
+from cbor2 import CBORDecodeError
+
+__all__ = ["DECODING_ERRORS", "make_strict_converter"]
+
+DECODING_ERRORS = (
+    CBORDecodeError,
+    cattrs.BaseValidationError,
+    cattrs.StructureHandlerNotFoundError,
+    cattrs.ForbiddenExtraKeysError,
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    MemoryError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+
+
+def make_strict_converter() -> cattrs.Converter:
+    """Return a converter that raises one of DECODING_ERRORS for foreign content."""
+    converter = make_converter(forbid_extra_keys=True, detailed_validation=False)
+    for kind in (bool, bytes, int, str):
+        converter.register_structure_hook(kind, _read_exactly)
+    converter.register_structure_hook(float, _read_float)
+    return converter
+
+
+def _read_exactly(raw: Any, kind: type[Any]) -> Any:
+    # Without this the converter would turn 1.9 or "1" into the integer 1.
+    if type(raw) is not kind:
+        raise TypeError(f"expected {kind.__name__}, got {type(raw).__name__}")
+    return raw
+
+
+def _read_float(raw: Any, _: type[float]) -> float:
+    if type(raw) not in (int, float) or not isfinite(raw):
+        raise TypeError("expected a finite number")
+    return float(raw)
--- a/snipespring/frontends/platform/__init__.py
+++ b/snipespring/frontends/platform/__init__.py
@@ -4,8 +4,11 @@
 from .codec import (
     CONFIGURATION_OBJECT,
     ROSTER_OBJECT,
+    decode_root,
     decode_roster,
+    encode_root,
     encode_roster,
+    segment_object,
 )
 
 __all__ = [
@@ -13,6 +16,9 @@
     "HttpPlatform",
     "Platform",
     "ROSTER_OBJECT",
+    "decode_root",
     "decode_roster",
+    "encode_root",
     "encode_roster",
+    "segment_object",
 ]
--- a/snipespring/frontends/platform/codec.py
+++ b/snipespring/frontends/platform/codec.py
@@ -1,25 +1,36 @@
 """Encode the fleet's objects in the platform as CBOR."""
 
-import cattrs
 from attrs import frozen
-from cattrs.preconf.cbor2 import make_converter
-from cbor2 import CBORDecodeError, dumps, loads
+from cbor2 import dumps, loads
 from immutables import Map
 
 from ...decisions.membership import restore_roster
+from ...decisions.rules import RootRecord
 from ...records import Host, Roster, RosterChange
+from ..cbor import DECODING_ERRORS, make_strict_converter
 
 __all__ = [
     "CONFIGURATION_OBJECT",
     "ROSTER_OBJECT",
+    "decode_root",
     "decode_roster",
+    "encode_root",
     "encode_roster",
+    "segment_object",
 ]
 
 CONFIGURATION_OBJECT = "snipespring/configuration"
 ROSTER_OBJECT = "snipespring/roster"
 
-_converter = make_converter(forbid_extra_keys=True)
+_converter = make_strict_converter()
+
+
+@frozen(kw_only=True)
+class _RootContent:
+    """Hold what the platform keeps of a root; its version is the object's."""
+
+    digests: list[str]
+    text_digest: str
 
 
 @frozen(kw_only=True)
@@ -42,9 +53,31 @@
     """Return the roster in the bytes, or None if they hold none."""
     try:
         held = _converter.structure(loads(content), _RosterContent)
-    except (CBORDecodeError, cattrs.BaseValidationError, TypeError, ValueError):
+    except DECODING_ERRORS:
         return None
     base_hosts = Map({host.host_id: host for host in held.hosts})
     if not held.changes:
         return Roster(version=version, hosts=base_hosts)
     return restore_roster(base_hosts, tuple(held.changes), version=version)
+
+
+def segment_object(digest: str) -> str:
+    """Return the name of the object that holds a segment."""
+    return f"snipespring/segments/{digest}"
+
+
+def encode_root(root: RootRecord) -> bytes:
+    """Return the root as CBOR."""
+    content = _RootContent(digests=list(root.digests), text_digest=root.text_digest)
+    return dumps(_converter.unstructure(content))
+
+
+def decode_root(content: bytes, *, version: int) -> RootRecord | None:
+    """Return the root in the bytes, or None if they hold none."""
+    try:
+        held = _converter.structure(loads(content), _RootContent)
+    except DECODING_ERRORS:
+        return None
+    return RootRecord(
+        version=version, digests=tuple(held.digests), text_digest=held.text_digest
+    )
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -8,12 +8,15 @@
 __all__ = [
     "AgedSighting",
     "AgedStatus",
+    "FetchSegment",
     "Message",
     "PeerFailed",
     "PeerResult",
     "Pull",
     "PullReply",
     "Refused",
+    "SegmentAbsent",
+    "SegmentFound",
 ]
 
 
@@ -54,6 +57,28 @@
     statuses: tuple[AgedStatus, ...] = ()
 
 
+@frozen(kw_only=True)
+class FetchSegment:
+    """Ask a peer for a part of the rules text."""
+
+    digest: str
+
+
+@frozen(kw_only=True)
+class SegmentFound:
+    """Carry a part of the rules text."""
+
+    digest: str
+    content: bytes = field(repr=False)
+
+
+@frozen(kw_only=True)
+class SegmentAbsent:
+    """State that the peer does not hold the part."""
+
+    digest: str
+
+
 @frozen(kw_only=True)
 class Refused:
     """Refuse a message and say why."""
@@ -61,7 +86,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused
+Message = Pull | PullReply | FetchSegment | SegmentFound | SegmentAbsent | Refused
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -11,10 +11,12 @@
     "EjectCarefully",
     "EjectQuickly",
     "EjectionPreference",
+    "HeldSegments",
     "KeyAccess",
     "KeyRule",
     "OpenAccess",
     "OrganisationRule",
+    "RefusedConfiguration",
     "RouteRule",
     "Rule",
     "RunAsUpload",
@@ -127,6 +129,21 @@
 Rule = ServiceRule | ServerRule | RouteRule | OrganisationRule | KeyRule
 
 
+@frozen(kw_only=True)
+class HeldSegments:
+    """Hold the parts of the rules text that this host has, by digest."""
+
+    by_digest: Map[str, bytes] = field(default=Map(), repr=False)
+
+
+@frozen(kw_only=True)
+class RefusedConfiguration:
+    """Name the newest version that holds no valid rules; 0 stands for none."""
+
+    version: int = 0
+    reason: str = ""
+
+
 @frozen(kw_only=True)
 class Configuration:
     """Index the rules of one accepted version; version 0 holds none."""
