Keep every form of a key from backend servers

Cause: the key went on inside a path, double percent-encoding, base64 of more than the key, or upper-case hex; identity headers with underscores passed. Ruled out: lists of encoded forms alone (double encoding passes), decoding tokens alone (base64 behind other bytes passes; both are done now). Change: texts are decoded until nothing new shows; cookies and the query lose only the parts that reveal the key; a key in the path, or of fewer than 8 characters, is refused as not run. Conclusion: bodies are not searched.

--- a/snipespring/decisions/keys.py
+++ b/snipespring/decisions/keys.py
@@ -1,13 +1,17 @@
 """Find, check and strip the key that comes with a request."""
 
-import base64
+import contextlib
 import hashlib
-from urllib.parse import parse_qsl, quote, quote_plus, unquote_plus, urlsplit
+import re
+from base64 import b64encode, urlsafe_b64decode
+from collections.abc import Iterator
+from urllib.parse import parse_qsl, unquote, unquote_plus, urlsplit
 
 from attrs import evolve, frozen
 
 from ..records import (
     Configuration,
+    Header,
     KeyAccess,
     OpenAccess,
     OrganisationName,
@@ -28,10 +32,20 @@
 AUTHORIZATION = "authorization"
 BEARER = "bearer "
 KEY_PARAMETER = "api_key"
+COOKIE = "cookie"
 IDENTITY_HEADERS = frozenset(
-    {KEY_HEADER, AUTHORIZATION, "proxy-authorization", "organisation"}
+    {
+        KEY_HEADER,
+        "x-api-key",
+        AUTHORIZATION,
+        "proxy-authorization",
+        "organisation",
+        "x-organisation",
+    }
 )
 MIN_KEY_CHARS = 8
+MAX_DECODINGS = 64
+_TOKENS = (re.compile(r"[A-Za-z0-9+/_-]{8,}"), re.compile(r"[A-Za-z0-9+_-]{8,}"))
 
 
 @frozen(kw_only=True)
@@ -71,6 +85,10 @@
 ) -> Authenticated | KeyRefused:
     """Return whom the request runs for, or why it may not run."""
     key = find_key(request)
+    if key is not None and len(key) < MIN_KEY_CHARS:
+        return KeyRefused(reason=f"the key has fewer than {MIN_KEY_CHARS} characters")
+    if key is not None and _reveals(urlsplit(request.path).path, key):
+        return KeyRefused(reason="the key stands in the path")
     match route.access:
         case OpenAccess():
             return Authenticated(organisation=None, key=key)
@@ -89,42 +107,84 @@
 
 def strip_key(request: Request, key: str | None) -> Request:
     """Return the request without identity headers or any form of the key."""
-    forms = _forms(key)
     headers = tuple(
-        header
+        kept
         for header in request.headers
-        if header.name.lower() not in IDENTITY_HEADERS
-        and not _contains(header.value, forms)
+        if (kept := _strip_header(header, key)) is not None
     )
-    return evolve(request, headers=headers, path=_strip_path(request.path, forms))
+    return evolve(request, headers=headers, path=_strip_query(request.path, key))
 
 
-def _strip_path(path: str, forms: frozenset[str]) -> str:
-    base, _, query = path.partition("?")
-    kept = [part for part in query.split("&") if part and _keeps(part, forms)]
-    return f"{base}?{'&'.join(kept)}" if kept else base
+def _strip_header(header: Header, key: str | None) -> Header | None:
+    name = header.name.lower().replace("_", "-")
+    if name in IDENTITY_HEADERS or _reveals(header.name, key):
+        return None
+    if not _reveals(header.value, key):
+        return header
+    if name != COOKIE:
+        return None
+    parts = [part for part in header.value.split(";") if not _reveals(part, key)]
+    value = ";".join(parts).strip()
+    return None if not value or _reveals(value, key) else evolve(header, value=value)
 
 
-def _keeps(part: str, forms: frozenset[str]) -> bool:
-    name = unquote_plus(part.partition("=")[0]).lower()
-    return name != KEY_PARAMETER and not _contains(part, forms)
+def _strip_query(path: str, key: str | None) -> str:
+    base, _, query = path.partition("?")
+    kept = [part for part in query.split("&") if part and _keeps(part, key)]
+    stripped = "&".join(kept)
+    # What no part reveals alone may still show across parts.
+    return base if not stripped or _reveals(stripped, key) else f"{base}?{stripped}"
 
 
-def _contains(text: str, forms: frozenset[str]) -> bool:
-    return any(form in text or form in unquote_plus(text) for form in forms)
+def _keeps(part: str, key: str | None) -> bool:
+    name = unquote_plus(part.partition("=")[0]).lower()
+    return name != KEY_PARAMETER and not _reveals(part, key)
 
 
-def _forms(key: str | None) -> frozenset[str]:
+def _reveals(text: str, key: str | None) -> bool:
+    """Return whether the key stands in the text, or too much is encoded to tell."""
     if key is None or len(key) < MIN_KEY_CHARS:
-        return frozenset()
-    encoded = key.encode()
-    return frozenset(
-        {
-            key,
-            quote(key),
-            quote_plus(key),
-            base64.b64encode(encoded).decode().rstrip("="),
-            base64.urlsafe_b64encode(encoded).decode().rstrip("="),
-            encoded.hex(),
-        }
-    )
+        return False
+    forms = (key, *_list_base64_forms(key.encode()))
+    hex_form = key.encode().hex()
+    met = {text}
+    queue = [text]
+    while queue:
+        current = queue.pop()
+        if hex_form in current.lower() or any(form in current for form in forms):
+            return True
+        new = {found for found in _decode_once(current, len(key)) if found not in met}
+        met |= new
+        queue.extend(new)
+        if len(met) > MAX_DECODINGS:
+            return True
+    return False
+
+
+def _list_base64_forms(key: bytes) -> Iterator[str]:
+    """Yield the characters that a key gives at each place within base64 text."""
+    for offset in range(3):
+        bits = (offset + len(key)) * 8
+        first = -(-offset * 8 // 6)
+        encoded = b64encode(bytes(offset) + key).decode()[first : bits // 6]
+        yield encoded
+        yield encoded.replace("+", "-").replace("/", "_")
+
+
+def _decode_once(text: str, key_chars: int) -> Iterator[str]:
+    if "%" in text:
+        yield unquote(text)
+    if "+" in text:
+        yield unquote_plus(text)
+    for pattern in _TOKENS:
+        for match in pattern.finditer(text):
+            if len(match[0]) >= key_chars:
+                yield from _decode_token(match[0])
+
+
+def _decode_token(token: str) -> Iterator[str]:
+    with contextlib.suppress(ValueError):
+        yield bytes.fromhex(token).decode()
+    padded = token.replace("+", "-").replace("/", "_") + "=" * (-len(token) % 4)
+    with contextlib.suppress(ValueError):
+        yield urlsafe_b64decode(padded).decode()
