--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -15,9 +15,16 @@
     ROSTER,
 )
 from .health import (
+    EJECTION_LISTS,
     EVIDENCE,
+    HEALTH_POOLS,
+    LOCAL_HEALTH,
     SERVER_STATES,
 )
+from .limits import (
+    CREDIT_NEEDS,
+    SHARE_LEDGER,
+)
 from .process import (
     COUNTERS,
     EVENTS,
@@ -30,13 +37,17 @@
 __all__ = [
     "CONFIGURATION",
     "COUNTERS",
+    "CREDIT_NEEDS",
+    "EJECTION_LISTS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HEALTH_POOLS",
     "HEARD_HOSTS",
     "HELD_SEGMENTS",
     "HOST_STATUSES",
     "LEASE",
+    "LOCAL_HEALTH",
     "OWN_STATUS",
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
@@ -45,5 +56,6 @@
     "ROSTER",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SHARE_LEDGER",
     "STOP",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -23,6 +23,15 @@
 from .forwarder import (
     Forwarder,
 )
+from .health_judge import (
+    HealthJudge,
+)
+from .health_keeper import (
+    HealthKeeper,
+)
+from .health_reporter import (
+    HealthReporter,
+)
 from .historian import (
     Historian,
 )
@@ -48,6 +57,15 @@
 from .segment_keeper import (
     SegmentKeeper,
 )
+from .share_book import (
+    ShareBook,
+)
+from .share_borrower import (
+    ShareBorrower,
+)
+from .share_mover import (
+    ShareMover,
+)
 from .status_keeper import (
     StatusKeeper,
 )
@@ -65,6 +83,9 @@
     "Controller",
     "FenceKeeper",
     "Forwarder",
+    "HealthJudge",
+    "HealthKeeper",
+    "HealthReporter",
     "Historian",
     "LeaseKeeper",
     "Limiter",
@@ -75,6 +96,9 @@
     "RulesHeld",
     "Runner",
     "SegmentKeeper",
+    "ShareBook",
+    "ShareBorrower",
+    "ShareMover",
     "StatusKeeper",
     "Unreachable",
     "Watcher",
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -3,6 +3,10 @@
 from attrs import define
 
 from ..records import (
+    CreditAsks,
+    CreditGrants,
+    EjectionList,
+    EvidenceReport,
     FetchSegment,
     Message,
     Pull,
@@ -10,9 +14,13 @@
     Refused,
     SegmentAbsent,
     SegmentFound,
+    ShareHandovers,
+    SharesTaken,
 )
+from .health_judge import HealthJudge
 from .puller import Puller
 from .segment_keeper import SegmentKeeper
+from .share_book import ShareBook
 
 __all__ = ["Responder"]
 
@@ -23,6 +31,8 @@
 
     puller: Puller
     segment_keeper: SegmentKeeper
+    shares: ShareBook
+    health_judge: HealthJudge
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
@@ -31,5 +41,19 @@
                 return self.puller.answer(message)
             case FetchSegment():
                 return self.segment_keeper.answer(message)
-            case PullReply() | SegmentFound() | SegmentAbsent() | Refused():
+            case CreditAsks():
+                return self.shares.lend(message)
+            case ShareHandovers():
+                return self.shares.take(message)
+            case EvidenceReport():
+                return self.health_judge.answer(message)
+            case (
+                PullReply()
+                | SegmentFound()
+                | SegmentAbsent()
+                | EjectionList()
+                | Refused()
+                | CreditGrants()
+                | SharesTaken()
+            ):
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -26,6 +26,9 @@
     Controller,
     FenceKeeper,
     Forwarder,
+    HealthJudge,
+    HealthKeeper,
+    HealthReporter,
     Historian,
     LeaseKeeper,
     Limiter,
@@ -34,11 +37,15 @@
     RosterKeeper,
     Runner,
     SegmentKeeper,
+    ShareBook,
+    ShareBorrower,
+    ShareMover,
     StatusKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
 from ..decisions.keys import digest_key, find_key
+from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
 from ..frontends.http_server import HttpServer
@@ -75,6 +82,7 @@
     links: PeerLinks
     roster_keeper: RosterKeeper
     lease_keeper: LeaseKeeper
+    share_mover: ShareMover
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -97,6 +105,8 @@
         self.board.write(STOP, finished, writer="stopper")
         self.lease_keeper.step()
         self.roster_keeper.leave()
+        self.share_mover.hand_over_all()
+        self.share_mover.close()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -115,6 +125,14 @@
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
     accountant = Accountant(board=board)
+    book = ShareBook(board=board, clock=clock, own=peer_of(own))
+    share_mover = ShareMover(
+        book=book,
+        client=links,
+        clock=clock,
+        historian=historian,
+        accountant=accountant,
+    )
     puller = Puller(
         board=board,
         clock=clock,
@@ -151,6 +169,7 @@
         own=own,
         lease_s=settings.peers.lease_s,
     )
+    health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -185,8 +204,26 @@
             lease_s=settings.peers.lease_s,
             drift_margin_s=settings.peers.drift_margin_s,
         ),
+        ShareBorrower(book=book, client=links, accountant=accountant),
+        share_mover,
+        health_judge,
+        HealthReporter(
+            board=board, clock=clock, client=links, judge=health_judge, own=own
+        ),
+        HealthKeeper(
+            board=board,
+            clock=clock,
+            historian=historian,
+            accountant=accountant,
+            own=own,
+        ),
+    )
+    responder = Responder(
+        puller=puller,
+        segment_keeper=segment_keeper,
+        shares=book,
+        health_judge=health_judge,
     )
-    responder = Responder(puller=puller, segment_keeper=segment_keeper)
     forwarder = Forwarder(
         board=board,
         clock=clock,
@@ -194,7 +231,7 @@
         transport=HttpTransport(clock=clock),
         historian=historian,
         accountant=accountant,
-        limiter=Limiter(board=board, clock=clock),
+        limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
         claimant=Claimant(board=board, clock=clock),
         domain=own.domain,
     )
@@ -230,6 +267,7 @@
         links=links,
         roster_keeper=roster_keeper,
         lease_keeper=lease_keeper,
+        share_mover=share_mover,
     )
 
 
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -3,7 +3,9 @@
 from attrs import field, frozen
 
 from .fleet import HostStatus, Versions
+from .health_messages import HealthMessage
 from .identity import HostId
+from .limit_messages import LimitMessage
 
 __all__ = [
     "AgedSighting",
@@ -86,7 +88,16 @@
     reason: str
 
 
-Message = Pull | PullReply | FetchSegment | SegmentFound | SegmentAbsent | Refused
+Message = (
+    Pull
+    | PullReply
+    | FetchSegment
+    | SegmentFound
+    | SegmentAbsent
+    | Refused
+    | HealthMessage
+    | LimitMessage
+)
 
 
 @frozen(kw_only=True)
