Stop without cutting requests and offer only hosts that serve

Cause: a stopping host waited one address lifetime but not until other hosts had heard of it, and hosts without a lease or a fresh status were offered. Change: the wait adds six pull intervals; statuses say whether the host holds its lease; answers take two near hosts and two others from pools that grow with the organisation's rate, spread by request; handovers hook before the wait. Conclusion: holds for callers that keep an answer no longer than its lifetime.

--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -3,6 +3,9 @@
 from .accountant import (
     Accountant,
 )
+from .address_lister import (
+    AddressLister,
+)
 from .applier import (
     Accepted,
     Applier,
@@ -76,6 +79,7 @@
 __all__ = [
     "Accepted",
     "Accountant",
+    "AddressLister",
     "Applier",
     "Claimant",
     "Configurator",
--- /dev/null
+++ b/snipespring/controllers/address_lister.py
@@ -0,0 +1,60 @@
+"""Answer callers that ask which hosts to use."""
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import CONFIGURATION, HOST_STATUSES, ROSTER, STOP
+from ..decisions.addresses import AddressQuestion, list_addresses, list_available
+from ..decisions.keys import digest_key, find_key
+from ..records import (
+    AddressAnswer,
+    Configuration,
+    Host,
+    Leaving,
+    OrganisationName,
+    Request,
+    Serving,
+)
+from ..utils import Clock
+
+__all__ = ["AddressLister"]
+
+
+@define(kw_only=True, eq=False)
+class AddressLister:
+    """Read the roster, statuses and rules; write nothing."""
+
+    board: Board
+    clock: Clock
+    own: Host
+    lifetime_s: float
+
+    def answer(self, request: Request) -> AddressAnswer:
+        """Return the hosts that the caller should use."""
+        cfg = self.board.read(CONFIGURATION)
+        key = find_key(request)
+        organisation = cfg.keys.get(digest_key(key)) if key is not None else None
+        question = AddressQuestion(
+            organisation=organisation,
+            rate_per_s=_rate_per_s(cfg, organisation),
+            near=self.own.domain,
+            caller=request.request_id,
+        )
+        return list_addresses(self._available(), question, lifetime_s=self.lifetime_s)
+
+    def _available(self) -> tuple[Host, ...]:
+        hosts = list_available(
+            self.board.read(ROSTER),
+            self.board.read(HOST_STATUSES),
+            now_s=self.clock.monotonic_s(),
+        )
+        match self.board.read(STOP):
+            case Serving():
+                return hosts
+            case Leaving():
+                return tuple(host for host in hosts if host != self.own)
+
+
+def _rate_per_s(cfg: Configuration, organisation: OrganisationName | None) -> float:
+    rule = cfg.organisations.get(organisation) if organisation is not None else None
+    return rule.rate_per_s if rule is not None else 0.0
--- a/snipespring/controllers/status_keeper.py
+++ b/snipespring/controllers/status_keeper.py
@@ -3,9 +3,26 @@
 from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, HEARD_HOSTS, OWN_STATUS, ROSTER, STOP
+from ..blackboard.regions import (
+    CONFIGURATION,
+    HEARD_HOSTS,
+    LEASE,
+    OWN_STATUS,
+    ROSTER,
+    STOP,
+)
 from ..decisions.membership import SilenceLimits, list_unheard_hosts
-from ..records import Host, HostId, HostStatus, HostView, Leaving, StopState, Versions
+from ..records import (
+    Host,
+    HostId,
+    HostStatus,
+    HostView,
+    LeaseHeld,
+    LeaseLapsed,
+    Leaving,
+    StopState,
+    Versions,
+)
 from ..utils import Clock
 
 __all__ = ["StatusKeeper"]
@@ -41,11 +58,19 @@
             versions=versions,
             leaving=_is_leaving(self.board.read(STOP)),
             unheard=self._unheard(),
+            serving=self._is_serving(),
         )
         view = HostView(status=status, as_of_s=as_of_s)
         self.board.write(OWN_STATUS, view, writer=self.name)
         return REPORT_INTERVAL_S
 
+    def _is_serving(self) -> bool:
+        match self.board.read(LEASE):
+            case LeaseHeld(until_s=until_s):
+                return self.clock.monotonic_s() < until_s
+            case LeaseLapsed():
+                return False
+
     def _unheard(self) -> tuple[HostId, ...]:
         return list_unheard_hosts(
             self.board.read(HEARD_HOSTS),
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import uuid
+from collections.abc import Callable
 from functools import partial
 from random import Random
 from types import FrameType
@@ -12,15 +13,13 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import (
-    CONFIGURATION,
-    HOST_STATUSES,
     PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
-    ROSTER,
     STOP,
 )
 from ..controllers import (
     Accountant,
+    AddressLister,
     Claimant,
     Configurator,
     Controller,
@@ -43,8 +42,6 @@
     StatusKeeper,
     Watcher,
 )
-from ..decisions.addresses import list_addresses
-from ..decisions.keys import digest_key, find_key
 from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
@@ -52,13 +49,14 @@
 from ..frontends.operators import OperatorsApp
 from ..frontends.peers import PeerLinks, PeerServer
 from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT, HttpPlatform
-from ..records import AddressAnswer, Host, Incarnation, Leaving, Request
+from ..records import Host, Incarnation, Leaving
 from ..settings import Settings
 from ..utils import Clock, SystemClock
 
 __all__ = ["Proxy", "build_proxy", "run_proxy"]
 
 DRAIN_LIMIT_S = 30.0
+SPREAD_ROUNDS = 6  # pulls until every host knows that this one leaves
 OPERATOR_THREADS = 2
 OPERATOR_CONNECTIONS = 50
 OPERATOR_BODY_BYTES = 65536
@@ -83,6 +81,7 @@
     roster_keeper: RosterKeeper
     lease_keeper: LeaseKeeper
     share_mover: ShareMover
+    handovers: tuple[Callable[[], None], ...] = ()
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -93,24 +92,37 @@
 
     def stop(self) -> None:
         """Leave the address answers, finish the requests, then close everything."""
-        lifetime_s = self.settings.callers.address_lifetime_s
-        until_s = self.clock.monotonic_s() + lifetime_s
-        self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
-        self.callers.drain()
-        threading.Event().wait(lifetime_s)
+        self._announce()
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.callers.close()
-        finished = Leaving(until_s=until_s, finished=True)
+        self._leave()
+        self.runner.stop()
+        self.peers.close()
+        self.links.close()
+        self.operators.close()
+
+    def _announce(self) -> None:
+        """Tell all hosts, hand over, and wait until no caller keeps this address."""
+        peers = self.settings.peers
+        spread_s = SPREAD_ROUNDS * peers.pull_interval_s
+        wait_s = spread_s + self.settings.callers.address_lifetime_s
+        until_s = self.clock.monotonic_s() + wait_s
+        self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
+        self.callers.drain()
+        for hand_over in self.handovers:
+            hand_over()
+        left_s = until_s - self.clock.monotonic_s()
+        threading.Event().wait(max(0.0, left_s))
+
+    def _leave(self) -> None:
+        """Give up the lease, then the place in the roster, then the shares."""
+        finished = Leaving(until_s=self.clock.monotonic_s(), finished=True)
         self.board.write(STOP, finished, writer="stopper")
         self.lease_keeper.step()
         self.roster_keeper.leave()
         self.share_mover.hand_over_all()
         self.share_mover.close()
-        self.runner.stop()
-        self.peers.close()
-        self.links.close()
-        self.operators.close()
 
 
 def build_proxy(settings: Settings, secret: bytes) -> Proxy:
@@ -236,9 +248,12 @@
         domain=own.domain,
     )
 
-    def answer_addresses(request: Request) -> AddressAnswer:
-        return _answer_addresses(board, own, settings, request)
-
+    address_lister = AddressLister(
+        board=board,
+        clock=clock,
+        own=own,
+        lifetime_s=settings.callers.address_lifetime_s,
+    )
     return Proxy(
         board=board,
         clock=clock,
@@ -246,7 +261,9 @@
         runner=Runner(board=board, controllers=controllers),
         callers=HttpServer(
             address=own.callers,
-            app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
+            app=CallersApp(
+                handle=forwarder.handle, list_addresses=address_lister.answer
+            ),
             threads=settings.callers.threads,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
@@ -300,22 +317,3 @@
         peers=settings.listen.peers,
         operators=settings.listen.operators,
     )
-
-
-def _answer_addresses(
-    board: Board, own: Host, settings: Settings, request: Request
-) -> AddressAnswer:
-    key = find_key(request)
-    keys = board.read(CONFIGURATION).keys
-    organisation = keys.get(digest_key(key)) if key is not None else None
-    statuses = board.read(HOST_STATUSES).by_host
-    leaving = frozenset(
-        host_id for host_id, view in statuses.items() if view.status.leaving
-    )
-    return list_addresses(
-        board.read(ROSTER).hosts.values(),
-        leaving=leaving,
-        organisation=organisation,
-        near=own.domain,
-        lifetime_s=settings.callers.address_lifetime_s,
-    )
--- a/snipespring/decisions/addresses.py
+++ b/snipespring/decisions/addresses.py
@@ -1,39 +1,94 @@
 """Decide which hosts a caller should use."""
 
 from collections.abc import Iterable
+from itertools import zip_longest
+from math import ceil
+
+from attrs import frozen
 
 from ..records import (
     AddressAnswer,
     DomainName,
     Host,
-    HostId,
+    HostStatuses,
     OfferedAddress,
     OrganisationName,
+    Roster,
 )
 from .membership import rank_hosts
 
-__all__ = ["list_addresses"]
+__all__ = ["AddressQuestion", "list_addresses", "list_available"]
+
+NEAR_OFFERS = 2
+FAR_OFFERS = 2
+MIN_POOL = 2
+RATE_PER_HOST_S = 100.0
+STATUS_LIMIT_S = 5.0
+
+
+@frozen(kw_only=True)
+class AddressQuestion:
+    """State who asks, in which domain and for how much traffic a second."""
+
+    organisation: OrganisationName | None
+    rate_per_s: float
+    near: DomainName
+    caller: str
+
 
-OFFERED_HOSTS = 4
+def list_available(
+    roster: Roster, statuses: HostStatuses, *, now_s: float
+) -> tuple[Host, ...]:
+    """Return the hosts that serve, or all that stay where none is known to."""
+    staying: list[Host] = []
+    serving: list[Host] = []
+    for host in roster.hosts.values():
+        view = statuses.by_host.get(host.host_id)
+        if view is None or view.status.incarnation != host.incarnation:
+            staying.append(host)
+        elif not view.status.leaving:
+            staying.append(host)
+            if view.status.serving and now_s - view.as_of_s <= STATUS_LIMIT_S:
+                serving.append(host)
+    return tuple(serving or staying)
 
 
 def list_addresses(
-    hosts: Iterable[Host],
-    *,
-    leaving: frozenset[HostId],
-    organisation: OrganisationName | None,
-    near: DomainName,
-    lifetime_s: float,
+    hosts: Iterable[Host], question: AddressQuestion, *, lifetime_s: float
 ) -> AddressAnswer:
-    """Return hosts for the organisation, near first, in at least two domains."""
-    staying = [host for host in hosts if host.host_id not in leaving]
-    ranked = rank_hosts(staying, organisation or "")
-    chosen = ranked[:OFFERED_HOSTS]
-    if len({host.domain for host in chosen}) == 1:
-        others = [host for host in ranked if host.domain != chosen[0].domain]
-        chosen = chosen[: OFFERED_HOSTS - 1] + others[:1]
-    chosen.sort(key=lambda host: host.domain != near)
+    """Return hosts for the organisation, near first, in at least two domains.
+
+    An organisation has a pool in each domain that grows with its rate; callers
+    are spread over the pool.
+    """
+    pools = _list_pools(hosts, question)
+    near = rank_hosts(pools.pop(question.near, []), question.caller)
+    far = _rank_far(pools.values(), question.caller)
+    chosen = [*near[:NEAR_OFFERS], *far[:FAR_OFFERS]]
+    if len(chosen) < NEAR_OFFERS + FAR_OFFERS:
+        rest = [*near[NEAR_OFFERS:], *far[FAR_OFFERS:]]
+        chosen += rest[: NEAR_OFFERS + FAR_OFFERS - len(chosen)]
     offers = tuple(
         OfferedAddress(address=host.callers, domain=host.domain) for host in chosen
     )
     return AddressAnswer(offers=offers, lifetime_s=lifetime_s)
+
+
+def _list_pools(
+    hosts: Iterable[Host], question: AddressQuestion
+) -> dict[DomainName, list[Host]]:
+    by_domain: dict[DomainName, list[Host]] = {}
+    for host in rank_hosts(hosts, question.organisation or ""):
+        by_domain.setdefault(host.domain, []).append(host)
+    needed = ceil(question.rate_per_s / RATE_PER_HOST_S / max(1, len(by_domain)))
+    size = max(MIN_POOL, needed)
+    return {domain: members[:size] for domain, members in by_domain.items()}
+
+
+def _rank_far(pools: Iterable[list[Host]], caller: str) -> list[Host]:
+    """Return the best host of each domain, then the second best of each."""
+    ranked = [rank_hosts(pool, caller) for pool in pools]
+    ordered: list[Host] = []
+    for row in zip_longest(*ranked):
+        ordered += rank_hosts((host for host in row if host is not None), caller)
+    return ordered
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -84,7 +84,7 @@
     """State what one host reports of itself; `sequence` rises per incarnation.
 
     `unheard` names hosts that this one exchanged messages with and that have
-    fallen silent towards it.
+    fallen silent towards it; a host that is `serving` holds its lease.
     """
 
     host_id: HostId
@@ -93,6 +93,7 @@
     versions: Versions
     leaving: bool = False
     unheard: tuple[HostId, ...] = ()
+    serving: bool = True
 
 
 @frozen(kw_only=True)
