--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -3,10 +3,14 @@
 from .accountant import (
     Accountant,
 )
+from .address_lister import (
+    AddressLister,
+)
 from .applier import (
     Accepted,
     Applier,
     Conflicted,
+    Damaged,
     NothingHeld,
     RulesHeld,
     Unreachable,
@@ -65,6 +69,9 @@
     Controller,
     Runner,
 )
+from .segment_keeper import (
+    SegmentKeeper,
+)
 from .sender import (
     Delivery,
     Sender,
@@ -94,6 +101,7 @@
 __all__ = [
     "Accepted",
     "Accountant",
+    "AddressLister",
     "Applier",
     "Canceller",
     "ClaimOwner",
@@ -101,6 +109,7 @@
     "Configurator",
     "Conflicted",
     "Controller",
+    "Damaged",
     "Delivery",
     "Dispatcher",
     "FenceKeeper",
@@ -119,6 +128,7 @@
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "SegmentKeeper",
     "Sender",
     "ShareBook",
     "ShareBorrower",
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -7,6 +7,7 @@
     ClaimRequest,
     CreditAsks,
     EvidenceReport,
+    FetchSegment,
     Message,
     Pull,
     Refused,
@@ -15,6 +16,7 @@
 from .claim_owner import ClaimOwner
 from .health_judge import HealthJudge
 from .puller import Puller
+from .segment_keeper import SegmentKeeper
 from .share_book import ShareBook
 
 __all__ = ["Responder"]
@@ -25,6 +27,7 @@
     """Answer the calls of other hosts."""
 
     puller: Puller
+    segment_keeper: SegmentKeeper
     shares: ShareBook
     health_judge: HealthJudge
     claim_owner: ClaimOwner
@@ -34,6 +37,8 @@
         match message:
             case Pull():
                 return self.puller.answer(message)
+            case FetchSegment():
+                return self.segment_keeper.answer(message)
             case CreditAsks():
                 return self.shares.lend(message)
             case ShareHandovers():
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -11,12 +11,15 @@
 __all__ = [
     "AgedSighting",
     "AgedStatus",
+    "FetchSegment",
     "Message",
     "PeerFailed",
     "PeerResult",
     "Pull",
     "PullReply",
     "Refused",
+    "SegmentAbsent",
+    "SegmentFound",
 ]
 
 
@@ -57,6 +60,28 @@
     statuses: tuple[AgedStatus, ...] = ()
 
 
+@frozen(kw_only=True)
+class FetchSegment:
+    """Ask a peer for a part of the rules text."""
+
+    digest: str
+
+
+@frozen(kw_only=True)
+class SegmentFound:
+    """Carry a part of the rules text."""
+
+    digest: str
+    content: bytes = field(repr=False)
+
+
+@frozen(kw_only=True)
+class SegmentAbsent:
+    """State that the peer does not hold the part."""
+
+    digest: str
+
+
 @frozen(kw_only=True)
 class Refused:
     """Refuse a message and say why."""
@@ -64,7 +89,17 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused | ClaimMessage | HealthMessage | LimitMessage
+Message = (
+    Pull
+    | PullReply
+    | FetchSegment
+    | SegmentFound
+    | SegmentAbsent
+    | Refused
+    | ClaimMessage
+    | HealthMessage
+    | LimitMessage
+)
 
 
 @frozen(kw_only=True)
