Borrow ahead only where demand is worth it; measure wrong refusals

Ruled out: a smaller fixed amount ahead, which still is taken by every host. Change: credit ahead is wanted only where demand within 0.25 s makes at least one request, and asked for at most ten times a second. The benchmark drives the real share book in virtual time against equal parts and one counter.

--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,264 @@
+"""Measure wrong refusals and excess admissions: `python -m benchmarks.limits`."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Annotated
+
+import cappa
+from attrs import evolve, frozen
+
+from snipespring.decisions.limits import slot_holders
+from snipespring.records import OrganisationName, OrganisationRule
+
+from .limits_schemes import EqualParts, OneCounter, Scheme, Shares, run_scheme
+from .limits_world import Bucket, Plan, Request, World, count_over, make_roster
+
+__all__ = ["main"]
+
+HOSTS = 44
+ORGANISATIONS = 8
+RATE_PER_S = 100.0
+HEAVY_FACTOR = 5.0
+BURST_PERIOD_S = 1.0
+BURST_LENGTH_S = 0.5
+KILL_AT_S = 10.0
+DETECTION_S = 3.0
+FENCE_S = 4.4
+HOUR_S = 3600.0
+SLOW_RATE_PER_S = 10.0
+COLUMNS = (
+    "scenario",
+    "scheme",
+    "requests",
+    "ideal",
+    "wrongly refused",
+    "fewer than ideal",
+    "over",
+    "p99 wait, ms",
+    "whole after, s",
+)
+SCHEMES: tuple[Scheme, ...] = (Shares(), EqualParts(), OneCounter())
+
+
+@frozen(kw_only=True)
+class Result:
+    """Hold what one scheme did in one scenario; shares are of ideal admissions."""
+
+    scenario: str
+    scheme: str
+    requests: int
+    ideal: int
+    wrongly_refused: float
+    shortfall: float
+    over: int
+    wait_p99_s: float
+    whole_after_s: float | None
+
+
+@frozen(kw_only=True)
+class Arguments:
+    """Choose the seed, the load and the burst, both relative to the rate."""
+
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+    load: Annotated[float, cappa.Arg(long=True)] = 0.8
+    burst: Annotated[float, cappa.Arg(long=True)] = 1.0
+
+
+def make_rules(number: int, rate_per_s: float, burst: float) -> list[OrganisationRule]:
+    """Return rules of numbered organisations."""
+    return [
+        OrganisationRule(
+            name=OrganisationName(f"organisation-{index}"),
+            rate_per_s=rate_per_s,
+            burst=burst,
+            asked_by="benchmark",
+        )
+        for index in range(number)
+    ]
+
+
+def poisson_times_s(rng: Random, rate_per_s: float, seconds: float) -> Iterable[float]:
+    """Yield Poisson arrival times."""
+    time_s = rng.expovariate(rate_per_s)
+    while time_s < seconds:
+        yield time_s
+        time_s += rng.expovariate(rate_per_s)
+
+
+def arrive_evenly(rng: Random, plan: Plan) -> list[Request]:
+    """Spread each organisation's requests over all hosts."""
+    return [
+        Request(
+            organisation=rule.name, host=rng.randrange(plan.hosts), arrived_s=time_s
+        )
+        for rule in plan.rules
+        for time_s in poisson_times_s(rng, plan.load * rule.rate_per_s, plan.seconds)
+    ]
+
+
+def arrive_at_one(rng: Random, plan: Plan) -> list[Request]:
+    """Send each organisation's requests to one host of its own."""
+    return [
+        Request(organisation=rule.name, host=host, arrived_s=time_s)
+        for rule in plan.rules
+        for host in [rng.randrange(plan.hosts)]
+        for time_s in poisson_times_s(rng, plan.load * rule.rate_per_s, plan.seconds)
+    ]
+
+
+def arrive_in_bursts(rng: Random, plan: Plan) -> list[Request]:
+    """Send a burst each period, each to another host."""
+    requests = []
+    for rule in plan.rules:
+        rate_per_s = plan.load * rule.rate_per_s * BURST_PERIOD_S / BURST_LENGTH_S
+        for period in range(int(plan.seconds / BURST_PERIOD_S)):
+            host = rng.randrange(plan.hosts)
+            requests += [
+                Request(
+                    organisation=rule.name,
+                    host=host,
+                    arrived_s=period * BURST_PERIOD_S + time_s,
+                )
+                for time_s in poisson_times_s(rng, rate_per_s, BURST_LENGTH_S)
+            ]
+    return requests
+
+
+def arrive_with_one_heavy(rng: Random, plan: Plan) -> list[Request]:
+    """Send several times the rate for the first organisation."""
+    heavy = plan.rules[0]
+    more = evolve(plan, rules=(heavy,))
+    times = round(HEAVY_FACTOR / plan.load)
+    extra = [req for _ in range(times - 1) for req in arrive_evenly(rng, more)]
+    return arrive_evenly(rng, plan) + extra
+
+
+def make_plans(load: float, burst: float) -> list[Plan]:
+    """Return every scenario."""
+    rules = tuple(make_rules(ORGANISATIONS, RATE_PER_S, burst * RATE_PER_S))
+    slow = tuple(make_rules(1, SLOW_RATE_PER_S, burst * SLOW_RATE_PER_S))
+    even = Plan(
+        name="even over 44 hosts", rules=rules, arrivals=arrive_evenly, load=load
+    )
+    hour = evolve(even, name="platform away 1 h", rules=slow, seconds=HOUR_S)
+    heavy = evolve(
+        even, name="one at 5 x: the 7 others", arrivals=arrive_with_one_heavy
+    )
+    killed = _holders(rules[0], slots=2) + _holders(rules[1], slots=1)
+    return [
+        even,
+        evolve(even, name="all on one host", arrivals=arrive_at_one),
+        evolve(even, name="burst moving", arrivals=arrive_in_bursts),
+        evolve(heavy, counted=frozenset(rule.name for rule in rules[1:])),
+        evolve(heavy, name="one at 5 x: itself", counted=frozenset({rules[0].name})),
+        evolve(
+            even,
+            name="3 of 44 killed, holders of slots",
+            killed=killed,
+            kill_at_s=KILL_AT_S,
+            removed_at_s=KILL_AT_S + DETECTION_S,
+            fenced_at_s=KILL_AT_S + DETECTION_S + FENCE_S,
+        ),
+        hour,
+        evolve(
+            hour,
+            name="platform away 1 h, a holder dead for half",
+            killed=_holders(slow[0], slots=1),
+            kill_at_s=HOUR_S / 2,
+        ),
+        evolve(even, name="one-way cut of two domains", is_cut=True),
+    ]
+
+
+def measure(plan: Plan, scheme: Scheme, seed: int) -> Result:
+    """Run one scenario under one scheme."""
+    requests = sorted(
+        plan.arrivals(Random(seed), plan), key=lambda request: request.arrived_s
+    )
+    _settle_ideally(plan, requests)
+    roster = make_roster(plan.hosts, version=1)
+    world = World(plan=plan, rng=Random(seed + 1), roster=roster)
+    whole_after_s = run_scheme(scheme, world, requests)
+    counted = [
+        request
+        for request in requests
+        if plan.counted is None or request.organisation in plan.counted
+    ]
+    ideal = [request for request in counted if request.ideal]
+    admitted = [request for request in counted if request.admitted_s is not None]
+    wrong = sum(request.admitted_s is None for request in ideal)
+    waits_s = sorted(
+        request.admitted_s + request.reply_s - request.arrived_s
+        for request in admitted
+        if request.admitted_s is not None
+    )
+    return Result(
+        scenario=plan.name,
+        scheme=type(scheme).__name__,
+        requests=len(counted),
+        ideal=len(ideal),
+        wrongly_refused=wrong / len(ideal),
+        shortfall=max(0.0, 1.0 - len(admitted) / len(ideal)),
+        over=sum(_over(rule, requests) for rule in plan.rules),
+        wait_p99_s=waits_s[int(0.99 * len(waits_s))] if waits_s else 0.0,
+        whole_after_s=whole_after_s,
+    )
+
+
+def main() -> None:
+    """Print the table of all scenarios and schemes."""
+    arguments = cappa.parse(Arguments)
+    print(f"| {' | '.join(COLUMNS)} |")
+    print("|---" * len(COLUMNS) + "|")
+    for plan in make_plans(arguments.load, arguments.burst):
+        for scheme in SCHEMES:
+            print(_row(measure(plan, scheme, arguments.seed)), flush=True)
+
+
+def _settle_ideally(plan: Plan, requests: list[Request]) -> None:
+    buckets = {
+        rule.name: Bucket(
+            rate_per_s=rule.rate_per_s, burst=rule.burst, level=rule.burst
+        )
+        for rule in plan.rules
+    }
+    for request in requests:
+        request.ideal = buckets[request.organisation].take(request.arrived_s)
+
+
+def _over(rule: OrganisationRule, requests: list[Request]) -> int:
+    times_s = [
+        request.admitted_s
+        for request in requests
+        if request.organisation == rule.name and request.admitted_s is not None
+    ]
+    return count_over(rule, times_s)
+
+
+def _holders(rule: OrganisationRule, *, slots: int) -> tuple[int, ...]:
+    holders = slot_holders(make_roster(HOSTS, version=1), rule.name)
+    return tuple(_index(host.host_id) for host in holders[:slots])
+
+
+def _index(host_id: str) -> int:
+    return int(host_id.removeprefix("host-"))
+
+
+def _row(result: Result) -> str:
+    whole = result.whole_after_s
+    cells = [
+        result.scenario,
+        result.scheme,
+        str(result.requests),
+        str(result.ideal),
+        f"{result.wrongly_refused:.3%}",
+        f"{result.shortfall:.3%}",
+        str(result.over),
+        f"{result.wait_p99_s * 1000:.1f}",
+        "" if whole is None else f"{whole:.1f}",
+    ]
+    return f"| {' | '.join(cells)} |"
+
+
+if __name__ == "__main__":
+    main()
--- a/snipespring/decisions/limits/asks.py
+++ b/snipespring/decisions/limits/asks.py
@@ -21,10 +21,10 @@
 
 AHEAD_S = 0.25
 MIN_AHEAD = 1.0
-MIN_DEMAND_PER_S = 0.5
 MAX_WAITING = 16
 MIN_REPEAT_S = 0.01
 MAX_REPEAT_S = 0.5
+AHEAD_REPEAT_S = 0.1
 SILENT_AVOID_S = 0.5
 
 
@@ -50,11 +50,8 @@
     """Return the credit to borrow for an account grown to the present."""
     free = spendable(account) - account.waiting
     urgent = max(0.0, -free)
-    demand_per_s = current_demand_per_s(account, now_s=now_s)
-    if demand_per_s < MIN_DEMAND_PER_S:
-        return CreditNeed(urgent=urgent)
-    wanted = MIN_AHEAD + demand_per_s * AHEAD_S
-    if free >= wanted / 2:
+    wanted = current_demand_per_s(account, now_s=now_s) * AHEAD_S
+    if wanted < MIN_AHEAD or free >= wanted / 2:
         return CreditNeed(urgent=urgent)
     return CreditNeed(urgent=urgent, ahead=wanted - max(0.0, free))
 
@@ -79,7 +76,9 @@
         part = min(urgent, max(expected, min(1.0, limit.capacity)))
         spare = expected - part - limit.capacity * AHEAD_RESERVE
         extra = min(ahead, max(0.0, spare) * AHEAD_PORTION)
-        if part <= 0 and extra < min(1.0, limit.capacity / 2):
+        if part <= 0 and (
+            extra < 1.0 or not _may_ask_ahead(account, slot, host, now_s)
+        ):
             continue
         asks.append(PlannedAsk(slot=slot, host=host, urgent=part, ahead=extra))
         urgent -= part
@@ -108,9 +107,11 @@
 
 
 def next_ask_delay_s(
-    account: Account, limit: SlotLimit, own: Peer, *, now_s: float
+    account: Account, need: CreditNeed, limit: SlotLimit, own: Peer, *, now_s: float
 ) -> float:
     """Return seconds until some holder may be asked again."""
+    if need.urgent <= 0:
+        return AHEAD_REPEAT_S
     times_s = [
         _view(account, slot, host, limit, now_s).avoid_until_s
         for slot, host in _lenders(account, own)
@@ -175,6 +176,11 @@
     return view is None or view.avoid_until_s <= now_s
 
 
+def _may_ask_ahead(account: Account, slot: int, host: Host, now_s: float) -> bool:
+    view = account.lenders.get(Lender(peer=peer_of(host), slot=slot))
+    return view is None or now_s - view.as_of_s >= AHEAD_REPEAT_S
+
+
 def _refill_s(left: float, limit: SlotLimit) -> float:
     missing = max(0.0, min(1.0, limit.capacity) - left)
     return min(max(missing / limit.rate_per_s, MIN_REPEAT_S), MAX_REPEAT_S)
--- a/snipespring/decisions/limits/ledger.py
+++ b/snipespring/decisions/limits/ledger.py
@@ -168,7 +168,7 @@
         if need.urgent <= 0 and need.ahead <= 0:
             continue
         needing.add(name)
-        delays_s.append(next_ask_delay_s(account, limit, own, now_s=now_s))
+        delays_s.append(next_ask_delay_s(account, need, limit, own, now_s=now_s))
         for planned in plan_asks(account, need, limit, own, busy=busy, now_s=now_s):
             ask = CreditAsk(
                 organisation=name,
