Void payments made across a pause; give contended lenders turns

Ruled out: holding a lock over the whole admission, which a pause crosses too. Change: a payment counts only within 20 ms and is made anew otherwise. A holder lends whole requests where it can and tells when to ask again.

--- a/benchmarks/limits_schemes.py
+++ b/benchmarks/limits_schemes.py
@@ -80,6 +80,7 @@
     waiting: list[_Waiting] = field(factory=list)
     busy: set[Peer] = field(factory=set)
     next_borrow_s: float = float("inf")
+    next_retry_s: float = float("inf")
 
 
 @define(kw_only=True, eq=False)
@@ -107,7 +108,17 @@
                 return
 
     def retry_after(self, host: _ShareHost, delay_s: float) -> None:
-        self.world.after(max(delay_s, THREAD_HOP_S), lambda: self.serve_waiting(host))
+        at_s = self.world.clock.now_s + max(delay_s, THREAD_HOP_S)
+        if at_s < host.next_retry_s:
+            host.next_retry_s = at_s
+            self.world.after(
+                max(delay_s, THREAD_HOP_S), partial(self.retry, host, at_s)
+            )
+
+    def retry(self, host: _ShareHost, planned_s: float) -> None:
+        if host.next_retry_s == planned_s:
+            host.next_retry_s = float("inf")
+            self.serve_waiting(host)
 
     def serve_waiting(self, host: _ShareHost) -> None:
         now_s = self.world.clock.now_s
--- a/snipespring/controllers/limiter.py
+++ b/snipespring/controllers/limiter.py
@@ -19,6 +19,7 @@
 __all__ = ["Limiter"]
 
 MAX_WAIT_S = 0.2
+MIN_WAIT_S = 0.001
 NO_RULE_RETRY_S = 1.0
 
 
@@ -60,7 +61,8 @@
             left_s = end_s - self.clock.monotonic_s()
             if left_s <= 0:
                 return self._refused(rule)
-            self.book.wait_for_credit(seen, min(left_s, short.ready_in_s))
+            ready_in_s = max(short.ready_in_s, MIN_WAIT_S)
+            self.book.wait_for_credit(seen, min(left_s, ready_in_s))
             seen = self.book.arrivals()
             match self.book.pay(rule, is_waiting=True):
                 case Paid() as paid:
--- a/snipespring/controllers/share_book.py
+++ b/snipespring/controllers/share_book.py
@@ -65,9 +65,20 @@
     _arrivals: int = field(default=0, init=False)
 
     def pay(self, rule: OrganisationRule, *, is_waiting: bool = False) -> Paid | Short:
-        """Pay for one request; the payment holds if the lease still does after it."""
-        lease_until_s = self._lease_until_s()
+        """Pay for one request; a payment across a pause is void and made anew."""
+        while True:
+            lease_until_s = self._lease_until_s()
+            result = self._pay_once(rule, is_waiting, lease_until_s)
+            match result:
+                case Paid(until_s=until_s):
+                    if self.clock.monotonic_s() < min(lease_until_s, until_s):
+                        return result
+                case Short():
+                    return result
 
+    def _pay_once(
+        self, rule: OrganisationRule, is_waiting: bool, lease_until_s: float
+    ) -> Paid | Short:
         def step(ledger: ShareLedger, now_s: float) -> tuple[ShareLedger, Paid | Short]:
             if now_s >= lease_until_s:
                 return ledger, Short(may_wait=False, ready_in_s=float("inf"))
@@ -75,14 +86,7 @@
                 ledger, rule, self.own, is_waiting=is_waiting, now_s=now_s
             )
 
-        result = self._transact(step)
-        match result:
-            case Paid(until_s=until_s):
-                if self.clock.monotonic_s() < min(lease_until_s, until_s):
-                    return result
-                return Short(may_wait=False, ready_in_s=float("inf"))
-            case Short():
-                return result
+        return self._transact(step)
 
     def end_wait(self, organisation: OrganisationName) -> None:
         """Note that a request no longer waits for credit."""
@@ -125,10 +129,9 @@
 
     def receive(self, sent: OutgoingAsks, reply: CreditGrants | None) -> None:
         """Take in a holder's reply, None if no valid one came."""
-        rules = self._rules()
         self._transact(
             lambda ledger, now_s: (
-                receive_grants(ledger, sent, reply, rules, now_s=now_s),
+                receive_grants(ledger, sent, reply, now_s=now_s),
                 None,
             )
         )
--- a/snipespring/decisions/limits/asks.py
+++ b/snipespring/decisions/limits/asks.py
@@ -8,6 +8,7 @@
 from .tenure import peer_of
 
 __all__ = [
+    "SILENT_AVOID_S",
     "CreditNeed",
     "PlannedAsk",
     "credit_need",
@@ -90,19 +91,12 @@
     account: Account,
     lender: Lender,
     *,
-    left: float | None,
-    short: bool,
-    limit: SlotLimit,
+    left: float,
+    again_in_s: float,
     now_s: float,
 ) -> Account:
-    """Return the account with a lender's reply; `left` is None when none came."""
-    if left is None:
-        view = LenderView(
-            level=0.0, as_of_s=now_s, avoid_until_s=now_s + SILENT_AVOID_S
-        )
-    else:
-        wait_s = _refill_s(left, limit) if short else 0.0
-        view = LenderView(level=left, as_of_s=now_s, avoid_until_s=now_s + wait_s)
+    """Return the account with what a lender said of its level and its next turn."""
+    view = LenderView(level=left, as_of_s=now_s, avoid_until_s=now_s + again_in_s)
     return evolve(account, lenders=account.lenders.set(lender, view))
 
 
@@ -179,8 +173,3 @@
 def _may_ask_ahead(account: Account, slot: int, host: Host, now_s: float) -> bool:
     view = account.lenders.get(Lender(peer=peer_of(host), slot=slot))
     return view is None or now_s - view.as_of_s >= AHEAD_REPEAT_S
-
-
-def _refill_s(left: float, limit: SlotLimit) -> float:
-    missing = max(0.0, min(1.0, limit.capacity) - left)
-    return min(max(missing / limit.rate_per_s, MIN_REPEAT_S), MAX_REPEAT_S)
--- a/snipespring/decisions/limits/ledger.py
+++ b/snipespring/decisions/limits/ledger.py
@@ -26,6 +26,7 @@
     sync_account,
 )
 from .asks import (
+    SILENT_AVOID_S,
     credit_need,
     may_wait,
     next_ask_delay_s,
@@ -56,6 +57,8 @@
     "retry_after_s",
 ]
 
+MAX_PAYMENT_S = 0.02
+
 Rules = Mapping[OrganisationName, OrganisationRule]
 
 
@@ -130,7 +133,7 @@
     if paid is not None:
         need = credit_need(paid, now_s=now_s)
         is_low = need.urgent > 0 or need.ahead > 0
-        until_s = _soonest_end_s(account)
+        until_s = min(now_s + MAX_PAYMENT_S, _soonest_end_s(account))
         return _put(ledger, rule.name, paid), Paid(is_low=is_low, until_s=until_s)
     allowed = is_waiting or may_wait(account, limit, own, now_s=now_s)
     if allowed and not is_waiting:
@@ -207,7 +210,6 @@
     ledger: ShareLedger,
     sent: OutgoingAsks,
     reply: CreditGrants | None,
-    rules: Rules,
     *,
     now_s: float,
 ) -> ShareLedger:
@@ -217,22 +219,12 @@
     )
     peer = Peer(host_id=sent.host.host_id, incarnation=sent.host.incarnation)
     for ask in sent.message.asks:
-        rule = rules.get(ask.organisation)
         account = ledger.accounts.get(ask.organisation)
-        if rule is None or account is None:
+        if account is None:
             continue
         lender = Lender(peer=peer, slot=ask.slot)
         grant = grants.get((ask.organisation, ask.slot))
-        if grant is not None:
-            account = _add_credits(account, lender, grant, sent.sent_at_s)
-        account = note_lender(
-            account,
-            lender,
-            left=None if grant is None else grant.left,
-            short=grant is not None and grant.urgent < ask.urgent,
-            limit=slot_limit(rule),
-            now_s=now_s,
-        )
+        account = _note_grant(account, lender, ask, grant, sent.sent_at_s, now_s)
         ledger = _put(ledger, ask.organisation, account)
     return ledger
 
@@ -251,7 +243,12 @@
     now_s: float,
 ) -> tuple[ShareLedger, CreditGrant]:
     nothing = CreditGrant(
-        organisation=ask.organisation, slot=ask.slot, urgent=0.0, ahead=0.0, left=0.0
+        organisation=ask.organisation,
+        slot=ask.slot,
+        urgent=0.0,
+        ahead=0.0,
+        left=0.0,
+        again_in_s=SILENT_AVOID_S,
     )
     rule = rules.get(ask.organisation)
     if rule is None:
@@ -271,13 +268,38 @@
     match lent:
         case StaleAsk():
             return _put(ledger, ask.organisation, account), nothing
-        case Lent(share=left, urgent=urgent, ahead=ahead):
-            grant = evolve(nothing, urgent=urgent, ahead=ahead, left=left.level)
+        case Lent(share=left) as lent:
+            grant = evolve(
+                nothing,
+                urgent=lent.urgent,
+                ahead=lent.ahead,
+                left=left.level,
+                again_in_s=lent.again_in_s,
+            )
             account = evolve(account, shares=account.shares.set(ask.slot, left))
             ledger = evolve(ledger, loans_until_s=now_s + LOAN_WAIT_S)
             return _put(ledger, ask.organisation, account), grant
 
 
+def _note_grant(
+    account: Account,
+    lender: Lender,
+    ask: CreditAsk,
+    grant: CreditGrant | None,
+    sent_at_s: float,
+    now_s: float,
+) -> Account:
+    if grant is None:
+        return note_lender(
+            account, lender, left=0.0, again_in_s=SILENT_AVOID_S, now_s=now_s
+        )
+    account = _add_credits(account, lender, grant, sent_at_s)
+    again_in_s = grant.again_in_s if grant.urgent < ask.urgent else 0.0
+    return note_lender(
+        account, lender, left=grant.left, again_in_s=again_in_s, now_s=now_s
+    )
+
+
 def _add_credits(
     account: Account, lender: Lender, grant: CreditGrant, sent_at_s: float
 ) -> Account:
--- a/snipespring/decisions/limits/shares.py
+++ b/snipespring/decisions/limits/shares.py
@@ -1,6 +1,9 @@
 """Compute the credit of one slot at its holder: growth, spending, lending."""
 
+from math import floor
+
 from attrs import evolve, frozen
+from immutables import Map
 
 from ...records import (
     CreditAsk,
@@ -34,6 +37,8 @@
 LOAN_WAIT_S = AHEAD_HOLD_S * HOLD_MARGIN
 AHEAD_RESERVE = 0.5
 AHEAD_PORTION = 0.5
+MAX_TURN_S = 0.5
+MESSAGE_LIFETIME_S = 60.0
 
 
 @frozen(kw_only=True)
@@ -43,6 +48,7 @@
     share: Share
     urgent: float
     ahead: float
+    again_in_s: float
 
 
 @frozen(kw_only=True)
@@ -94,7 +100,7 @@
     if sequence <= held.sequence:
         return StaleAsk()
     loans = _keep_latest(held.loans, max(0.0, ask.unspent))
-    urgent = min(max(0.0, ask.urgent), share.level)
+    urgent = _whole_part(max(0.0, ask.urgent), share.level, limit)
     spare = share.level - urgent - limit.capacity * AHEAD_RESERVE
     ahead = min(max(0.0, ask.ahead), max(0.0, spare) * AHEAD_PORTION)
     added = (
@@ -102,9 +108,11 @@
         Loan(amount=ahead, until_s=now_s + AHEAD_HOLD_S * HOLD_MARGIN),
     )
     loans += tuple(loan for loan in added if loan.amount > 0)
-    lent = share.lent.set(borrower, Loans(sequence=sequence, loans=loans))
+    renewed = Loans(sequence=sequence, asked_at_s=now_s, loans=loans)
+    lent = _forget_silent(share.lent, now_s).set(borrower, renewed)
     left = take_from_share(evolve(share, lent=lent), urgent + ahead)
-    return Lent(share=left, urgent=urgent, ahead=ahead)
+    again_in_s = _turn_s(lent, limit, now_s)
+    return Lent(share=left, urgent=urgent, ahead=ahead, again_in_s=again_in_s)
 
 
 def lent_amount(share: Share) -> float:
@@ -117,6 +125,24 @@
     return [*lent, *share.inherited]
 
 
+def _whole_part(wanted: float, level: float, limit: SlotLimit) -> float:
+    if level >= wanted or limit.capacity < 1.0:
+        return min(wanted, level)
+    return float(floor(level))
+
+
+def _turn_s(lent: Map[Peer, Loans], limit: SlotLimit, now_s: float) -> float:
+    recent = sum(held.asked_at_s > now_s - MAX_TURN_S for held in lent.values())
+    return min(MAX_TURN_S, recent / limit.rate_per_s)
+
+
+def _forget_silent(lent: Map[Peer, Loans], now_s: float) -> Map[Peer, Loans]:
+    for borrower, held in lent.items():
+        if not held.loans and held.asked_at_s < now_s - MESSAGE_LIFETIME_S:
+            lent = lent.delete(borrower)
+    return lent
+
+
 def _grow_to(share: Share, limit: SlotLimit, time_s: float) -> Share:
     elapsed_s = max(0.0, time_s - share.as_of_s)
     room = max(0.0, limit.capacity - lent_amount(share))
--- a/snipespring/records/limit_messages.py
+++ b/snipespring/records/limit_messages.py
@@ -42,13 +42,17 @@
 
 @frozen(kw_only=True)
 class CreditGrant:
-    """Lend credit of one slot; `left` is the level that remains."""
+    """Lend credit of one slot; `left` is the level that remains.
+
+    A borrower that got less than it asked for asks again after `again_in_s`.
+    """
 
     organisation: OrganisationName
     slot: int
     urgent: float
     ahead: float
     left: float
+    again_in_s: float
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/limits.py
+++ b/snipespring/records/limits.py
@@ -69,9 +69,10 @@
 
 @frozen(kw_only=True)
 class Loans:
-    """Hold what one borrower may still spend and its latest request's number."""
+    """Hold what one borrower may still spend and its latest request."""
 
     sequence: int
+    asked_at_s: float = 0.0
     loans: tuple[Loan, ...] = ()
 
 
