--- a/snipespring/controllers/health_judge.py
+++ b/snipespring/controllers/health_judge.py
@@ -11,9 +11,8 @@
     has_begun,
     judge_pool,
     make_list,
-    open_pool,
     policy_of,
-    renew_tenure,
+    renew_pool,
 )
 from ..records import (
     Configuration,
@@ -100,20 +99,14 @@
         return _with(pools, name, pool), make_list(pool, name, policy, now_s)
 
     def _renew(self, pools: PoolBoard, name: ServiceName, now_s: float) -> Pool | None:
-        pool = pools.by_service.get(name)
-        tenure = renew_tenure(
-            pool.tenure if pool is not None else None,
+        return renew_pool(
+            pools.by_service.get(name),
             own=self.own,
             service=name,
             roster=self.board.read(ROSTER),
             lease=self.board.read(LEASE),
             now_s=now_s,
         )
-        if tenure is None:
-            return None
-        if pool is None or now_s >= pool.tenure.lease_until_s:
-            return open_pool(tenure, now_s)
-        return evolve(pool, tenure=tenure)
 
 
 def _ejected(pool: Pool) -> frozenset[ServerId]:
--- a/snipespring/decisions/health/__init__.py
+++ b/snipespring/decisions/health/__init__.py
@@ -37,7 +37,7 @@
 from .tenures import (
     find_holder,
     has_begun,
-    renew_tenure,
+    renew_pool,
 )
 
 __all__ = [
@@ -60,6 +60,6 @@
     "receive_list",
     "record_end",
     "record_start",
-    "renew_tenure",
+    "renew_pool",
     "states_in_force",
 ]
--- a/snipespring/decisions/health/ejecting.py
+++ b/snipespring/decisions/health/ejecting.py
@@ -18,7 +18,7 @@
 from .floors import leaves_floor, list_out
 from .paths import is_server_fault
 from .policies import policy_of
-from .scoring import score_servers, sum_tallies
+from .scoring import score_servers, share_in_service, sum_tallies
 from .trials import advance_entry, hold_duration_s
 
 __all__ = ["EJECTION_LIFETIME_S", "judge_pool"]
@@ -69,12 +69,13 @@
 
 
 def _advance_entries(pool: Pool, policy: HealthPolicy, now_s: float) -> Pool:
+    base = share_in_service(pool, policy)
     for server_id, entry in pool.entries.items():
         server = pool.servers.get(server_id, NEW_SERVER)
         fresh = sum_tallies(server.fresh.values())
         cleared = pool.servers.set(server_id, NEW_SERVER)
         pool = evolve(pool, servers=cleared)
-        match advance_entry(entry, fresh, policy, now_s):
+        match advance_entry(entry, fresh, policy, base=base, now_s=now_s):
             case Returned() as returned:
                 pool = _free(pool, server_id, now_s)
                 pool = evolve(pool, returned=pool.returned.set(server_id, returned))
--- a/snipespring/decisions/health/policies.py
+++ b/snipespring/decisions/health/policies.py
@@ -12,7 +12,7 @@
 __all__ = ["policy_of"]
 
 CAREFUL_FALSE_ALARM_SHARE = 1e-10
-QUICK_FALSE_ALARM_SHARE = 3e-7
+QUICK_FALSE_ALARM_SHARE = 3e-8
 TRIAL_SHARES = (0.02, 0.1, 0.3)
 
 CAREFUL = HealthPolicy(
@@ -27,7 +27,7 @@
 QUICK = HealthPolicy(
     trip_score=-log(QUICK_FALSE_ALARM_SHARE),
     min_base_share=0.01,
-    min_sick_share=0.25,
+    min_sick_share=0.3,
     sick_odds_ratio=6.0,
     hold_s=5.0,
     max_hold_s=300.0,
--- a/snipespring/decisions/health/scoring.py
+++ b/snipespring/decisions/health/scoring.py
@@ -16,7 +16,13 @@
 )
 from .histograms import LAST_BUCKET, bucket_of
 
-__all__ = ["log_ratio", "score_servers", "sick_share", "sum_tallies"]
+__all__ = [
+    "log_ratio",
+    "score_servers",
+    "share_in_service",
+    "sick_share",
+    "sum_tallies",
+]
 
 RECENT_HALF_LIFE_S = 1.0
 PAST_HALF_LIFE_S = 300.0
@@ -65,6 +71,16 @@
     return _retime(evolve(pool, servers=Map(servers), judged_s=now_s), elapsed_s)
 
 
+def share_in_service(pool: Pool, policy: HealthPolicy) -> float:
+    """Return the recent share of bad attempts on servers that are in service."""
+    recent = sum_tallies(
+        server.recent
+        for server_id, server in pool.servers.items()
+        if server_id not in pool.entries
+    )
+    return _smooth(recent.good, recent.bad, policy)
+
+
 def log_ratio(tally: Tally, base: float, sick: float) -> float:
     """Return the log likelihood ratio of a sick server's share against the base."""
     bad = tally.bad * log(sick / base)
@@ -152,9 +168,8 @@
 
 
 def _base_share(server: PooledServer, rest: _Rest, policy: HealthPolicy) -> float:
-    prior = BASE_PRIOR_ATTEMPTS * policy.min_base_share
     shares = [
-        (bad + prior) / (good + bad + BASE_PRIOR_ATTEMPTS)
+        _smooth(good, bad, policy)
         for good, bad in (
             _others(rest.recent, server.recent),
             _others(rest.fresh, _fresh(server)),
@@ -165,6 +180,11 @@
     return max(policy.min_base_share, *shares, min(own, MAX_PAST_SHARE))
 
 
+def _smooth(good: float, bad: float, policy: HealthPolicy) -> float:
+    prior = BASE_PRIOR_ATTEMPTS * policy.min_base_share
+    return (bad + prior) / (good + bad + BASE_PRIOR_ATTEMPTS)
+
+
 def _others(total: Tally, own: Tally) -> tuple[float, float]:
     return max(0.0, total.good - own.good), max(0.0, total.bad - own.bad)
 
--- a/snipespring/decisions/health/tenures.py
+++ b/snipespring/decisions/health/tenures.py
@@ -8,13 +8,15 @@
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
+    Pool,
     Roster,
     ServiceName,
     Tenure,
 )
 from ..membership import holder_of
+from .pooling import open_pool
 
-__all__ = ["find_holder", "has_begun", "renew_tenure"]
+__all__ = ["find_holder", "has_begun", "renew_pool"]
 
 
 def find_holder(roster: Roster, service: ServiceName) -> Host | None:
@@ -22,26 +24,29 @@
     return holder_of(roster, f"health/{service}")
 
 
-def renew_tenure(
-    held: Tenure | None,
+def renew_pool(
+    pool: Pool | None,
     *,
     own: Host,
     service: ServiceName,
     roster: Roster,
     lease: LeaseState,
     now_s: float,
-) -> Tenure | None:
-    """Return the tenure as of now, or None if this host is not the holder.
+) -> Pool | None:
+    """Return the pool to go on with, or None if this host is not the holder.
 
-    A tenure whose lease ended starts again at the present roster version.
+    A tenure whose lease ended starts again, without entries, at the present
+    roster version.
     """
     if find_holder(roster, service) != own:
         return None
     match lease:
         case LeaseHeld(until_s=until_s) if now_s < until_s:
-            if held is not None and now_s < held.lease_until_s:
-                return evolve(held, lease_until_s=until_s)
-            return Tenure(version=roster.version, lease_until_s=until_s)
+            if pool is not None and now_s < pool.tenure.lease_until_s:
+                tenure = evolve(pool.tenure, lease_until_s=until_s)
+                return evolve(pool, tenure=tenure)
+            tenure = Tenure(version=roster.version, lease_until_s=until_s)
+            return open_pool(tenure, now_s)
         case LeaseHeld() | LeaseLapsed():
             return None
 
--- a/snipespring/decisions/health/trials.py
+++ b/snipespring/decisions/health/trials.py
@@ -25,9 +25,17 @@
 
 
 def advance_entry(
-    entry: EjectionHeld | TrialHeld, fresh: Tally, policy: HealthPolicy, now_s: float
+    entry: EjectionHeld | TrialHeld,
+    fresh: Tally,
+    policy: HealthPolicy,
+    *,
+    base: float,
+    now_s: float,
 ) -> EjectionHeld | TrialHeld | Returned:
-    """Return what follows an entry after the evidence of one round."""
+    """Return what follows an entry after the evidence of one round.
+
+    `base` is the share of bad attempts at the servers in service.
+    """
     match entry:
         case EjectionHeld(until_s=until_s) if now_s < until_s:
             return entry
@@ -40,13 +48,13 @@
                 count=entry.count,
             )
         case TrialHeld():
-            return _advance_trial(entry, fresh, policy, now_s)
+            return _advance_trial(entry, fresh, policy, base, now_s)
 
 
 def _advance_trial(
-    trial: TrialHeld, fresh: Tally, policy: HealthPolicy, now_s: float
+    trial: TrialHeld, fresh: Tally, policy: HealthPolicy, base: float, now_s: float
 ) -> EjectionHeld | TrialHeld | Returned:
-    base = policy.min_base_share
+    base = max(base, policy.min_base_share)
     score = trial.score + log_ratio(fresh, base, sick_share(base, policy))
     if score >= TRIAL_FAIL_SCORE:
         return hold_again(trial, policy, now_s)
