Say once which servers are suspected

Cause: the holder and each host listed suspects by the same rule, written twice; avoidance was kept in two maps. Ruled out: nothing else was tried. Change: decisions/health/suspects.py; an Avoidance record. A test of one pause that catches six attempts: below the careful score, above the quick one.

--- a/snipespring/decisions/health/avoiding.py
+++ b/snipespring/decisions/health/avoiding.py
@@ -5,10 +5,9 @@
 from attrs import evolve
 
 from ...records import (
+    Avoidance,
     EvidenceReport,
-    HealthPolicy,
     LocalHealth,
-    Pool,
     PooledServer,
     ServerId,
     ServiceName,
@@ -19,12 +18,11 @@
 from .policies import policy_of
 from .pooling import absorb_report, open_pool
 from .scoring import score_servers, sum_tallies
+from .suspects import list_suspects
 
 __all__ = ["avoid_servers", "drop_services"]
 
 AVOIDANCE_S = 10.0
-MAX_SUSPECT_SHARE = 1 / 3
-SUSPECT_RATIO = 0.5
 NEW_SERVER = PooledServer()
 LOCAL_TENURE = Tenure(version=0, lease_until_s=0.0)
 
@@ -43,8 +41,8 @@
     pool = local.pools.get(service.name) or open_pool(LOCAL_TENURE, now_s)
     pool = score_servers(absorb_report(pool, report, now_s), policy, now_s)
     local = _end_avoidance(local, servers, now_s)
-    for server_id in _list_suspects(pool, policy, len(servers)):
-        avoided = servers.intersection(local.avoided_until_s)
+    for server_id in list_suspects(pool, policy, len(servers)):
+        avoided = servers.intersection(local.avoided)
         taken = avoided | ejected | list_out(pool, now_s) | {server_id}
         if not leaves_floor(servers, taken, service.floor):
             continue
@@ -57,27 +55,12 @@
     """Return the local health without services that no rule names any more."""
     for name in frozenset(local.pools) - known:
         local = evolve(local, pools=local.pools.delete(name))
-    for server_id in local.avoided_until_s:
+    for server_id in local.avoided:
         if server_id.service not in known:
             local = _restore(local, server_id)
     return local
 
 
-def _list_suspects(pool: Pool, policy: HealthPolicy, count: int) -> list[ServerId]:
-    suspected = [
-        server_id
-        for server_id, server in pool.servers.items()
-        if server.score >= policy.trip_score * SUSPECT_RATIO
-    ]
-    if len(suspected) > max(1.0, count * MAX_SUSPECT_SHARE):
-        return []
-    return [
-        server_id
-        for server_id in suspected
-        if pool.servers[server_id].score >= policy.trip_score
-    ]
-
-
 def _avoid(
     local: LocalHealth, server_id: ServerId, server: PooledServer, now_s: float
 ) -> LocalHealth:
@@ -86,26 +69,18 @@
         f"{tally.bad:.0f} of {tally.good + tally.bad:.0f} attempts from this host "
         f"bad, its others {server.base_share:.1%}, score {server.score:.1f}"
     )
-    until_s = now_s + AVOIDANCE_S
-    return evolve(
-        local,
-        avoided_until_s=local.avoided_until_s.set(server_id, until_s),
-        reasons=local.reasons.set(server_id, reason),
-    )
+    avoidance = Avoidance(until_s=now_s + AVOIDANCE_S, reason=reason)
+    return evolve(local, avoided=local.avoided.set(server_id, avoidance))
 
 
 def _end_avoidance(
     local: LocalHealth, servers: frozenset[ServerId], now_s: float
 ) -> LocalHealth:
-    for server_id in servers.intersection(local.avoided_until_s):
-        if local.avoided_until_s[server_id] <= now_s:
+    for server_id in servers.intersection(local.avoided):
+        if local.avoided[server_id].until_s <= now_s:
             local = _restore(local, server_id)
     return local
 
 
 def _restore(local: LocalHealth, server_id: ServerId) -> LocalHealth:
-    return evolve(
-        local,
-        avoided_until_s=local.avoided_until_s.delete(server_id),
-        reasons=local.reasons.delete(server_id),
-    )
+    return evolve(local, avoided=local.avoided.delete(server_id))
--- a/snipespring/decisions/health/ejecting.py
+++ b/snipespring/decisions/health/ejecting.py
@@ -1,7 +1,5 @@
 """Decide which servers of a service are ejected, on trial or back."""
 
-from collections.abc import Iterator
-
 from attrs import evolve
 
 from ...records import (
@@ -19,6 +17,7 @@
 from .paths import is_server_fault
 from .policies import policy_of
 from .scoring import score_servers, share_in_service, sum_tallies
+from .suspects import list_suspects
 from .trials import advance_entry, hold_duration_s
 
 __all__ = ["EJECTION_LIFETIME_S", "judge_pool"]
@@ -27,8 +26,6 @@
 DRIFT_MARGIN_S = 0.4
 RETURN_MEMORY_S = 600.0
 REPORTER_MEMORY_S = 120.0
-SUSPECT_RATIO = 0.5
-MAX_SUSPECT_SHARE = 1 / 3
 NEW_SERVER = PooledServer()
 
 
@@ -49,8 +46,9 @@
     pool = _release_surplus(pool, service, servers, now_s)
     if not may_eject:
         return pool
-    for server_id in _list_candidates(pool, policy, len(servers)):
-        pool = _eject(pool, server_id, service, servers, policy, now_s)
+    for server_id in list_suspects(pool, policy, len(servers)):
+        if is_server_fault(pool, pool.servers[server_id], policy):
+            pool = _eject(pool, server_id, service, servers, policy, now_s)
     return pool
 
 
@@ -99,22 +97,6 @@
     return pool
 
 
-def _list_candidates(
-    pool: Pool, policy: HealthPolicy, count: int
-) -> Iterator[ServerId]:
-    scores = {server_id: server.score for server_id, server in pool.servers.items()}
-    suspected = sum(
-        1 for score in scores.values() if score >= policy.trip_score * SUSPECT_RATIO
-    )
-    if suspected > max(1.0, count * MAX_SUSPECT_SHARE):
-        return
-    for server_id in sorted(scores, key=lambda server_id: -scores[server_id]):
-        if scores[server_id] < policy.trip_score:
-            return
-        if is_server_fault(pool, pool.servers[server_id], policy):
-            yield server_id
-
-
 def _eject(
     pool: Pool,
     server_id: ServerId,
--- a/snipespring/decisions/health/states.py
+++ b/snipespring/decisions/health/states.py
@@ -35,7 +35,8 @@
 def combine_states(lists: HeldLists, local: LocalHealth, now_s: float) -> ServerStates:
     """Return every state in force; the fleet's list goes before local avoidance."""
     states: dict[ServerId, ServerState] = {
-        server: ServerAvoided(reason=reason) for server, reason in local.reasons.items()
+        server: ServerAvoided(reason=avoidance.reason)
+        for server, avoidance in local.avoided.items()
     }
     for held in lists.by_service.values():
         states |= states_in_force(held, now_s)
--- a/snipespring/decisions/health/tests/builders.py
+++ b/snipespring/decisions/health/tests/builders.py
@@ -52,7 +52,10 @@
 
 
 def pool_rounds(
-    rounds: list[dict[int, dict[ServerId, OutcomeCounts]]], *, step_s: float = 0.25
+    rounds: list[dict[int, dict[ServerId, OutcomeCounts]]],
+    *,
+    rule: ServiceRule = RULE,
+    step_s: float = 0.25,
 ) -> Pool:
     """Judge a pool after each round of cumulative reports by host."""
     pool = open_pool(Tenure(version=1, lease_until_s=1e9), 0.0)
@@ -60,7 +63,7 @@
         now_s = sequence * step_s
         for host, counts in reports.items():
             pool = absorb_report(pool, make_report(host, sequence, counts), now_s)
-        pool = judge_pool(pool, RULE, frozenset(SERVERS), now_s=now_s)
+        pool = judge_pool(pool, rule, frozenset(SERVERS), now_s=now_s)
     return pool
 
 
--- a/snipespring/decisions/health/tests/test_ejecting.py
+++ b/snipespring/decisions/health/tests/test_ejecting.py
@@ -17,11 +17,15 @@
 from snipespring.decisions.health.trials import advance_entry
 from snipespring.records import (
     Address,
+    EjectCarefully,
     EjectionHeld,
+    EjectionPreference,
+    EjectQuickly,
     Histogram,
     OutcomeCounts,
     Pool,
     ServerId,
+    ServiceRule,
     Tally,
     Tenure,
     TrialHeld,
@@ -43,7 +47,7 @@
 Behaviour = Callable[[int, int, ServerId], OutcomeCounts]
 
 
-def run(behave: Behaviour, rounds: int = 24) -> Pool:
+def run(behave: Behaviour, rounds: int = 24, rule: ServiceRule = RULE) -> Pool:
     """Let `behave` give the cumulative counts by round, host and server."""
     return pool_rounds(
         [
@@ -52,7 +56,8 @@
                 for host in HOSTS
             }
             for done in range(rounds)
-        ]
+        ],
+        rule=rule,
     )
 
 
@@ -96,6 +101,19 @@
     assert not run(fails_for(hosts), rounds=80).entries
 
 
+@pytest.mark.parametrize(
+    "preference, count", [(EjectCarefully(), 0), (EjectQuickly(), 1)]
+)
+def test_one_pause_of_a_full_server(preference: EjectionPreference, count: int) -> None:
+    def behave(done: int, _host: int, server: ServerId) -> OutcomeCounts:
+        if server != SICK or done <= 4:
+            return answers(3 * done)
+        return with_errors(answers(3 * done - 3), 1)
+
+    pool = run(behave, rule=evolve(RULE, ejection=preference))
+    assert len(pool.entries) == count
+
+
 def test_one_witness_alone_ejects_nobody() -> None:
     def behave(done: int, host: int, server: ServerId) -> OutcomeCounts:
         if server != SICK:
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -70,6 +70,7 @@
     TrialServer,
 )
 from .health_pools import (
+    Avoidance,
     EjectionEntry,
     EjectionHeld,
     HealthPolicy,
@@ -174,6 +175,7 @@
     "AnswerForeign",
     "AnswerLate",
     "Answered",
+    "Avoidance",
     "BackendRequest",
     "BackendResult",
     "ClaimGranted",
--- a/snipespring/records/health_pools.py
+++ b/snipespring/records/health_pools.py
@@ -7,6 +7,7 @@
 from .identity import DomainName, HostId, Incarnation, ServerId, ServiceName
 
 __all__ = [
+    "Avoidance",
     "EjectionEntry",
     "EjectionHeld",
     "HealthPolicy",
@@ -164,12 +165,16 @@
 
 
 @frozen(kw_only=True)
-class LocalHealth:
-    """Hold this host's own judgement of the paths to servers.
+class Avoidance:
+    """Avoid a server on this host until a local time."""
 
-    `avoided_until_s` holds the local times at which avoidance ends.
-    """
+    until_s: float
+    reason: str
+
+
+@frozen(kw_only=True)
+class LocalHealth:
+    """Hold this host's own judgement of the paths to servers."""
 
     pools: Map[ServiceName, Pool] = Map()
-    avoided_until_s: Map[ServerId, float] = Map()
-    reasons: Map[ServerId, str] = Map()
+    avoided: Map[ServerId, Avoidance] = Map()
