--- a/snipespring/decisions/health/__init__.py
+++ b/snipespring/decisions/health/__init__.py
@@ -28,6 +28,7 @@
 from .reporting import (
     SentReport,
     is_due,
+    select_changed,
 )
 from .states import (
     StateChange,
@@ -37,7 +38,7 @@
 from .tenures import (
     find_holder,
     has_begun,
-    renew_tenure,
+    renew_pool,
 )
 
 __all__ = [
@@ -60,6 +61,7 @@
     "receive_list",
     "record_end",
     "record_start",
-    "renew_tenure",
+    "renew_pool",
+    "select_changed",
     "states_in_force",
 ]
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -11,9 +11,9 @@
 )
 from .backends import (
     AnswerBroken,
-    Answered,
     AnswerForeign,
     AnswerLate,
+    Answered,
     BackendRequest,
     BackendResult,
     ConnectFailed,
@@ -42,7 +42,6 @@
 )
 from .claims import (
     Attempt,
-    Claimed,
     ClaimEnd,
     ClaimGranted,
     ClaimKey,
@@ -52,6 +51,7 @@
     ClaimReport,
     ClaimResult,
     ClaimState,
+    Claimed,
     EndedNotRun,
     EndedRan,
     EndedUnknown,
@@ -118,6 +118,7 @@
     TrialServer,
 )
 from .health_pools import (
+    Avoidance,
     EjectionEntry,
     EjectionHeld,
     HealthPolicy,
@@ -186,8 +187,8 @@
     SegmentFound,
 )
 from .metrics import (
-    LATENCY_BOUNDS_S,
     Counters,
+    LATENCY_BOUNDS_S,
     LatencyBuckets,
 )
 from .platform import (
@@ -231,8 +232,8 @@
     Access,
     Configuration,
     EjectCarefully,
-    EjectionPreference,
     EjectQuickly,
+    EjectionPreference,
     HeldSegments,
     KeyAccess,
     KeyRule,
@@ -270,6 +271,7 @@
     "Answered",
     "Attempt",
     "AttemptWatch",
+    "Avoidance",
     "BackendRequest",
     "BackendResult",
     "ClaimAnswer",
