Hand over the answers of ended claims at a planned stop

Cause: a repeat after its owner's planned stop was answered unknown, though the owner knew the answer. Working it through showed that a new owner's wait left out the length of a grant made just before the fence. Ruled out: a successor that grants, and a promise of the old owner; both need an agreement on who knows everything. Change: a stopping host tells the role holders of its keys how claims ended; such facts answer repeats and never permit a run. An expired record is not recalled; a late report does not prolong the window. Conclusion: repeats survive a planned stop; a killed owner leaves unknown.

--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .claim_handover import (
+    ClaimHandover,
+)
 from .claim_owner import (
     ClaimOwner,
 )
@@ -62,6 +65,7 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "ClaimHandover",
     "ClaimOwner",
     "Claimant",
     "Configurator",
--- /dev/null
+++ b/snipespring/controllers/claim_handover.py
@@ -0,0 +1,57 @@
+"""Hand over what this host knows of claims before it stops."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import CLAIM_MEMORY, ROSTER
+from ..decisions.claims import collect_facts
+from ..frontends.peers import PeerClient
+from ..records import ClaimFact, ClaimFacts, ClaimFactsTaken, Host
+from ..utils import Clock
+
+__all__ = ["ClaimHandover"]
+
+HANDOVER_THREADS = 8
+HANDOVER_LIMIT_S = 5.0
+CALL_TIMEOUT_S = 0.5
+FACTS_PER_CALL = 64
+
+
+@define(kw_only=True, eq=False)
+class ClaimHandover:
+    """Tell each successor once, within a time limit."""
+
+    board: Board
+    clock: Clock
+    client: PeerClient
+    own: Host
+
+    def hand_over(self) -> None:
+        """Send every ended claim to the host that will be asked about its key."""
+        now_s = self.clock.monotonic_s()
+        facts = collect_facts(
+            self.board.read(CLAIM_MEMORY),
+            roster=self.board.read(ROSTER),
+            own=self.own,
+            now_s=now_s,
+            wall_s=self.clock.wall_s(),
+        )
+        end_s = now_s + HANDOVER_LIMIT_S
+        with ThreadPoolExecutor(HANDOVER_THREADS) as pool:
+            for host, told in facts.items():
+                pool.submit(self.tell, host, told, end_s)
+
+    def tell(self, host: Host, facts: tuple[ClaimFact, ...], end_s: float) -> None:
+        """Send one host its facts, until one call fails or the time is over."""
+        for first in range(0, len(facts), FACTS_PER_CALL):
+            if self.clock.monotonic_s() >= end_s:
+                return
+            message = ClaimFacts(facts=facts[first : first + FACTS_PER_CALL])
+            result = self.client.call(host.peers, message, timeout_s=CALL_TIMEOUT_S)
+            match result:
+                case ClaimFactsTaken():
+                    continue
+                case _:
+                    return
--- a/snipespring/controllers/claim_owner.py
+++ b/snipespring/controllers/claim_owner.py
@@ -4,9 +4,11 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import CLAIM_MEMORY, LEASE, ROSTER, TENURE
-from ..decisions.claims import answer_claim, sweep, take_report
+from ..decisions.claims import answer_claim, sweep, take_fact, take_report
 from ..records import (
     ClaimAnswer,
+    ClaimFacts,
+    ClaimFactsTaken,
     ClaimMemory,
     ClaimReports,
     ClaimReportsTaken,
@@ -65,3 +67,15 @@
 
         self.board.update(CLAIM_MEMORY, end, writer=self.name)
         return ClaimReportsTaken()
+
+    def take_facts(self, told: ClaimFacts) -> ClaimFactsTaken:
+        """Take in what a stopping host knew of ended claims."""
+
+        def take(memory: ClaimMemory) -> ClaimMemory:
+            now_s, wall_s = self.clock.monotonic_s(), self.clock.wall_s()
+            for fact in told.facts:
+                memory = take_fact(memory, fact, now_s=now_s, wall_s=wall_s)
+            return memory
+
+        self.board.update(CLAIM_MEMORY, take, writer=self.name)
+        return ClaimFactsTaken()
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from ..records import ClaimReports, ClaimRequest, Message, Pull, Refused
+from ..records import ClaimFacts, ClaimReports, ClaimRequest, Message, Pull, Refused
 from .claim_owner import ClaimOwner
 from .puller import Puller
 
@@ -25,5 +25,7 @@
                 return self.claim_owner.answer(message)
             case ClaimReports():
                 return self.claim_owner.take(message)
+            case ClaimFacts():
+                return self.claim_owner.take_facts(message)
             case _:
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/controllers/tests/claims_fleet.py
+++ b/snipespring/controllers/tests/claims_fleet.py
@@ -7,18 +7,26 @@
 from immutables import Map
 
 from snipespring.blackboard import Board
-from snipespring.blackboard.regions import CLAIM_REPORTS, FENCE, LEASE, ROSTER
+from snipespring.blackboard.regions import (
+    CLAIM_MEMORY,
+    CLAIM_REPORTS,
+    FENCE,
+    LEASE,
+    ROSTER,
+)
 from snipespring.controllers import (
     Accountant,
     Claimant,
+    ClaimHandover,
     ClaimOwner,
     Historian,
     TenureKeeper,
 )
-from snipespring.decisions.claims import derive_issuing_key, due_reports
+from snipespring.decisions.claims import collect_facts, derive_issuing_key, due_reports
 from snipespring.records import (
     Address,
     AdmittedRequest,
+    ClaimFacts,
     ClaimGranted,
     ClaimReports,
     ClaimRequest,
@@ -186,6 +194,8 @@
                 return self.owner.answer(message)
             case ClaimReports():
                 return self.owner.take(message)
+            case ClaimFacts():
+                return self.owner.take_facts(message)
             case _:
                 raise AssertionError(message)
 
@@ -233,6 +243,24 @@
             deadline_at_s=self.clock.monotonic_s() + DEADLINE_S,
         )
 
+    def hand_over(self) -> None:
+        now_s = self.clock.monotonic_s()
+        handover = ClaimHandover(
+            board=self.board,
+            clock=self.clock,
+            client=Client(network=self.network, sender=self.own.host_id),
+            own=self.own,
+        )
+        facts = collect_facts(
+            self.board.read(CLAIM_MEMORY),
+            roster=self.board.read(ROSTER),
+            own=self.own,
+            now_s=now_s,
+            wall_s=self.clock.wall_s(),
+        )
+        for host in sorted(facts, key=lambda host: host.host_id):
+            handover.tell(host, facts[host], now_s + 1.0)
+
     def deliver_reports(self) -> None:
         due = due_reports(
             self.board.read(CLAIM_REPORTS), now_s=self.clock.monotonic_s()
--- a/snipespring/controllers/tests/test_claimant.py
+++ b/snipespring/controllers/tests/test_claimant.py
@@ -5,6 +5,7 @@
 
 from snipespring.blackboard.regions import CLAIM_REPORTS, EVENTS
 from snipespring.decisions.claims import CLAIM_WINDOW_S, memory
+from snipespring.decisions.claims.limits import TAKEOVER_WAIT_S
 from snipespring.records import (
     ClaimGranted,
     ClaimRefused,
@@ -197,7 +198,7 @@
     assert status_of(pair.ask(host, "plain")) == (409, Unknown)
     host.fence(7)
     assert status_of(pair.ask(host, "plain")) == (409, Unknown)
-    pair.clock.advance(CLAIM_WINDOW_S)
+    pair.clock.advance(TAKEOVER_WAIT_S)
     host.tenure.step()
     assert status_of(pair.ask(host, "plain")) == (503, Unknown)
     host.renew_lease()
@@ -209,7 +210,7 @@
 def test_a_missed_roster_version_begins_the_wait_anew(pair: Pair) -> None:
     host = start_lone_host(pair, 7)
     host.fence(7)
-    pair.clock.advance(CLAIM_WINDOW_S)
+    pair.clock.advance(TAKEOVER_WAIT_S)
     for version, expected in ((8, ClaimGranted), (10, ClaimRefused)):
         host.adopt(list_roster(version, [host.own]))
         host.renew_lease()
--- a/snipespring/controllers/tests/test_claims_machine.py
+++ b/snipespring/controllers/tests/test_claims_machine.py
@@ -3,6 +3,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from snipespring.decisions.claims import CLAIM_WINDOW_S
+from snipespring.decisions.claims.limits import TAKEOVER_WAIT_S
 from snipespring.records import (
     ClaimGranted,
     ClaimRefused,
@@ -42,11 +43,11 @@
     st.sampled_from([Delivered(), RequestLost(), ReplyLost(), Delayed(), Duplicated()]),
     max_size=2,
 )
-PAUSES_S = st.sampled_from([0.1, 1.0, 4.5, 4.5, 120.0, 700.0])
+PAUSES_S = st.sampled_from([0.1, 1.0, 4.5, 4.5, 120.0, 800.0])
 ENDS = st.sampled_from(["ran", "ran", "ran", "shed", "late", "lost", "killed"])
 ATTEMPTS = st.lists(st.tuples(INDEXES, BODIES, FATES, ENDS), min_size=1, max_size=4)
 Attempts = list[tuple[int, bytes, list[Fate], str]]
-FAULTS = st.sampled_from(["list", "adopt", "restart", "freeze", "cut", "issue"])
+FAULTS = st.sampled_from(["list", "adopt", "restart", "stop", "freeze", "cut", "issue"])
 
 
 class ClaimsMachine(RuleBasedStateMachine):
@@ -68,7 +69,7 @@
         for index in range(HOSTS):
             self.list_or_unlist(index)
             self.settle_roster()
-        self.let_time_pass(CLAIM_WINDOW_S, True)
+        self.let_time_pass(TAKEOVER_WAIT_S, True)
         self.keys = ["plain-a", "plain-b", "plain-c", "plain-d"]
         self.issue_key(0)
         self.issue_key(1)
@@ -170,6 +171,10 @@
                 self.raise_fence()
             case "restart":
                 self.restart(index)
+            case "stop":
+                if self.awake(index):
+                    self.hosts[index].hand_over()
+                    self.restart(index)
             case "freeze":
                 self.freeze_or_thaw(index)
             case "cut":
@@ -193,7 +198,7 @@
         self.settle_roster()
         self.let_time_pass(LEASE_S, True)
         self.raise_fence()
-        self.let_time_pass(CLAIM_WINDOW_S + LEASE_S, True)
+        self.let_time_pass(TAKEOVER_WAIT_S + LEASE_S, True)
         self.repeat_key(key, attempts)
         self.network.frozen_at.discard(self.hosts[index].own.peers)
         if back:
@@ -201,6 +206,16 @@
             self.settle_roster()
         self.repeat_key(key, [(index, b"one", [], "ran")])
 
+    @rule(index=INDEXES, key=KEYS, attempts=ATTEMPTS)
+    def oversleep(self, index: int, key: int, attempts: Attempts) -> None:
+        """Let a host sleep between its grant and the send."""
+        held = len(self.grants)
+        self.ask(index, key, b"one", [])
+        self.let_time_pass(TAKEOVER_WAIT_S, True)
+        self.repeat_key(key, attempts)
+        if len(self.grants) > held:
+            self.send(held, "ran", [])
+
     @rule()
     def heal(self) -> None:
         self.network.frozen_at.clear()
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -21,6 +21,7 @@
 from ..controllers import (
     Accountant,
     Claimant,
+    ClaimHandover,
     ClaimOwner,
     Configurator,
     Controller,
@@ -83,6 +84,7 @@
     links: PeerLinks
     roster_keeper: RosterKeeper
     claimant: Claimant
+    handover: ClaimHandover
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -101,6 +103,7 @@
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.claimant.step()
+        self.handover.hand_over()
         self.roster_keeper.leave()
         self.callers.close()
         self.runner.stop()
@@ -227,6 +230,7 @@
         links=links,
         roster_keeper=roster_keeper,
         claimant=claimant,
+        handover=ClaimHandover(board=board, clock=clock, client=links, own=own),
     )
 
 
--- a/snipespring/decisions/claims/__init__.py
+++ b/snipespring/decisions/claims/__init__.py
@@ -9,6 +9,10 @@
     refuse_gone,
     refuse_malformed,
 )
+from .handover import (
+    collect_facts,
+    take_fact,
+)
 from .keys import (
     KeyAbsent,
     KeyMalformed,
@@ -49,6 +53,7 @@
     "add_report",
     "advance_tenure",
     "answer_claim",
+    "collect_facts",
     "derive_issuing_key",
     "digest_request",
     "due_reports",
@@ -67,5 +72,6 @@
     "role_of",
     "settle_reports",
     "sweep",
+    "take_fact",
     "take_report",
 ]
--- a/snipespring/decisions/claims/asking.py
+++ b/snipespring/decisions/claims/asking.py
@@ -67,7 +67,10 @@
 
 
 def find_owner(key: ClaimKey, *, roster: Roster, own: Host) -> Host | OwnerGone:
-    """Return the host that remembers a key, by this host's roster."""
+    """Return the host to ask about a key, by this host's roster.
+
+    A host that stops hands its facts to the holders of its keys' roles.
+    """
     match key:
         case IssuedKey(incarnation=incarnation) if incarnation == own.incarnation:
             return own
@@ -75,10 +78,9 @@
             host = roster.hosts.get(host_id)
             if host is not None and host.incarnation == incarnation:
                 return host
-            return OwnerGone(reason="the host that issued the key has left the fleet")
-        case PlainKey(digest=digest):
-            holder = holder_of(roster, role_of(digest))
-            return holder or OwnerGone(reason="this host knows no other host")
+            return _find_holder(key, roster)
+        case PlainKey():
+            return _find_holder(key, roster)
 
 
 def refuse_malformed(reason: str) -> ClaimRefused:
@@ -132,6 +134,11 @@
             return EndedUnknown(reason=reason)
 
 
+def _find_holder(key: ClaimKey, roster: Roster) -> Host | OwnerGone:
+    holder = holder_of(roster, role_of(key.digest))
+    return holder or OwnerGone(reason="this host knows no host of the fleet")
+
+
 def _refuse(result: PeerResult) -> ClaimRefused:
     match result:
         case ClaimRunning():
--- /dev/null
+++ b/snipespring/decisions/claims/handover.py
@@ -0,0 +1,97 @@
+"""Pass on what is known of ended claims when a host stops."""
+
+from immutables import Map
+
+from ...records import (
+    Claimed,
+    ClaimFact,
+    ClaimMemory,
+    ClaimState,
+    EndedRan,
+    EndedUnknown,
+    Finished,
+    Host,
+    KeyDigest,
+    Lost,
+    Released,
+    RememberedClaim,
+    Roster,
+)
+from ..membership import holder_of
+from .limits import CLAIM_WINDOW_S
+from .memory import has_room, recall, remember
+from .tenure import role_of
+
+__all__ = ["collect_facts", "take_fact"]
+
+STOPPED = "the key's owner stopped while the request was under way"
+
+
+def collect_facts(
+    memory: ClaimMemory, *, roster: Roster, own: Host, now_s: float, wall_s: float
+) -> Map[Host, tuple[ClaimFact, ...]]:
+    """Return what to tell each other host, which is asked once this one is gone."""
+    hosts = roster.hosts
+    if own.host_id in hosts:
+        hosts = hosts.delete(own.host_id)
+    others = Roster(version=roster.version, hosts=hosts)
+    facts: dict[Host, list[ClaimFact]] = {}
+    for digest, claim in memory.claims.items():
+        fact = _make_fact(digest, claim, now_s, wall_s - now_s)
+        successor = holder_of(others, role_of(digest))
+        if fact is not None and successor is not None:
+            facts.setdefault(successor, []).append(fact)
+    return Map({host: tuple(told) for host, told in facts.items()})
+
+
+def take_fact(
+    memory: ClaimMemory, fact: ClaimFact, *, now_s: float, wall_s: float
+) -> ClaimMemory:
+    """Return the memory with a fact taken in; it never permits a run.
+
+    Its age is read from the wall clocks, as it may have waited in a socket.
+    """
+    match recall(memory, fact.digest, now_s=now_s):
+        case Claimed() | Finished() | Lost():
+            return memory
+        case Released() | None:
+            pass
+    if not has_room(memory, fact.organisation):
+        return memory
+    age_s = max(0.0, wall_s - fact.ended_wall_s)
+    if age_s >= CLAIM_WINDOW_S:
+        return memory
+    state = _read_fact(fact, now_s - age_s)
+    return remember(memory, fact.digest, fact.organisation, state)
+
+
+def _make_fact(
+    digest: KeyDigest, claim: RememberedClaim, now_s: float, to_wall_s: float
+) -> ClaimFact | None:
+    match claim.state:
+        case Released():
+            return None
+        case Claimed(request=request, by=by):
+            end: EndedRan | EndedUnknown = EndedUnknown(reason=STOPPED)
+            ended_s = now_s
+        case Finished(request=request, by=by, reply=reply, ended_s=ended_s):
+            end = EndedRan(reply=reply)
+        case Lost(request=request, by=by, reason=reason, ended_s=ended_s):
+            end = EndedUnknown(reason=reason)
+    return ClaimFact(
+        organisation=claim.organisation,
+        digest=digest,
+        by=by,
+        request=request,
+        end=end,
+        ended_wall_s=ended_s + to_wall_s,
+    )
+
+
+def _read_fact(fact: ClaimFact, ended_s: float) -> ClaimState:
+    by, request = fact.by, fact.request
+    match fact.end:
+        case EndedRan(reply=reply):
+            return Finished(by=by, request=request, reply=reply, ended_s=ended_s)
+        case EndedUnknown(reason=reason):
+            return Lost(by=by, request=request, reason=reason, ended_s=ended_s)
--- a/snipespring/decisions/claims/memory.py
+++ b/snipespring/decisions/claims/memory.py
@@ -28,7 +28,7 @@
 ) -> ClaimState | None:
     """Return the state of a key; a claim past its time counts as lost."""
     claim = memory.claims.get(digest)
-    if claim is None:
+    if claim is None or _forget_at_s(claim.state) <= now_s:
         return None
     match claim.state:
         case Claimed(by=by, request=request, until_s=until_s) if until_s <= now_s:
--- a/snipespring/decisions/claims/owning.py
+++ b/snipespring/decisions/claims/owning.py
@@ -27,7 +27,12 @@
     Released,
     RequestDigest,
 )
-from .limits import CLAIM_WINDOW_S, GRANT_MARGIN_S, MAX_GRANT_S
+from .limits import (
+    CLAIM_WINDOW_S,
+    GRANT_MARGIN_S,
+    MAX_GRANT_S,
+    TAKEOVER_WAIT_S,
+)
 from .memory import has_room, recall, remember
 from .tenure import find_misdirection, is_settled
 
@@ -77,10 +82,8 @@
     asked: ClaimRequest, standing: OwnerStanding, now_s: float
 ) -> ClaimAnswer | None:
     match asked.key:
-        case IssuedKey(incarnation=incarnation):
-            if incarnation == standing.own.incarnation:
-                return None
-            return ClaimUnknown(reason="the host that issued the key has restarted")
+        case IssuedKey():
+            return None
         case PlainKey(digest=digest, roster_version=version):
             reason = find_misdirection(
                 standing, digest, roster_version=version, now_s=now_s
@@ -108,14 +111,16 @@
     asked: ClaimRequest, standing: OwnerStanding, now_s: float
 ) -> str | None:
     match asked.key:
-        case IssuedKey(issued_s=issued_s):
+        case IssuedKey(incarnation=incarnation, issued_s=issued_s):
+            if incarnation != standing.own.incarnation:
+                return "the host that issued the key has restarted or left"
             if now_s < issued_s + CLAIM_WINDOW_S:
                 return None
             return f"the key's prefix is older than {CLAIM_WINDOW_S:g} s"
         case PlainKey(digest=digest):
             if is_settled(standing, digest):
                 return None
-            return f"the key's owner changed within the last {CLAIM_WINDOW_S:g} s"
+            return f"the key's owner changed within the last {TAKEOVER_WAIT_S:g} s"
 
 
 def _answer_repeat(
@@ -136,12 +141,18 @@
 
 
 def _end_state(held: Claimed | Lost, end: ClaimEnd, now_s: float) -> ClaimState:
+    """Return the state after a report; a late one does not prolong the window."""
+    match held:
+        case Claimed(until_s=limit_s) | Lost(ended_s=limit_s):
+            ended_s = min(now_s, limit_s)
     match end:
         case EndedRan(reply=reply):
             return Finished(
-                by=held.by, request=held.request, reply=reply, ended_s=now_s
+                by=held.by, request=held.request, reply=reply, ended_s=ended_s
             )
         case EndedNotRun():
-            return Released(by=held.by, ended_s=now_s)
+            return Released(by=held.by, ended_s=ended_s)
         case EndedUnknown(reason=reason):
-            return Lost(by=held.by, request=held.request, reason=reason, ended_s=now_s)
+            return Lost(
+                by=held.by, request=held.request, reason=reason, ended_s=ended_s
+            )
--- a/snipespring/decisions/claims/tenure.py
+++ b/snipespring/decisions/claims/tenure.py
@@ -15,7 +15,7 @@
     Tenure,
 )
 from ..membership import holder_of
-from .limits import CLAIM_WINDOW_S
+from .limits import TAKEOVER_WAIT_S
 
 __all__ = ["advance_tenure", "find_misdirection", "is_settled", "role_of"]
 
@@ -64,7 +64,7 @@
 
 
 def is_settled(standing: OwnerStanding, digest: bytes) -> bool:
-    """Return whether no other host can have granted the key within the window."""
+    """Return whether no other host can have granted the key within the wait."""
     contenders = standing.tenure.contenders
     if contenders is None:
         return False
@@ -100,7 +100,7 @@
         return True
     if step.fenced_at_s is None:
         return False
-    return step.fenced_at_s + CLAIM_WINDOW_S <= now_s
+    return step.fenced_at_s + TAKEOVER_WAIT_S <= now_s
 
 
 def _contenders(steps: tuple[RosterStep, ...], own: Host) -> Roster | None:
--- a/snipespring/records/claim_messages.py
+++ b/snipespring/records/claim_messages.py
@@ -2,13 +2,22 @@
 
 from attrs import frozen
 
-from .claims import Attempt, ClaimKey, ClaimReport, RecordedReply, RequestDigest
+from .claims import (
+    Attempt,
+    ClaimFact,
+    ClaimKey,
+    ClaimReport,
+    RecordedReply,
+    RequestDigest,
+)
 from .identity import OrganisationName
 
 __all__ = [
     "ClaimAnswer",
     "ClaimCrowded",
     "ClaimDiffers",
+    "ClaimFacts",
+    "ClaimFactsTaken",
     "ClaimMessage",
     "ClaimMisdirected",
     "ClaimPermitted",
@@ -105,4 +114,23 @@
     """Confirm that every report of a call is taken in."""
 
 
-ClaimMessage = ClaimRequest | ClaimAnswer | ClaimReports | ClaimReportsTaken
+@frozen(kw_only=True)
+class ClaimFacts:
+    """Tell the successor of a stopping host how claims ended."""
+
+    facts: tuple[ClaimFact, ...]
+
+
+@frozen(kw_only=True)
+class ClaimFactsTaken:
+    """Confirm that every fact of a call is taken in."""
+
+
+ClaimMessage = (
+    ClaimRequest
+    | ClaimAnswer
+    | ClaimReports
+    | ClaimReportsTaken
+    | ClaimFacts
+    | ClaimFactsTaken
+)
--- a/snipespring/records/claims.py
+++ b/snipespring/records/claims.py
@@ -12,6 +12,7 @@
 __all__ = [
     "Attempt",
     "ClaimEnd",
+    "ClaimFact",
     "ClaimGranted",
     "ClaimKey",
     "ClaimMemory",
@@ -213,6 +214,18 @@
     end: ClaimEnd
 
 
+@frozen(kw_only=True)
+class ClaimFact:
+    """State how a claim ended; the wall clock tells when, in seconds."""
+
+    organisation: OrganisationName | None
+    digest: KeyDigest
+    by: Attempt
+    request: RequestDigest
+    end: EndedRan | EndedUnknown
+    ended_wall_s: float
+
+
 @frozen(kw_only=True)
 class PendingReport:
     """Hold a report on its way; times are readings of the monotonic clock."""
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -134,6 +134,18 @@
     assert count_runs(fleet, key) == 1
 
 
+def test_a_stopped_owner_hands_over_the_answer(fleet: Fleet) -> None:
+    key = issue_key(fleet, 2)
+    first = post_settled(fleet, 0, key)
+    fleet.signal("proxy-2", signal.SIGTERM)
+    assert fleet.wait_exit("proxy-2") == 0
+    answers = [post_settled(fleet, index, key) for index in (0, 1)]
+    assert [answer.body for answer in answers] == [first.body, first.body]
+    assert count_runs(fleet, key) == 1
+    fleet.start_proxy(2)
+    wait_until(lambda: "sk1." in issue_key(fleet, 2), "the new incarnation")
+
+
 def test_a_killed_owner_leaves_the_outcome_unknown(fleet: Fleet) -> None:
     key = issue_key(fleet, 2)
     assert post_settled(fleet, 0, key).status == 200
