Refuse an idempotency key that holds the organisation's key

Cause: stripping the organisation's key removes every header that contains it, the idempotency key among them; the request then counted as one without a key and ran once for each repeat. Ruled out: claiming by the unstripped text; the backend server would see a request whose idempotency key is gone. Change: such a request is refused with 400 as not run, before it is claimed. Conclusion: no request with an idempotency key is sent without a claim.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -13,6 +13,7 @@
     attempt_timeout_s,
     decide_after_attempt,
 )
+from ..decisions.claims import loses_claim_key
 from ..decisions.health import record_end, record_start
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
 from ..decisions.replies import refusal_reply, result_reply
@@ -66,6 +67,7 @@
 MAX_ATTEMPTS = 3
 MIN_ATTEMPT_S = 0.005
 SHORT_RETRY_S = 0.2
+KEY_IN_KEY = "the idempotency key holds the organisation's key"
 CLAIM_ENDED = "the permission to run ended before the request was sent"
 
 
@@ -104,8 +106,13 @@
             case KeyRefused(reason=reason):
                 return self._refuse(request, None, 401, reason, "keys")
             case Authenticated(organisation=organisation, key=key):
+                stripped = strip_key(request, key)
+                if loses_claim_key(request, stripped):
+                    return self._refuse(
+                        request, organisation, 400, KEY_IN_KEY, "claims"
+                    )
                 admitted = AdmittedRequest(
-                    request=strip_key(request, key),
+                    request=stripped,
                     route=route,
                     organisation=organisation,
                     deadline_at_s=_deadline_at_s(cfg, route, request, started_s),
--- a/snipespring/decisions/claims/__init__.py
+++ b/snipespring/decisions/claims/__init__.py
@@ -19,6 +19,7 @@
     derive_issuing_key,
     digest_request,
     issue_prefix,
+    loses_claim_key,
     read_claim_key,
 )
 from .limits import (
@@ -61,6 +62,7 @@
     "is_settled",
     "issue_prefix",
     "judge_answer",
+    "loses_claim_key",
     "may_send",
     "next_due_s",
     "read_claim_key",
--- a/snipespring/decisions/claims/keys.py
+++ b/snipespring/decisions/claims/keys.py
@@ -25,6 +25,7 @@
     "derive_issuing_key",
     "digest_request",
     "issue_prefix",
+    "loses_claim_key",
     "read_claim_key",
 ]
 
@@ -80,9 +81,7 @@
     roster_version: int,
 ) -> IssuedKey | PlainKey | KeyAbsent | KeyMalformed:
     """Return the request's idempotency key, or why it has none to use."""
-    texts = [
-        header.value for header in request.headers if header.name.lower() == KEY_HEADER
-    ]
+    texts = _find_texts(request)
     if not texts:
         return KeyAbsent()
     text = texts[0].strip()
@@ -97,6 +96,11 @@
     return PlainKey(digest=digest, roster_version=roster_version)
 
 
+def loses_claim_key(request: Request, stripped: Request) -> bool:
+    """Return whether the idempotency key went with the organisation's key."""
+    return _find_texts(request) != _find_texts(stripped)
+
+
 def digest_request(request: Request) -> RequestDigest:
     """Return a digest of the method, the path and the body."""
     state = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -130,6 +134,12 @@
     )
 
 
+def _find_texts(request: Request) -> list[str]:
+    return [
+        header.value for header in request.headers if header.name.lower() == KEY_HEADER
+    ]
+
+
 def _is_visible(text: str) -> bool:
     return 0 < len(text) <= MAX_KEY_CHARS and all("!" <= char <= "~" for char in text)
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -85,6 +85,12 @@
     assert count_runs(fleet, key) == 0
 
 
+def test_an_idempotency_key_that_holds_the_api_key_is_refused(fleet: Fleet) -> None:
+    answers = [post(fleet, index, f"{KEY}-17") for index in range(2)]
+    assert [answer.status for answer in answers] == [400, 400]
+    assert count_runs(fleet, f"{KEY}-17") == count_runs(fleet, "") == 0
+
+
 def test_issued_keys_work_while_the_platform_is_away(fleet: Fleet) -> None:
     fleet.set_platform(mode="away")
     try:
