--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -18,6 +18,9 @@
 from .canceller import (
     Canceller,
 )
+from .claim_handover import (
+    ClaimHandover,
+)
 from .claim_owner import (
     ClaimOwner,
 )
@@ -104,6 +107,7 @@
     "AddressLister",
     "Applier",
     "Canceller",
+    "ClaimHandover",
     "ClaimOwner",
     "Claimant",
     "Configurator",
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -4,7 +4,6 @@
 import signal
 import threading
 import uuid
-from collections.abc import Callable
 from functools import partial
 from random import Random
 from types import FrameType
@@ -22,6 +21,7 @@
     AddressLister,
     Canceller,
     Claimant,
+    ClaimHandover,
     ClaimOwner,
     Configurator,
     Controller,
@@ -89,7 +89,7 @@
     lease_keeper: LeaseKeeper
     share_mover: ShareMover
     claimant: Claimant
-    handovers: tuple[Callable[[], None], ...] = ()
+    handover: ClaimHandover
 
     def start(self) -> None:
         """Open the listeners and start the controllers; raise OSError if taken."""
@@ -104,6 +104,7 @@
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.claimant.step()
+        self.handover.hand_over()
         self.callers.close()
         self._leave()
         self.runner.stop()
@@ -119,10 +120,7 @@
         until_s = self.clock.monotonic_s() + wait_s
         self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
         self.callers.drain()
-        for hand_over in self.handovers:
-            hand_over()
-        left_s = until_s - self.clock.monotonic_s()
-        threading.Event().wait(max(0.0, left_s))
+        threading.Event().wait(wait_s)
 
     def _leave(self) -> None:
         """Give up the lease, then the place in the roster, then the shares."""
@@ -327,6 +325,7 @@
         lease_keeper=lease_keeper,
         share_mover=share_mover,
         claimant=claimant,
+        handover=ClaimHandover(board=board, clock=clock, client=links, own=own),
     )
 
 
--- a/snipespring/decisions/claims/__init__.py
+++ b/snipespring/decisions/claims/__init__.py
@@ -9,12 +9,17 @@
     refuse_gone,
     refuse_malformed,
 )
+from .handover import (
+    collect_facts,
+    take_fact,
+)
 from .keys import (
     KeyAbsent,
     KeyMalformed,
     derive_issuing_key,
     digest_request,
     issue_prefix,
+    loses_claim_key,
     read_claim_key,
 )
 from .limits import (
@@ -49,6 +54,7 @@
     "add_report",
     "advance_tenure",
     "answer_claim",
+    "collect_facts",
     "derive_issuing_key",
     "digest_request",
     "due_reports",
@@ -56,6 +62,7 @@
     "is_settled",
     "issue_prefix",
     "judge_answer",
+    "loses_claim_key",
     "may_send",
     "next_due_s",
     "read_claim_key",
@@ -67,5 +74,6 @@
     "role_of",
     "settle_reports",
     "sweep",
+    "take_fact",
     "take_report",
 ]
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -11,9 +11,9 @@
 )
 from .backends import (
     AnswerBroken,
+    Answered,
     AnswerForeign,
     AnswerLate,
-    Answered,
     BackendRequest,
     BackendResult,
     ConnectFailed,
@@ -29,6 +29,8 @@
     ClaimAnswer,
     ClaimCrowded,
     ClaimDiffers,
+    ClaimFacts,
+    ClaimFactsTaken,
     ClaimMessage,
     ClaimMisdirected,
     ClaimPermitted,
@@ -42,7 +44,9 @@
 )
 from .claims import (
     Attempt,
+    Claimed,
     ClaimEnd,
+    ClaimFact,
     ClaimGranted,
     ClaimKey,
     ClaimMemory,
@@ -51,7 +55,6 @@
     ClaimReport,
     ClaimResult,
     ClaimState,
-    Claimed,
     EndedNotRun,
     EndedRan,
     EndedUnknown,
@@ -187,8 +190,8 @@
     SegmentFound,
 )
 from .metrics import (
-    Counters,
     LATENCY_BOUNDS_S,
+    Counters,
     LatencyBuckets,
 )
 from .platform import (
@@ -232,8 +235,8 @@
     Access,
     Configuration,
     EjectCarefully,
-    EjectQuickly,
     EjectionPreference,
+    EjectQuickly,
     HeldSegments,
     KeyAccess,
     KeyRule,
@@ -278,6 +281,9 @@
     "ClaimCrowded",
     "ClaimDiffers",
     "ClaimEnd",
+    "ClaimFact",
+    "ClaimFacts",
+    "ClaimFactsTaken",
     "ClaimGranted",
     "ClaimKey",
     "ClaimMemory",
