Bound bodies in memory, give uploads one id, count added time, mend edge cases

Cause: 500 connections could hold 4 GB of bodies; an upload had no id that a server can know it by; added time was not counted; HEAD lost its length, 204 and 304 carried one, a malformed deadline was ignored, a folded header of a server made the whole answer fail, a query outside of ASCII raised. Ruled out: counting a body when its handling begins (it is in memory by then); reserving the declared length (a caller that sends nothing would block others). Change: the parser counts body bytes as they come and refuses with "not run" over 64 MiB; uploads carry Upload-Id, from Idempotency-Key or minted; the forwarder observes its own time; a malformed Deadline-Ms is 400 and not run.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -22,6 +22,7 @@
 )
 from .routing import (
     ATTEMPT_WATCH,
+    HELD_BODIES,
     REQUEST_QUEUES,
     RETRY_BUDGETS,
     RUNNING_ATTEMPTS,
@@ -36,6 +37,7 @@
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HELD_BODIES",
     "HOST_STATUSES",
     "LEASE",
     "OWN_STATUS",
--- a/snipespring/blackboard/regions/routing.py
+++ b/snipespring/blackboard/regions/routing.py
@@ -2,6 +2,7 @@
 
 from ...records import (
     AttemptWatch,
+    HeldBodies,
     RequestQueues,
     RetryBudgets,
     RunningAttempts,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "ATTEMPT_WATCH",
+    "HELD_BODIES",
     "REQUEST_QUEUES",
     "RETRY_BUDGETS",
     "RUNNING_ATTEMPTS",
@@ -19,6 +21,9 @@
     "SERVER_SUBSETS",
 ]
 
+HELD_BODIES = Region[HeldBodies](
+    name="held_bodies", writer="body_keeper", initial=HeldBodies()
+)
 RUNNING_ATTEMPTS = Region[RunningAttempts](
     name="running_attempts", writer="canceller", initial=RunningAttempts()
 )
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .body_keeper import (
+    BodyKeeper,
+)
 from .canceller import (
     Canceller,
 )
@@ -68,6 +71,7 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "BodyKeeper",
     "Canceller",
     "Claimant",
     "Configurator",
--- /dev/null
+++ b/snipespring/controllers/body_keeper.py
@@ -0,0 +1,39 @@
+"""Bound the request bodies that this host holds in memory."""
+
+from attrs import define
+
+from ..blackboard import Board
+from ..blackboard.regions import HELD_BODIES
+from ..records import HeldBodies
+
+__all__ = ["BodyKeeper"]
+
+
+@define(kw_only=True, eq=False)
+class BodyKeeper:
+    """Write the held bodies region."""
+
+    board: Board
+    limit_bytes: int
+    name: str = "body_keeper"
+
+    def hold(self, size_bytes: int) -> bool:
+        """Count more bytes of a body; return False where the limit forbids it."""
+
+        def add(held: HeldBodies) -> tuple[HeldBodies, bool]:
+            size = held.size_bytes + size_bytes
+            if size > self.limit_bytes:
+                return held, False
+            peak = max(held.peak_bytes, size)
+            return HeldBodies(size_bytes=size, peak_bytes=peak), True
+
+        return self.board.transact(HELD_BODIES, add, writer=self.name)
+
+    def release(self, size_bytes: int) -> None:
+        """Count the bytes of a body that is no longer held."""
+
+        def remove(held: HeldBodies) -> HeldBodies:
+            size = held.size_bytes - size_bytes
+            return HeldBodies(size_bytes=size, peak_bytes=held.peak_bytes)
+
+        self.board.update(HELD_BODIES, remove, writer=self.name)
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -124,6 +124,8 @@
             self._dispatch(server.service)
 
     def _place_now(self, wanted: SlotRequest) -> Placed | NotPlaced | None:
+        if self.clock.monotonic_s() >= wanted.deadline_at_s:
+            return NotPlaced(reason="the deadline is over", retry_after_s=0.0)
         queue = queue_of(self.board.read(REQUEST_QUEUES), wanted.service)
         if queue.waiters:
             return None
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -75,6 +75,7 @@
                     route=route,
                     organisation=organisation,
                     deadline_at_s=_deadline_at_s(cfg, route, request, started_s),
+                    received_s=started_s,
                 )
                 return self._admit(cfg, admitted, is_gone)
 
@@ -134,6 +135,8 @@
     ) -> Reply:
         service = cfg.services[admitted.route.service]
         delivery = self.sender.deliver(service, admitted, is_gone)
+        total_s = self.clock.monotonic_s() - admitted.received_s
+        self.accountant.observe_added(total_s - delivery.backend_s)
         return self._finish(admitted, delivery.reply, delivery.rule)
 
     def _finish(self, admitted: AdmittedRequest, reply: Reply, rule: str) -> Reply:
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -11,6 +11,7 @@
 from ..decisions.attempts import (
     Finish,
     TryAgain,
+    attempt_headers,
     attempt_limit,
     attempt_timeout_s,
     best_result,
@@ -157,7 +158,7 @@
             method=request.method,
             path=request.path,
             organisation=admitted.organisation,
-            headers=request.headers,
+            headers=attempt_headers(request, run),
             body=request.body,
             timeout_s=attempt_timeout_s(
                 run,
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -26,7 +26,7 @@
 def wait_for_waiters(dispatcher: Dispatcher, count: int) -> None:
     sub = dispatcher.board.subscribe((REQUEST_QUEUES,))
     while count_waiters(dispatcher.board.read(REQUEST_QUEUES)) < count:
-        sub.wait(LIMIT_S)
+        assert sub.wait(LIMIT_S)
 
 
 def test_waiter_gets_the_slot_that_another_request_gives_back() -> None:
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -20,6 +20,7 @@
 )
 from ..controllers import (
     Accountant,
+    BodyKeeper,
     Canceller,
     Claimant,
     Configurator,
@@ -57,6 +58,7 @@
 OPERATOR_THREADS = 2
 OPERATOR_CONNECTIONS = 50
 OPERATOR_BODY_BYTES = 65536
+HELD_BODY_BYTES = 64 * 1024 * 1024
 WALL_DIGITS = 13
 MS_PER_S = 1000
 
@@ -206,6 +208,7 @@
             threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
+            bodies=BodyKeeper(board=board, limit_bytes=HELD_BODY_BYTES),
         ),
         operators=HttpServer(
             address=own.operators,
--- a/snipespring/decisions/attempts.py
+++ b/snipespring/decisions/attempts.py
@@ -11,9 +11,11 @@
     AnswerLate,
     BackendResult,
     ConnectFailed,
+    Header,
     NotRun,
     Outcome,
     Ran,
+    Request,
     RunAsUpload,
     RunIdempotent,
     RunOnce,
@@ -26,6 +28,7 @@
 __all__ = [
     "Finish",
     "TryAgain",
+    "attempt_headers",
     "attempt_limit",
     "attempt_timeout_s",
     "best_result",
@@ -42,6 +45,8 @@
 MIN_UPLOAD_ATTEMPT_S = 1.0
 UPLOAD_DELAY_S = 0.1
 MAX_UPLOAD_DELAY_S = 2.0
+UPLOAD_ID = "upload-id"
+IDEMPOTENCY_KEY = "idempotency-key"
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -100,6 +105,18 @@
             return Finish()
 
 
+def attempt_headers(request: Request, run: RunPolicy) -> tuple[Header, ...]:
+    """Return the headers of every attempt; an upload carries one id in all."""
+    kept = tuple(one for one in request.headers if one.name.lower() != UPLOAD_ID)
+    match run:
+        case RunIdempotent() | RunOnce():
+            return kept
+        case RunAsUpload():
+            keys = (one.value for one in kept if one.name.lower() == IDEMPOTENCY_KEY)
+            upload_id = next(keys, request.request_id)
+            return (*kept, Header(name="Upload-Id", value=upload_id))
+
+
 def attempt_limit(run: RunPolicy) -> int:
     """Return how often a request may be sent."""
     match run:
--- a/snipespring/decisions/replies.py
+++ b/snipespring/decisions/replies.py
@@ -34,6 +34,8 @@
 def answer_reply(request_id: str, answer: Answered) -> Reply:
     """Return a server's whole answer as the reply."""
     dropped = HOP_BY_HOP | INTERNAL
+    if not answer.body:
+        dropped -= {"content-length"}  # of what HEAD would have sent
     headers = tuple(
         header for header in answer.headers if header.name.lower() not in dropped
     )
--- a/snipespring/decisions/tests/test_attempts.py
+++ b/snipespring/decisions/tests/test_attempts.py
@@ -7,6 +7,7 @@
 from snipespring.decisions.attempts import (
     Finish,
     TryAgain,
+    attempt_headers,
     attempt_timeout_s,
     best_result,
     decide_after_attempt,
@@ -20,8 +21,10 @@
     AnswerLate,
     BackendResult,
     ConnectFailed,
+    Header,
     NotRun,
     Ran,
+    Request,
     RunAsUpload,
     RunIdempotent,
     RunOnce,
@@ -89,3 +92,18 @@
 @given(run=runs, retries=st.integers(0, 30), seed=st.integers(0, 9))
 def test_delays_are_bounded(run: RunPolicy, retries: int, seed: int) -> None:
     assert 0.0 <= retry_delay_s(run, retries, Random(seed)) <= 3.0
+
+
+@given(key=st.none() | st.text(min_size=1), forged=st.booleans())
+def test_every_attempt_of_an_upload_carries_one_id(
+    key: str | None, forged: bool
+) -> None:
+    headers = [Header(name="Idempotency-Key", value=key)] if key else []
+    if forged:
+        headers.append(Header(name="upload-id", value="forged"))
+    request = Request(request_id="r", method="PUT", path="/", headers=tuple(headers))
+    sent = attempt_headers(request, RunAsUpload())
+    ids = [one.value for one in sent if one.name.lower() == "upload-id"]
+    assert ids == [key or "r"]
+    others = attempt_headers(request, RunOnce())
+    assert all(one.name.lower() != "upload-id" for one in others)
--- a/snipespring/frontends/callers/app.py
+++ b/snipespring/frontends/callers/app.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from urllib.parse import quote
 
-from attrs import define
+from attrs import define, frozen
 
 from ...records import (
     AddressAnswer,
@@ -27,6 +27,10 @@
 REQUEST_ID_HEADER = "Snipespring-Request-Id"
 DEADLINE_KEY = "HTTP_DEADLINE_MS"
 MS_PER_S = 1000.0
+MAX_DEADLINE_DIGITS = 9
+CONTENT_LENGTH = "content-length"
+BODILESS_STATUSES = frozenset({204, 304})
+QUERY_SAFE = "%/?:@!$&'()*+,;=-._~[]"
 SKIPPED_KEYS = frozenset(
     {
         "HTTP_CONNECTION",
@@ -60,26 +64,40 @@
     ) -> Iterable[bytes]:
         """Answer one HTTP request."""
         request = read_request(environ)
-        if environ["PATH_INFO"] == ADDRESSES_PATH:
+        if isinstance(request, MalformedRequest):
+            reply = _malformed_reply(request)
+        elif environ["PATH_INFO"] == ADDRESSES_PATH:
             reply = _address_reply(request, self.list_addresses(request))
         else:
             is_gone = environ.get("waitress.client_disconnected", lambda: False)
             reply = self.handle(request, is_gone)
-        start_response(_status_line(reply.status), _reply_headers(reply))
-        return [reply.body]
+        is_head = environ["REQUEST_METHOD"] == "HEAD"
+        headers = _reply_headers(reply, is_head=is_head)
+        start_response(_status_line(reply.status), headers)
+        return [] if is_head or reply.status in BODILESS_STATUSES else [reply.body]
 
 
-def read_request(environ: Environ) -> Request:
+@frozen(kw_only=True)
+class MalformedRequest:
+    """State what is wrong with a caller's request."""
+
+    reason: str
+
+
+def read_request(environ: Environ) -> Request | MalformedRequest:
     """Return the record of a WSGI request."""
+    deadline = environ.get(DEADLINE_KEY)
+    if deadline is not None and not _is_deadline(deadline):
+        return MalformedRequest(reason="Deadline-Ms is not a number of milliseconds")
     path = quote(environ["PATH_INFO"].encode("latin-1"), safe="/!$&'()*+,;=:@~-._")
-    query = environ.get("QUERY_STRING", "")
+    query = quote(environ.get("QUERY_STRING", "").encode("latin-1"), safe=QUERY_SAFE)
     return Request(
         request_id=uuid.uuid4().hex,
         method=environ["REQUEST_METHOD"],
         path=f"{path}?{query}" if query else path,
         headers=tuple(_read_headers(environ)),
         body=environ["wsgi.input"].read(),
-        deadline_s=_read_deadline_s(environ.get(DEADLINE_KEY)),
+        deadline_s=None if deadline is None else int(deadline) / MS_PER_S,
     )
 
 
@@ -92,10 +110,18 @@
             yield Header(name=name, value=val)
 
 
-def _read_deadline_s(text: str | None) -> float | None:
-    if text is None or not text.isdecimal():
-        return None
-    return int(text) / MS_PER_S
+def _is_deadline(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MAX_DEADLINE_DIGITS
+
+
+def _malformed_reply(malformed: MalformedRequest) -> Reply:
+    return Reply(
+        request_id=uuid.uuid4().hex,
+        status=HTTPStatus.BAD_REQUEST,
+        outcome=NotRun(reason=malformed.reason),
+        headers=(Header(name="Content-Type", value="text/plain; charset=utf-8"),),
+        body=f"{malformed.reason}\n".encode(),
+    )
 
 
 def _address_reply(request: Request, answer: AddressAnswer) -> Reply:
@@ -122,9 +148,15 @@
         return f"{status} Status"
 
 
-def _reply_headers(reply: Reply) -> list[tuple[str, str]]:
-    headers = [(header.name, header.value) for header in reply.headers]
-    headers.append(("Content-Length", str(len(reply.body))))
+def _reply_headers(reply: Reply, *, is_head: bool) -> list[tuple[str, str]]:
+    headers = [
+        (header.name, " ".join(header.value.split()))
+        for header in reply.headers
+        if is_head or header.name.lower() != CONTENT_LENGTH
+    ]
+    names = {name.lower() for name, _ in headers}
+    if reply.status not in BODILESS_STATUSES and CONTENT_LENGTH not in names:
+        headers.append(("Content-Length", str(len(reply.body))))
     headers.append((REQUEST_ID_HEADER, reply.request_id))
     headers.append((OUTCOME_HEADER, _outcome_text(reply.outcome)))
     match reply.outcome:
--- /dev/null
+++ b/snipespring/frontends/http_bodies.py
@@ -0,0 +1,68 @@
+"""Read request bodies within a bound on the bytes held by all of them."""
+
+from typing import Any, Protocol
+
+from waitress.parser import HTTPRequestParser
+from waitress.utilities import Error
+
+__all__ = ["BodyBound", "BoundedParser", "Unbounded"]
+
+RETRY_AFTER_S = "1"
+
+
+class BodyBound(Protocol):
+    """Count the bytes of bodies in memory."""
+
+    def hold(self, size_bytes: int) -> bool:
+        """Count more bytes; return False where the bound forbids it."""
+
+    def release(self, size_bytes: int) -> None:
+        """Count bytes that are no longer held."""
+
+
+class Unbounded:
+    """Hold any body."""
+
+    def hold(self, size_bytes: int) -> bool:
+        """Permit more bytes."""
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """Ignore bytes that are no longer held."""
+
+
+class _BodiesHeldError(Error):  # type: ignore[misc]
+    code = 503
+    reason = "Service Unavailable"
+
+    def to_response(self, ident: str | None = None) -> Any:
+        status, headers, body = super().to_response(ident)
+        refusal = [("Snipespring-Outcome", "not-run"), ("Retry-After", RETRY_AFTER_S)]
+        return status, [*headers, *refusal], body
+
+
+class BoundedParser(HTTPRequestParser):  # type: ignore[misc]
+    """Refuse a request when the bodies held by the server reach the bound."""
+
+    held_bytes = 0
+    error: Any = None
+
+    def received(self, data: bytes) -> int:
+        """Parse data and return how many bytes of it belong to this request."""
+        consumed: int = super().received(data)
+        grown = self.body_bytes_received - self.held_bytes
+        if grown <= 0 or self.error:
+            return consumed
+        if self.adj.bodies.hold(grown):
+            self.held_bytes += grown
+        else:
+            self.error = _BodiesHeldError("this host holds too many request bodies")
+            self.completed = True
+        return consumed
+
+    def close(self) -> None:
+        """Free the body."""
+        super().close()
+        held, self.held_bytes = self.held_bytes, 0
+        if held:
+            self.adj.bodies.release(held)
--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -11,6 +11,7 @@
 from waitress.wasyncore import dispatcher
 
 from ..records import Address
+from .http_bodies import BodyBound, BoundedParser, Unbounded
 
 __all__ = ["Environ", "HttpServer", "StartResponse", "WsgiApp"]
 
@@ -33,9 +34,19 @@
 
 
 class _DrainingChannel(HTTPChannel):  # type: ignore[misc]
-    """Serve requests by tasks that know of the drain."""
+    """Serve requests by tasks that know of the drain, within the body bound."""
 
     task_class = _DrainingTask
+    parser_class = BoundedParser
+    request: Any = None
+
+    def handle_close(self) -> None:
+        """Close the channel and free a body that was only partly read."""
+        super().handle_close()
+        with self.requests_lock:
+            request, self.request = self.request, None
+        if request is not None:
+            request.close()
 
 
 @define(kw_only=True, eq=False)
@@ -47,6 +58,7 @@
     threads: int
     max_body_bytes: int
     connections: int
+    bodies: BodyBound = field(factory=Unbounded)
     _server: TcpWSGIServer = field(init=False, default=None)
     _thread: threading.Thread | None = field(init=False, default=None)
     _draining: threading.Event = field(factory=threading.Event, init=False)
@@ -67,6 +79,7 @@
             ident=None,
         )
         server.adj.draining = self._draining
+        server.adj.bodies = self.bodies
         server.channel_class = _DrainingChannel
         self._server = server
         self._thread = threading.Thread(target=server.run, name="http", daemon=True)
--- /dev/null
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -0,0 +1,130 @@
+import socket
+import tempfile
+import threading
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection, HTTPResponse
+from typing import Any
+
+import pytest
+
+from snipespring.blackboard import Board
+from snipespring.blackboard.regions import HELD_BODIES
+from snipespring.controllers import BodyKeeper
+from snipespring.frontends.http_server import (
+    Environ,
+    HttpServer,
+    StartResponse,
+    WsgiApp,
+)
+from snipespring.records import Address
+
+LIMIT_S = 30.0
+LARGE = bytes(range(256)) * 16384  # 4 MiB
+
+
+def echo(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+    body = environ["wsgi.input"].read()
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+@contextmanager
+def serving(
+    app: WsgiApp, limit_bytes: int = 1 << 30
+) -> Iterator[tuple[Address, Board]]:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        address = Address(ip="127.0.0.1", port=probe.getsockname()[1])
+    board = Board()
+    server = HttpServer(
+        address=address,
+        app=app,
+        threads=4,
+        max_body_bytes=16 * len(LARGE),
+        connections=50,
+        bodies=BodyKeeper(board=board, limit_bytes=limit_bytes),
+    )
+    server.start()
+    try:
+        yield address, board
+    finally:
+        server.close()
+
+
+def post(address: Address, body: bytes) -> HTTPResponse:
+    conn = HTTPConnection(address.ip, address.port, timeout=LIMIT_S)
+    conn.request("POST", "/", body=body)
+    return conn.getresponse()
+
+
+def wait_until_released(board: Board) -> None:
+    sub = board.subscribe((HELD_BODIES,))
+    while board.read(HELD_BODIES).size_bytes:
+        assert sub.wait(LIMIT_S)
+
+
+def test_large_bodies_never_go_to_disk(monkeypatch: pytest.MonkeyPatch) -> None:
+    files: list[object] = []
+
+    def refuse(*args: Any, **kwargs: Any) -> None:
+        files.append(args)
+        raise OSError("no disk")
+
+    monkeypatch.setattr(tempfile, "TemporaryFile", refuse)
+    with serving(echo) as (address, board):
+        assert post(address, LARGE).read() == LARGE
+        wait_until_released(board)
+    assert files == []
+
+
+def test_bodies_over_the_bound_are_refused_as_not_run() -> None:
+    ran = []
+
+    def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        ran.append(1)
+        return echo(environ, start_response)
+
+    with serving(app, limit_bytes=100_000) as (address, board):
+        conn = HTTPConnection(address.ip, address.port, timeout=LIMIT_S)
+        conn.putrequest("POST", "/")
+        conn.putheader("Content-Length", "200000")
+        conn.endheaders(b"x" * 100_001)
+        refused = conn.getresponse()
+        assert refused.status == 503
+        assert refused.getheader("Snipespring-Outcome") == "not-run"
+        assert refused.getheader("Retry-After")
+        assert ran == []
+        assert board.read(HELD_BODIES).peak_bytes <= 100_000
+        wait_until_released(board)
+        assert post(address, b"x" * 90_000).status == 200
+
+
+def test_body_of_a_caller_that_left_is_freed() -> None:
+    with serving(echo) as (address, board):
+        sub = board.subscribe((HELD_BODIES,))
+        with socket.create_connection((address.ip, address.port)) as conn:
+            head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9000\r\n\r\n"
+            conn.sendall(head + b"x" * 100)
+            while not board.read(HELD_BODIES).size_bytes:
+                assert sub.wait(LIMIT_S)
+        wait_until_released(board)
+
+
+def test_request_learns_that_its_caller_left() -> None:
+    started, left = threading.Event(), threading.Event()
+
+    def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        started.set()
+        pause = threading.Event()
+        for _ in range(3000):
+            if environ["waitress.client_disconnected"]():
+                left.set()
+                break
+            pause.wait(0.01)
+        return echo(environ, start_response)
+
+    with serving(app) as (address, _):
+        with socket.create_connection((address.ip, address.port)) as conn:
+            conn.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            started.wait(LIMIT_S)
+        assert left.wait(LIMIT_S)
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -25,6 +25,9 @@
     ServiceLoad,
     ShedByServer,
 )
+from .bodies import (
+    HeldBodies,
+)
 from .claims import (
     ClaimGranted,
     ClaimRefused,
@@ -193,6 +196,7 @@
     "Fence",
     "GrantMoved",
     "Header",
+    "HeldBodies",
     "Host",
     "HostId",
     "HostStatus",
--- a/snipespring/records/requests.py
+++ b/snipespring/records/requests.py
@@ -64,13 +64,14 @@
 class AdmittedRequest:
     """Hold a request whose route, organisation and deadline are settled.
 
-    `deadline_at_s` is a reading of the monotonic clock.
+    `deadline_at_s` and `received_s` are readings of the monotonic clock.
     """
 
     request: Request
     route: RouteRule
     organisation: OrganisationName | None
     deadline_at_s: float
+    received_s: float = 0.0
 
 
 @frozen(kw_only=True)
