--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -30,6 +30,7 @@
     ServersBusy,
     cancel_reservation,
     choose_server,
+    forget_servers,
     release_server,
     reserve_server,
     service_load_of,
@@ -38,6 +39,7 @@
     BackendResult,
     ServerId,
     ServerLoads,
+    ServerSubsets,
     ServiceLoad,
     ServiceName,
     SlotRequest,
@@ -77,6 +79,7 @@
     bound: int
     name: str = "dispatcher"
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
+    _known_subsets: ServerSubsets | None = field(default=None, init=False)
     _futs: dict[int, Future[Placed | NotPlaced]] = field(factory=dict, init=False)
 
     @property
@@ -87,6 +90,7 @@
     def step(self) -> float | None:
         """Place the waiters that can go; return seconds until one more may."""
         with self._lock:
+            self._forget_servers()
             queues = self.board.read(REQUEST_QUEUES).by_service
             waiting = [name for name, queue in queues.items() if queue.waiters]
             free_at_s = min((self._dispatch(name) for name in waiting), default=inf)
@@ -123,6 +127,15 @@
             self._change_loads(lambda loads: cancel_reservation(loads, server))
             self._dispatch(server.service)
 
+    def _forget_servers(self) -> None:
+        subsets = self.board.read(SERVER_SUBSETS)
+        if subsets is self._known_subsets:
+            return
+        self._known_subsets = subsets
+        members = [one for held in subsets.by_service.values() for one in held.members]
+        kept = {member.rule.server for member in members}
+        self._change_loads(lambda loads: forget_servers(loads, kept))
+
     def _place_now(self, wanted: SlotRequest) -> Placed | NotPlaced | None:
         if self.clock.monotonic_s() >= wanted.deadline_at_s:
             return NotPlaced(reason="the deadline is over", retry_after_s=0.0)
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field, frozen
 
 from ..blackboard import Board
-from ..blackboard.regions import EVIDENCE, RETRY_BUDGETS
+from ..blackboard.regions import EVIDENCE, RETRY_BUDGETS, ROSTER
 from ..decisions.attempts import (
     Finish,
     TryAgain,
@@ -21,7 +21,7 @@
 )
 from ..decisions.health import record_end, record_start
 from ..decisions.replies import refusal_reply, result_reply
-from ..decisions.retries import NoBudget, earn_retry, spend_retry
+from ..decisions.retries import NoBudget, earn_retry, most_allowed, spend_retry
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
@@ -199,10 +199,11 @@
         if tried:
             return
         now_s = self.clock.monotonic_s()
+        most = most_allowed(len(self.board.read(ROSTER).hosts))
 
         def earn(held: RetryBudgets) -> RetryBudgets:
             budget = held.by_service.get(service.name, RetryBudget(at_s=now_s))
-            budget = earn_retry(budget, service.retry_share, now_s)
+            budget = earn_retry(budget, service.retry_share, most=most, now_s=now_s)
             by_service = held.by_service.set(service.name, budget)
             return evolve(held, by_service=by_service)
 
--- a/snipespring/controllers/subset_keeper.py
+++ b/snipespring/controllers/subset_keeper.py
@@ -8,6 +8,7 @@
 from ..blackboard import Board, Region
 from ..blackboard.regions import CONFIGURATION, ROSTER, SERVER_SUBSETS
 from ..decisions.routing import choose_subset, order_hosts
+from ..frontends.backends import Transport
 from ..records import Host, ServerSubsets
 from ..utils import Clock
 
@@ -20,6 +21,7 @@
 
     board: Board
     clock: Clock
+    transport: Transport
     own: Host
     name: str = "subset_keeper"
 
@@ -47,4 +49,11 @@
         }
         new = ServerSubsets(by_service=Map(subsets))
         self.board.write(SERVER_SUBSETS, new, writer=self.name)
+        self.transport.keep_only(
+            frozenset(
+                member.rule.server.address
+                for subset in subsets.values()
+                for member in subset.members
+            )
+        )
         return None
--- a/snipespring/controllers/tests/routing_fakes.py
+++ b/snipespring/controllers/tests/routing_fakes.py
@@ -87,6 +87,7 @@
     results: list[BackendResult] = field(factory=list)
     sent: list[tuple[ServerId, BackendRequest]] = field(factory=list)
     cancelled: list[str] = field(factory=list)
+    kept: frozenset[Address] = frozenset()
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         self.sent.append((server, attempt))
@@ -94,3 +95,6 @@
 
     def cancel(self, attempt_id: str) -> None:
         self.cancelled.append(attempt_id)
+
+    def keep_only(self, addresses: frozenset[Address]) -> None:
+        self.kept = addresses
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -155,7 +155,7 @@
         canceller,
         roster_keeper,
         StatusKeeper(board=board, own=own),
-        SubsetKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, transport=transport, own=own),
         puller,
         LeaseKeeper(
             board=board,
--- a/snipespring/decisions/retries/__init__.py
+++ b/snipespring/decisions/retries/__init__.py
@@ -1,5 +1,5 @@
 """Bound the retries that this host adds to the load of a service."""
 
-from .budget import MAX_ALLOWED, NoBudget, earn_retry, spend_retry
+from .budget import NoBudget, earn_retry, most_allowed, spend_retry
 
-__all__ = ["MAX_ALLOWED", "NoBudget", "earn_retry", "spend_retry"]
+__all__ = ["NoBudget", "earn_retry", "most_allowed", "spend_retry"]
--- a/snipespring/decisions/retries/budget.py
+++ b/snipespring/decisions/retries/budget.py
@@ -6,9 +6,10 @@
 
 from ...records import RetryBudget
 
-__all__ = ["MAX_ALLOWED", "NoBudget", "earn_retry", "spend_retry"]
+__all__ = ["NoBudget", "earn_retry", "most_allowed", "spend_retry"]
 
-MAX_ALLOWED = 3.0  # retries beyond the share, a host and service, in any window
+MAX_ALLOWED = 3.0  # retries kept by a host for a service
+FLEET_ALLOWED = 132.0  # retries kept by all hosts for a service, if one a host is fewer
 DECAY_S = 60.0
 
 
@@ -17,10 +18,17 @@
     """State that a retry would exceed the share."""
 
 
-def earn_retry(budget: RetryBudget, share: float, now_s: float) -> RetryBudget:
-    """Return the budget after one first attempt."""
+def most_allowed(hosts: int) -> float:
+    """Return the retries beyond the share that each of the hosts may cause."""
+    return min(MAX_ALLOWED, max(1.0, FLEET_ALLOWED / max(1, hosts)))
+
+
+def earn_retry(
+    budget: RetryBudget, share: float, *, most: float, now_s: float
+) -> RetryBudget:
+    """Return the budget after one first attempt, `most` retries at most."""
     budget = _decay(budget, now_s)
-    return evolve(budget, allowed=min(MAX_ALLOWED, budget.allowed + share))
+    return evolve(budget, allowed=min(most, budget.allowed + share))
 
 
 def spend_retry(budget: RetryBudget, now_s: float) -> RetryBudget | NoBudget:
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -1,6 +1,6 @@
 """Keep this host's view of the load of each backend server."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from math import exp
 
 from attrs import evolve
@@ -23,6 +23,7 @@
     "cancel_reservation",
     "drain_check_at_s",
     "estimate_busy",
+    "forget_servers",
     "load_of",
     "mean_others",
     "release_server",
@@ -120,6 +121,17 @@
     )
 
 
+def forget_servers(loads: ServerLoads, kept: Set[ServerId]) -> ServerLoads:
+    """Return the loads without idle servers outside of `kept`."""
+    by_server = loads.by_server
+    for server, load in loads.by_server.items():
+        if server not in kept and load.in_flight == 0:
+            by_server = by_server.delete(server)
+    if by_server is loads.by_server:
+        return loads
+    return evolve(loads, by_server=by_server)
+
+
 def _add_in_flight(loads: ServerLoads, server: ServerId, delta: int) -> ServerLoads:
     load = load_of(loads, server)
     load = evolve(load, in_flight=load.in_flight + delta)
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -43,6 +43,7 @@
     max_idle: int = 8
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _idle: dict[Address, list[PooledConnection]] = field(factory=dict, init=False)
+    _kept: frozenset[Address] | None = field(default=None, init=False)
 
     def take(self, address: Address, *, timeout_s: float) -> PooledConnection:
         """Return an idle or a new connection; raise OSError if none can be made."""
@@ -56,11 +57,21 @@
         """Keep a connection that carried a whole answer, or close it."""
         with self._lock:
             idle = self._idle.setdefault(conn.address, [])
-            if len(idle) < self.max_idle:
+            is_kept = self._kept is None or conn.address in self._kept
+            if is_kept and len(idle) < self.max_idle:
                 idle.append(conn)
                 return
         conn.close()
 
+    def keep_only(self, addresses: frozenset[Address]) -> None:
+        """Keep connections to these servers only, from now on."""
+        with self._lock:
+            self._kept = addresses
+            dropped = [one for one in self._idle if one not in addresses]
+            conns = [conn for one in dropped for conn in self._idle.pop(one)]
+        for conn in conns:
+            conn.close()
+
     def close(self) -> None:
         """Close every idle connection."""
         with self._lock:
--- a/snipespring/frontends/backends/tests/test_transport.py
+++ b/snipespring/frontends/backends/tests/test_transport.py
@@ -219,6 +219,17 @@
         assert isinstance(sender.send(server.server, attempt(2)), Answered)
 
 
+def test_connections_outside_of_the_subset_are_closed() -> None:
+    with serving(well, well) as server:
+        sender = transport()
+        assert isinstance(sender.send(server.server, attempt(1)), Answered)
+        assert sender.pool.idle_count() == 1
+        sender.keep_only(frozenset())
+        assert sender.pool.idle_count() == 0
+        assert isinstance(sender.send(server.server, attempt(2)), Answered)
+        assert sender.pool.idle_count() == 0
+
+
 def test_silence_is_late_and_ends_the_connection() -> None:
     with serving(lambda conn, one: True, well) as server:
         sender = transport()
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from ...records import (
+    Address,
     AnswerBroken,
     Answered,
     AnswerForeign,
@@ -44,6 +45,9 @@
     def cancel(self, attempt_id: str) -> None:
         """Break off an attempt that waits for its answer."""
 
+    def keep_only(self, addresses: frozenset[Address]) -> None:
+        """Keep idle connections to these servers only."""
+
 
 @define(kw_only=True, eq=False)
 class HttpTransport:
@@ -83,6 +87,10 @@
             if conn is not None:
                 conn.abort()
 
+    def keep_only(self, addresses: frozenset[Address]) -> None:
+        """Keep idle connections to these servers only."""
+        self.pool.keep_only(addresses)
+
     def _exchange(
         self, conn: PooledConnection, attempt: BackendRequest, started_s: float
     ) -> tuple[BackendResult, bool]:
