Let an ejection end on time also where its keeper stalls

Cause: an ejected server got nothing until the state changed, also after the time that bounds the ejection, which the floor counts on. Ruled out: treating it as avoided (a longer ejection by another name). Change: after its end an ejected server takes a tenth of its work, or more if no other has room; Retry-After is never written with an exponent.

--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -169,8 +169,10 @@
             return PREFERRED if _is_drawn(_ramp_share(from_s, now_s), rng) else RAMPING
         case ServerAvoided():
             return AVOIDED
-        case ServerEjected():
+        case ServerEjected(until_s=until_s) if now_s < until_s:
             return BARRED
+        case ServerEjected():
+            return PREFERRED if _is_drawn(RAMP_START, rng) else RAMPING
         case ServerOnTrial(share=share):
             if not placement.repeatable:
                 return BARRED
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -51,9 +51,15 @@
 
 MEMBERS = tuple(member(number, NEAR if number < 2 else FAR) for number in range(4))
 SERVERS = tuple(one.rule.server for one in MEMBERS)
-SUBSET = ServerSubset(
-    service=ServiceName("ledger"), members=MEMBERS, slots=3, in_flight_cap=2
-)
+
+
+def subset_of(members: tuple[SubsetMember, ...], cap: int) -> ServerSubset:
+    return ServerSubset(
+        service=ServiceName("ledger"), members=members, slots=3, in_flight_cap=cap
+    )
+
+
+SUBSET = subset_of(MEMBERS, 2)
 
 
 def choose(
@@ -146,11 +152,19 @@
             assert kind != 1 or 0 not in kinds
 
 
+def test_ejection_that_ran_out_leaves_a_small_part_of_the_work() -> None:
+    ended: dict[ServerId, ServerState] = {
+        SERVERS[0]: ServerEjected(reason="slow", until_s=99.0)
+    }
+    chosen = [choose(ServerLoads(), ended, seed=s) for s in range(200)]
+    assert 0 < chosen.count(Chosen(server=SERVERS[0])) / 200 < 0.2
+    only = subset_of(MEMBERS[:1], 3)
+    assert choose(ServerLoads(), ended, subset=only) == Chosen(server=SERVERS[0])
+
+
 def test_new_server_takes_a_small_part_of_the_work_at_first() -> None:
     members = (member(0, NEAR), member(1, NEAR, since_s=99.0))
-    subset = ServerSubset(
-        service=ServiceName("ledger"), members=members, slots=3, in_flight_cap=2
-    )
+    subset = subset_of(members, 2)
     chosen = [choose(ServerLoads(), seed=s, subset=subset) for s in range(200)]
     share = chosen.count(Chosen(server=SERVERS[1])) / 200
     assert 0 < share < 0.2
@@ -166,9 +180,7 @@
         self.draining = False
         self.signed_s: float | None = None
         self.open: list[float] = []
-        self.only = ServerSubset(
-            service=ServiceName("ledger"), members=MEMBERS[:1], slots=3, in_flight_cap=3
-        )
+        self.only = subset_of(MEMBERS[:1], 3)
 
     @rule()
     def toggle(self) -> None:
@@ -216,9 +228,7 @@
 
 def test_recovered_server_is_used_again() -> None:
     loads = after(ServerLoads(), 0, answered(draining=True))
-    only = ServerSubset(
-        service=ServiceName("ledger"), members=MEMBERS[:1], slots=3, in_flight_cap=3
-    )
+    only = subset_of(MEMBERS[:1], 3)
     assert choose(loads, now_s=104.9, subset=only) == ServersBusy(free_at_s=105.0)
     assert choose(loads, now_s=105.1, subset=only) == Chosen(server=SERVERS[0])
     loads = reserve_server(loads, SERVERS[0])
--- a/snipespring/frontends/callers/app.py
+++ b/snipespring/frontends/callers/app.py
@@ -161,7 +161,7 @@
     headers.append((OUTCOME_HEADER, _outcome_text(reply.outcome)))
     match reply.outcome:
         case NotRun(retry_after_s=float() as retry_after_s):
-            headers.append(("Retry-After", f"{retry_after_s:g}"))
+            headers.append(("Retry-After", f"{retry_after_s:.3f}"))
         case _:
             pass
     return headers
