--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -37,6 +37,7 @@
 )
 from .routing import (
     ATTEMPT_WATCH,
+    HELD_BODIES,
     REQUEST_QUEUES,
     RETRY_BUDGETS,
     RUNNING_ATTEMPTS,
@@ -57,6 +58,7 @@
     "FENCE",
     "HEALTH_POOLS",
     "HEARD_HOSTS",
+    "HELD_BODIES",
     "HELD_SEGMENTS",
     "HOST_STATUSES",
     "LEASE",
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -15,6 +15,9 @@
     RulesHeld,
     Unreachable,
 )
+from .body_keeper import (
+    BodyKeeper,
+)
 from .canceller import (
     Canceller,
 )
@@ -106,6 +109,7 @@
     "Accountant",
     "AddressLister",
     "Applier",
+    "BodyKeeper",
     "Canceller",
     "ClaimHandover",
     "ClaimOwner",
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -19,6 +19,7 @@
 from ..controllers import (
     Accountant,
     AddressLister,
+    BodyKeeper,
     Canceller,
     Claimant,
     ClaimHandover,
@@ -67,6 +68,7 @@
 OPERATOR_THREADS = 2
 OPERATOR_CONNECTIONS = 50
 OPERATOR_BODY_BYTES = 65536
+HELD_BODY_BYTES = 64 * 1024 * 1024
 WALL_DIGITS = 13
 MS_PER_S = 1000
 
@@ -232,7 +234,7 @@
         canceller,
         roster_keeper,
         StatusKeeper(board=board, clock=clock, own=own),
-        SubsetKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, transport=transport, own=own),
         puller,
         lease_keeper,
         FenceKeeper(
@@ -306,6 +308,7 @@
             threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
+            bodies=BodyKeeper(board=board, limit_bytes=HELD_BODY_BYTES),
         ),
         operators=HttpServer(
             address=own.operators,
--- a/snipespring/decisions/addresses.py
+++ b/snipespring/decisions/addresses.py
@@ -22,6 +22,7 @@
 NEAR_OFFERS = 2
 FAR_OFFERS = 2
 MIN_POOL = 2
+MIN_DOMAINS = 2
 RATE_PER_HOST_S = 100.0
 STATUS_LIMIT_S = 5.0
 
@@ -39,7 +40,10 @@
 def list_available(
     roster: Roster, statuses: HostStatuses, *, now_s: float
 ) -> tuple[Host, ...]:
-    """Return the hosts that serve, or all that stay where none is known to."""
+    """Return the hosts that serve, or all that stay where these span too little.
+
+    An answer in a single failure domain would be lost with that domain.
+    """
     staying: list[Host] = []
     serving: list[Host] = []
     for host in roster.hosts.values():
@@ -50,7 +54,8 @@
             staying.append(host)
             if view.status.serving and now_s - view.as_of_s <= STATUS_LIMIT_S:
                 serving.append(host)
-    return tuple(serving or staying)
+    needed = min(MIN_DOMAINS, _count_domains(staying))
+    return tuple(serving if _count_domains(serving) >= needed else staying)
 
 
 def list_addresses(
@@ -74,6 +79,10 @@
     return AddressAnswer(offers=offers, lifetime_s=lifetime_s)
 
 
+def _count_domains(hosts: Iterable[Host]) -> int:
+    return len({host.domain for host in hosts})
+
+
 def _list_pools(
     hosts: Iterable[Host], question: AddressQuestion
 ) -> dict[DomainName, list[Host]]:
--- a/snipespring/decisions/tests/test_addresses.py
+++ b/snipespring/decisions/tests/test_addresses.py
@@ -112,3 +112,18 @@
 def test_all_that_stay_are_offered_where_none_is_known_to_serve() -> None:
     roster = make_roster(4)
     assert len(list_available(roster, HostStatuses(), now_s=100.0)) == 4
+
+
+def test_an_answer_is_not_drawn_from_the_only_domain_heard_of() -> None:
+    roster = make_roster(4, domains=2)
+    own = next(iter(roster.hosts.values()))
+    status = HostStatus(
+        host_id=own.host_id,
+        incarnation=own.incarnation,
+        sequence=1,
+        versions=Versions(configuration=1, roster=1),
+        serving=True,
+    )
+    views = {own.host_id: HostView(status=status, as_of_s=99.0)}
+    found = list_available(roster, HostStatuses(by_host=Map(views)), now_s=100.0)
+    assert len({host.domain for host in found}) == 2
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -25,6 +25,9 @@
     ServiceLoad,
     ShedByServer,
 )
+from .bodies import (
+    HeldBodies,
+)
 from .claim_messages import (
     ClaimAnswer,
     ClaimCrowded,
@@ -337,6 +340,7 @@
     "HealthMessage",
     "HealthPolicy",
     "HeardHosts",
+    "HeldBodies",
     "HeldList",
     "HeldLists",
     "HeldSegments",
