Measure recovery after kill, freeze, platform outage and stop

Change: benchmarks/recovery.py prints one table row a fault from three real processes under four callers.

--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,263 @@
+"""Measure how a fleet of three processes recovers from one fault at a time."""
+
+import hashlib
+import signal
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from attrs import define, field, frozen
+
+from standins.harness import Fleet, FleetPlan, call, free_network
+
+__all__ = ["main"]
+
+KEY = "the-test-key-of-hauliers"
+CALLERS = 4
+BETWEEN_S = 0.02
+CALL_TIMEOUT_S = 4.0
+CHECK_S = 0.05
+LIMIT_S = 60.0
+FREEZE_S = 6.0
+OUTAGE_S = 20.0
+
+
+@frozen(kw_only=True)
+class Row:
+    """Hold one fault and what was measured after it."""
+
+    fault: str
+    times_s: tuple[str, ...]
+    seen: str
+
+
+@define(kw_only=True, eq=False)
+class Caller:
+    """Send requests to the hosts of an address answer, the next after an error."""
+
+    known: list[str]
+    stopping: threading.Event
+    seen: Counter[str] = field(factory=Counter)
+    asked_s: float = 0.0
+
+    def run(self) -> None:
+        """Send until told to stop."""
+        while not self.stopping.is_set():
+            if time.monotonic() - self.asked_s > 1.0:
+                self._ask()
+            self._send()
+            self.stopping.wait(BETWEEN_S)
+
+    def _ask(self) -> None:
+        try:
+            answer = call(self.known[0], "GET", "/addresses", headers={"Api-Key": KEY})
+        except OSError:
+            self._turn()
+            return
+        self.asked_s = time.monotonic()
+        self.known = [offer["address"] for offer in answer.json()["addresses"]]
+
+    def _send(self) -> None:
+        try:
+            answer = call(
+                self.known[0],
+                "GET",
+                "/ledger/x",
+                headers={"Api-Key": KEY},
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        except OSError as exc:
+            self.seen[type(exc).__name__] += 1
+            self._turn()
+        else:
+            outcome = answer.headers.get("snipespring-outcome", "none")
+            self.seen[f"{answer.status} {outcome}"] += 1
+
+    def _turn(self) -> None:
+        self.known = [*self.known[1:], self.known[0]]
+
+
+def main() -> int:
+    """Print one row a fault as a Markdown table."""
+    print("| fault | measured | callers saw |\n|---|---|---|")
+    for measure in (_kill, _freeze, _outage, _stop):
+        with _fleet() as fleet, _traffic(fleet) as seen:
+            row = measure(fleet)
+        text = "; ".join(f"{count} x {what}" for what, count in seen().most_common())
+        print(f"| {row.fault} | {'; '.join(row.times_s)} | {text} |", flush=True)
+    return 0
+
+
+def _kill(fleet: Fleet) -> Row:
+    fleet.signal("proxy-1", signal.SIGKILL)
+    fleet.wait_exit("proxy-1")
+    gone_s = _seconds_until(lambda: _roster_is(fleet, (0, 2), 2))
+    fenced_s = gone_s + _seconds_until(lambda: _is_fenced(fleet, (0, 2)))
+    fleet.start_proxy(1)
+    back_s = _seconds_until(lambda: _is_whole(fleet))
+    return Row(
+        fault="kill -9",
+        times_s=(
+            f"roster without it {gone_s:.1f} s",
+            f"fenced {fenced_s:.1f} s",
+            f"after its restart all as before {back_s:.1f} s",
+        ),
+        seen="",
+    )
+
+
+def _freeze(fleet: Fleet) -> Row:
+    fleet.signal("proxy-1", signal.SIGSTOP)
+    version = _apply(fleet, "# one more line")
+    others_s = _seconds_until(lambda: _in_force(fleet, version, (0, 2)))
+    threading.Event().wait(FREEZE_S - others_s)
+    fleet.signal("proxy-1", signal.SIGCONT)
+    force_s = _seconds_until(lambda: _in_force(fleet, version, (1,)))
+    back_s = force_s + _seconds_until(lambda: _is_whole(fleet))
+    return Row(
+        fault=f"SIGSTOP {FREEZE_S:g} s, rules changed meanwhile, SIGCONT",
+        times_s=(
+            f"new rules on the others {others_s:.1f} s",
+            f"on the thawed host {force_s:.1f} s after SIGCONT",
+            f"lease and roster as before {back_s:.1f} s",
+        ),
+        seen="",
+    )
+
+
+def _outage(fleet: Fleet) -> Row:
+    fleet.set_platform(mode="away")
+    lapses = 0
+    end_s = time.monotonic() + OUTAGE_S
+    while time.monotonic() < end_s:
+        lapses += sum(not _holds_lease(fleet, index) for index in range(3))
+        threading.Event().wait(CHECK_S)
+    fleet.set_platform(mode="up")
+    version = _apply(fleet, "# another line")
+    force_s = _seconds_until(lambda: _in_force(fleet, version, (0, 1, 2)))
+    return Row(
+        fault=f"platform away {OUTAGE_S:g} s",
+        times_s=(
+            f"checks without a lease {lapses}",
+            f"rules of after the outage in force everywhere {force_s:.1f} s",
+        ),
+        seen="",
+    )
+
+
+def _stop(fleet: Fleet) -> Row:
+    fleet.signal("proxy-1", signal.SIGTERM)
+    exit_s = _seconds_until(lambda: fleet.processes["proxy-1"].poll() is not None)
+    gone_s = exit_s + _seconds_until(lambda: _roster_is(fleet, (0, 2), 2))
+    fenced_s = gone_s + _seconds_until(lambda: _is_fenced(fleet, (0, 2)))
+    return Row(
+        fault="SIGTERM",
+        times_s=(
+            f"exit code {fleet.processes['proxy-1'].returncode} after {exit_s:.1f} s",
+            f"roster without it {gone_s:.1f} s",
+            f"fenced {fenced_s:.1f} s",
+        ),
+        seen="",
+    )
+
+
+@contextmanager
+def _fleet() -> Iterator[Fleet]:
+    network = free_network()
+    plan = FleetPlan(network=network, rules=_rules(network))
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Fleet(plan=plan, folder=Path(folder)) as fleet,
+    ):
+        _seconds_until(lambda: _is_whole(fleet))
+        yield fleet
+
+
+@contextmanager
+def _traffic(fleet: Fleet) -> Iterator[Callable[[], Counter[str]]]:
+    stopping = threading.Event()
+    known = [fleet.callers(index) for index in range(3)]
+    callers = [Caller(known=list(known), stopping=stopping) for _ in range(CALLERS)]
+    threads = [threading.Thread(target=caller.run) for caller in callers]
+    for thread in threads:
+        thread.start()
+    try:
+        yield lambda: sum((caller.seen for caller in callers), Counter())
+    finally:
+        stopping.set()
+        for thread in threads:
+            thread.join()
+
+
+def _rules(network: str) -> tuple[str, ...]:
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    return (
+        "service ledger floor=60% deadline=2s  # Nora",
+        *(f"server ledger {network}.2.{n}:9001 domain=d{n}  # Nora" for n in (1, 2, 3)),
+        "route GET /ledger service=ledger  # Nora",
+        "organisation hauliers rate=2000/s burst=2000  # Nora",
+        f"key hauliers sha256:{digest}  # Nora",
+    )
+
+
+def _apply(fleet: Fleet, line: str) -> int:
+    """Apply the rules with one more line; return their version."""
+    version: int = fleet.status(0)["configuration"]
+    if fleet.apply_rules((*_rules(fleet.plan.network), line)) != 0:
+        raise OSError("the rules were not accepted")
+    return version + 1
+
+
+def _seconds_until(condition: Callable[[], bool]) -> float:
+    start_s = time.monotonic()
+    pause = threading.Event()
+    while time.monotonic() - start_s < LIMIT_S:
+        try:
+            if condition():
+                return time.monotonic() - start_s
+        except (OSError, ValueError, KeyError):
+            pass
+        pause.wait(CHECK_S)
+    raise TimeoutError("the fleet did not recover in time")
+
+
+def _roster_is(fleet: Fleet, indices: tuple[int, ...], count: int) -> bool:
+    return all(len(fleet.status(i)["roster"]["hosts"]) == count for i in indices)
+
+
+def _in_force(fleet: Fleet, version: int, indices: tuple[int, ...]) -> bool:
+    return all(fleet.status(index)["configuration"] >= version for index in indices)
+
+
+def _holds_lease(fleet: Fleet, index: int) -> bool:
+    kind: str = fleet.status(index)["lease"]["kind"]
+    return kind == "LeaseHeld"
+
+
+def _is_fenced(fleet: Fleet, indices: tuple[int, ...]) -> bool:
+    return all(_fence_reaches_roster(fleet.operators(index)) for index in indices)
+
+
+def _fence_reaches_roster(operators: str) -> bool:
+    regions: dict[str, Any] = call(operators, "GET", "/dump").json()
+    version: int = regions["roster"]["version"]
+    return bool(regions["fence"]["version"] >= version)
+
+
+def _is_whole(fleet: Fleet) -> bool:
+    everyone = (0, 1, 2)
+    return (
+        all(_holds_lease(fleet, index) for index in everyone)
+        and _roster_is(fleet, everyone, 3)
+        and _is_fenced(fleet, everyone)
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
