Send only changed statuses and a byte of age a host

Cause: each pull carried every status: 6.7 kB at 44 hosts and 129 kB at 870, far above 24 kB/s a node. Ruled out: a longer interval that grows with the fleet (no attestation within a lease at 870 hosts). The fence machine passes over journals.

--- a/snipespring/controllers/puller.py
+++ b/snipespring/controllers/puller.py
@@ -18,22 +18,26 @@
 from ..decisions.membership import (
     age_sighting,
     age_statuses,
+    age_vector,
     choose_neighbours,
     forget_statuses,
     list_rosters,
     merge_sightings,
     merge_status,
+    misses_statuses,
+    read_after,
     receive_sighting,
     receive_statuses,
+    renew_statuses,
 )
 from ..frontends.peers import PeerClient
 from ..records import (
     Address,
-    AgedStatus,
     HeardHosts,
     Host,
     HostId,
     HostStatuses,
+    JournalPosition,
     PeerView,
     Pull,
     PullReply,
@@ -46,6 +50,7 @@
 __all__ = ["Puller"]
 
 FORGET_AFTER_S = 60.0
+SMALL_FLEET = 100
 
 
 @define(kw_only=True, eq=False)
@@ -62,6 +67,7 @@
     name: str = "puller"
     watches = ()
     _pool: ThreadPoolExecutor = field(init=False)
+    _read: dict[Address, JournalPosition] = field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Make the threads that wait for peers."""
@@ -81,7 +87,7 @@
     def answer(self, pull: Pull) -> PullReply:
         """Answer another host's pull."""
         self._mark_heard(pull.sender)
-        return self._reply(pull.held)
+        return self._reply(pull)
 
     def _targets(self) -> list[Address]:
         roster = self.board.read(ROSTER)
@@ -110,13 +116,14 @@
     def _pull(self, address: Address) -> None:
         configuration, roster = self._sightings()
         held = Versions(configuration=_version(configuration), roster=_version(roster))
-        pull = Pull(sender=self.own.host_id, held=held)
+        pull = Pull(sender=self.own.host_id, held=held, read=self._read.get(address))
         sent_at_s = self.clock.monotonic_s()
         reply = self.client.call(address, pull, timeout_s=self.interval_s)
         match reply:
             case PullReply():
                 self._take_sightings(reply, sent_at_s)
-                self._take_statuses(reply.statuses, sent_at_s)
+                self._take_statuses(reply, sent_at_s)
+                self._note_position(address, reply)
                 self._mark_address_heard(address)
             case _:
                 return
@@ -135,17 +142,35 @@
 
         self.board.update(PEER_VIEW, take, writer=self.name)
 
-    def _take_statuses(self, aged: tuple[AgedStatus, ...], sent_at_s: float) -> None:
+    def _take_statuses(self, reply: PullReply, sent_at_s: float) -> None:
         # What others say of this host itself is never news.
         others = tuple(
-            entry for entry in aged if entry.status.host_id != self.own.host_id
+            entry
+            for entry in reply.statuses
+            if entry.status.host_id != self.own.host_id
         )
+        roster = self.board.read(ROSTER)
 
         def take(statuses: HostStatuses) -> HostStatuses:
-            return receive_statuses(statuses, others, sent_at_s=sent_at_s)
+            changed = receive_statuses(statuses, others, sent_at_s=sent_at_s)
+            return renew_statuses(
+                changed,
+                reply.ages,
+                roster,
+                own=self.own.host_id,
+                sent_at_s=sent_at_s,
+            )
 
         self.board.update(HOST_STATUSES, take, writer=self.name)
 
+    def _note_position(self, address: Address, reply: PullReply) -> None:
+        statuses = self.board.read(HOST_STATUSES)
+        missing = misses_statuses(statuses, reply.ages, self.board.read(ROSTER))
+        if reply.written is None or missing:
+            self._read.pop(address, None)
+        else:
+            self._read[address] = reply.written
+
     def _mark_address_heard(self, address: Address) -> None:
         for host in self.board.read(ROSTER).hosts.values():
             if host.peers == address:
@@ -167,15 +192,25 @@
             HOST_STATUSES, lambda held: merge_status(held, view), writer=self.name
         )
 
-    def _reply(self, held: Versions) -> PullReply:
+    def _reply(self, pull: Pull) -> PullReply:
         now_s = self.clock.monotonic_s()
         configuration, roster = self._sightings()
+        applied = self.board.read(ROSTER)
+        statuses = self.board.read(HOST_STATUSES)
+        after = read_after(pull.read, self.own.incarnation)
+        if pull.held.roster != applied.version and len(applied.hosts) <= SMALL_FLEET:
+            # The ages would not fit the puller's roster.
+            after = 0
         return PullReply(
             configuration=age_sighting(
-                configuration, held_version=held.configuration, now_s=now_s
+                configuration, held_version=pull.held.configuration, now_s=now_s
+            ),
+            roster=age_sighting(roster, held_version=pull.held.roster, now_s=now_s),
+            statuses=age_statuses(statuses, now_s=now_s, after=after),
+            ages=age_vector(applied, statuses, now_s=now_s),
+            written=JournalPosition(
+                journal=self.own.incarnation, position=statuses.position
             ),
-            roster=age_sighting(roster, held_version=held.roster, now_s=now_s),
-            statuses=age_statuses(self.board.read(HOST_STATUSES), now_s=now_s),
         )
 
     def _sightings(self) -> tuple[Sighting | None, Sighting | None]:
--- a/snipespring/controllers/status_keeper.py
+++ b/snipespring/controllers/status_keeper.py
@@ -1,6 +1,6 @@
 """Report this host's own state."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ..blackboard import Board
 from ..blackboard.regions import (
@@ -32,7 +32,7 @@
 
 @define(kw_only=True, eq=False)
 class StatusKeeper:
-    """Write this host's status with a sequence that rises each round."""
+    """Write this host's status with a sequence that rises with its content."""
 
     board: Board
     clock: Clock
@@ -44,7 +44,6 @@
 
     def step(self) -> float:
         """Write the status; return seconds until the next report."""
-        self._sequence += 1
         # The time is read before the versions, which may rise meanwhile.
         as_of_s = self.clock.monotonic_s()
         versions = Versions(
@@ -54,16 +53,24 @@
         status = HostStatus(
             host_id=self.own.host_id,
             incarnation=self.own.incarnation,
-            sequence=self._sequence,
+            sequence=0,
             versions=versions,
             leaving=_is_leaving(self.board.read(STOP)),
             unheard=self._unheard(),
             serving=self._is_serving(),
         )
-        view = HostView(status=status, as_of_s=as_of_s)
+        view = HostView(status=self._number(status), as_of_s=as_of_s)
         self.board.write(OWN_STATUS, view, writer=self.name)
         return REPORT_INTERVAL_S
 
+    def _number(self, status: HostStatus) -> HostStatus:
+        """Give the status a new number only if its content changed."""
+        last = self.board.read(OWN_STATUS)
+        if last is not None and evolve(last.status, sequence=0) == status:
+            return last.status
+        self._sequence += 1
+        return evolve(status, sequence=self._sequence)
+
     def _is_serving(self) -> bool:
         match self.board.read(LEASE):
             case LeaseHeld(until_s=until_s):
--- a/snipespring/decisions/membership/__init__.py
+++ b/snipespring/decisions/membership/__init__.py
@@ -3,6 +3,12 @@
 from .fences import (
     advance_fence,
 )
+from .journals import (
+    age_vector,
+    misses_statuses,
+    read_after,
+    renew_statuses,
+)
 from .leases import (
     decide_lease,
 )
@@ -53,6 +59,7 @@
     "advance_fence",
     "age_sighting",
     "age_statuses",
+    "age_vector",
     "backoff_s",
     "base_version",
     "change_roster",
@@ -68,8 +75,11 @@
     "list_unheard_hosts",
     "merge_sightings",
     "merge_status",
+    "misses_statuses",
     "rank_hosts",
+    "read_after",
     "receive_sighting",
     "receive_statuses",
+    "renew_statuses",
     "restore_roster",
 ]
--- /dev/null
+++ b/snipespring/decisions/membership/journals.py
@@ -0,0 +1,103 @@
+"""Tell a peer only what changed since it last asked."""
+
+from collections.abc import Iterator
+from math import ceil
+
+from attrs import evolve
+
+from ...records import (
+    Host,
+    HostId,
+    HostStatuses,
+    HostView,
+    Incarnation,
+    JournalPosition,
+    Roster,
+    StatusAges,
+)
+
+__all__ = ["age_vector", "misses_statuses", "read_after", "renew_statuses"]
+
+AGE_UNIT_S = 0.02
+AGE_UNKNOWN = 255
+RENEWAL_STEP_S = 0.25
+
+
+def read_after(read: JournalPosition | None, journal: Incarnation) -> int:
+    """Return the position after which a peer needs changes; 0 stands for all."""
+    if read is None or read.journal != journal:
+        return 0
+    return max(0, read.position)
+
+
+def age_vector(roster: Roster, statuses: HostStatuses, *, now_s: float) -> StatusAges:
+    """Return the ages of the statuses of a roster's hosts, rounded up."""
+    ages = bytes(
+        _age_byte(statuses.by_host.get(host_id), roster.hosts[host_id], now_s)
+        for host_id in sorted(roster.hosts)
+    )
+    return StatusAges(roster=roster.version, ages=ages)
+
+
+def renew_statuses(
+    statuses: HostStatuses,
+    ages: StatusAges | None,
+    roster: Roster,
+    *,
+    own: HostId,
+    sent_at_s: float,
+) -> HostStatuses:
+    """Return the statuses with the times that a peer's ages prove.
+
+    The peer's changes must have been taken in before: then what is held of a
+    host is never older than what the peer's age is about.
+    """
+    renewed = {
+        host_id: HostView(status=view.status, as_of_s=as_of_s)
+        for host_id, view, as_of_s in _list_times(statuses, ages, roster, sent_at_s)
+        if host_id != own and as_of_s > view.as_of_s + RENEWAL_STEP_S
+    }
+    if not renewed:
+        return statuses
+    return evolve(statuses, by_host=statuses.by_host.update(renewed))
+
+
+def misses_statuses(
+    statuses: HostStatuses, ages: StatusAges | None, roster: Roster
+) -> bool:
+    """Return whether a peer knows the status of a host that is not held here."""
+    if ages is None or not _fits(ages, roster):
+        return False
+    return any(
+        age != AGE_UNKNOWN and not _is_current(statuses.by_host.get(host_id), roster)
+        for host_id, age in zip(sorted(roster.hosts), ages.ages, strict=True)
+    )
+
+
+def _list_times(
+    statuses: HostStatuses, ages: StatusAges | None, roster: Roster, sent_at_s: float
+) -> Iterator[tuple[HostId, HostView, float]]:
+    if ages is None or not _fits(ages, roster):
+        return
+    for host_id, age in zip(sorted(roster.hosts), ages.ages, strict=True):
+        view = statuses.by_host.get(host_id)
+        if age != AGE_UNKNOWN and view is not None and _is_current(view, roster):
+            yield host_id, view, sent_at_s - age * AGE_UNIT_S
+
+
+def _fits(ages: StatusAges, roster: Roster) -> bool:
+    return ages.roster == roster.version and len(ages.ages) == len(roster.hosts)
+
+
+def _is_current(view: HostView | None, roster: Roster) -> bool:
+    if view is None:
+        return False
+    status = view.status
+    return roster.hosts[status.host_id].incarnation == status.incarnation
+
+
+def _age_byte(view: HostView | None, host: Host, now_s: float) -> int:
+    if view is None or view.status.incarnation != host.incarnation:
+        return AGE_UNKNOWN
+    age = ceil(max(0.0, now_s - view.as_of_s) / AGE_UNIT_S)
+    return min(age, AGE_UNKNOWN)
--- a/snipespring/decisions/membership/statuses.py
+++ b/snipespring/decisions/membership/statuses.py
@@ -11,9 +11,16 @@
     """Return the statuses with a view taken in if it is newer than the one held."""
     host_id = view.status.host_id
     held = statuses.by_host.get(host_id)
-    if held is not None and not _is_newer(view, held):
-        return statuses
-    return evolve(statuses, by_host=statuses.by_host.set(host_id, view))
+    if held is None or held.status.incarnation != view.status.incarnation:
+        return _merge_incarnation(statuses, held, view)
+    if view.status.sequence > held.status.sequence:
+        # What was true later than the old content was true of the new one.
+        as_of_s = max(held.as_of_s, view.as_of_s)
+        return _change(statuses, evolve(view, as_of_s=as_of_s))
+    if view.as_of_s > held.as_of_s:
+        renewed = evolve(held, as_of_s=view.as_of_s)
+        return evolve(statuses, by_host=statuses.by_host.set(host_id, renewed))
+    return statuses
 
 
 def receive_statuses(
@@ -28,11 +35,14 @@
     return statuses
 
 
-def age_statuses(statuses: HostStatuses, *, now_s: float) -> tuple[AgedStatus, ...]:
-    """Return every status with its age."""
+def age_statuses(
+    statuses: HostStatuses, *, now_s: float, after: int = 0
+) -> tuple[AgedStatus, ...]:
+    """Return with its age every status that changed after a position."""
     return tuple(
         AgedStatus(status=view.status, age_s=now_s - view.as_of_s)
-        for view in statuses.by_host.values()
+        for host_id, view in statuses.by_host.items()
+        if statuses.changed_at.get(host_id, 0) > after or after == 0
     )
 
 
@@ -40,17 +50,34 @@
     statuses: HostStatuses, kept: frozenset[HostId], *, before_s: float
 ) -> HostStatuses:
     """Return the statuses without old ones of hosts that are not kept."""
-    by_host = statuses.by_host
-    for host_id, view in statuses.by_host.items():
-        if host_id not in kept and view.as_of_s < before_s:
-            by_host = by_host.delete(host_id)
-    if by_host is statuses.by_host:
+    gone = [
+        host_id
+        for host_id, view in statuses.by_host.items()
+        if host_id not in kept and view.as_of_s < before_s
+    ]
+    if not gone:
         return statuses
-    return evolve(statuses, by_host=by_host)
+    by_host, changed_at = statuses.by_host, statuses.changed_at
+    for host_id in gone:
+        by_host = by_host.delete(host_id)
+        changed_at = changed_at.delete(host_id)
+    return evolve(statuses, by_host=by_host, changed_at=changed_at)
 
 
-def _is_newer(view: HostView, held: HostView) -> bool:
-    if view.status.incarnation == held.status.incarnation:
-        return view.status.sequence > held.status.sequence
+def _merge_incarnation(
+    statuses: HostStatuses, held: HostView | None, view: HostView
+) -> HostStatuses:
     # The time decides, as wall clocks in incarnations may step back.
-    return view.as_of_s > held.as_of_s
+    if held is not None and held.as_of_s >= view.as_of_s:
+        return statuses
+    return _change(statuses, view)
+
+
+def _change(statuses: HostStatuses, view: HostView) -> HostStatuses:
+    host_id = view.status.host_id
+    position = statuses.position + 1
+    return HostStatuses(
+        by_host=statuses.by_host.set(host_id, view),
+        changed_at=statuses.changed_at.set(host_id, position),
+        position=position,
+    )
--- a/snipespring/decisions/membership/tests/fleet_model.py
+++ b/snipespring/decisions/membership/tests/fleet_model.py
@@ -15,6 +15,7 @@
     HostStatuses,
     HostView,
     Incarnation,
+    JournalPosition,
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
@@ -79,7 +80,9 @@
     fence: Fence = field(factory=Fence)
     lease: LeaseState = LeaseLapsed(reason="start")
     sequence: int = 0
+    reported: int = -1
     frozen: bool = False
+    read: dict[HostId, JournalPosition] = field(factory=dict)
 
     def clock_s(self, true_s: float) -> float:
         return self.offset_s + self.rate * true_s
@@ -124,25 +127,47 @@
             now_s=now_s,
         )
 
-    def reply(self, held: int, true_s: float) -> PullReply:
+    def reply(
+        self, held: int, true_s: float, read: JournalPosition | None = None
+    ) -> PullReply:
         now_s = self.clock_s(true_s)
+        after = mbr.read_after(read, self.own.incarnation)
         return PullReply(
             configuration=mbr.age_sighting(
                 self.configuration, held_version=1, now_s=now_s
             ),
             roster=mbr.age_sighting(self.seen, held_version=held, now_s=now_s),
-            statuses=mbr.age_statuses(self.statuses, now_s=now_s),
+            statuses=mbr.age_statuses(self.statuses, now_s=now_s, after=after),
+            ages=mbr.age_vector(self.roster, self.statuses, now_s=now_s),
+            written=JournalPosition(
+                journal=self.own.incarnation, position=self.statuses.position
+            ),
         )
 
-    def take(self, reply: PullReply, sent_s: float) -> None:
+    def take(self, peer: HostId, reply: PullReply, sent_s: float) -> None:
         sent_at_s = self.clock_s(sent_s)
         seen = mbr.receive_sighting(reply.roster, self.seen, sent_at_s=sent_at_s)
         self.seen = mbr.merge_sightings(self.seen, seen)
         if reply.configuration is not None:
             self._confirm(sent_at_s - reply.configuration.age_s)
-        self.statuses = mbr.receive_statuses(
+        statuses = mbr.receive_statuses(
             self.statuses, reply.statuses, sent_at_s=sent_at_s
         )
+        self.statuses = mbr.renew_statuses(
+            statuses,
+            reply.ages,
+            self.roster,
+            own=self.own.host_id,
+            sent_at_s=sent_at_s,
+        )
+        self._note_position(peer, reply)
+
+    def _note_position(self, peer: HostId, reply: PullReply) -> None:
+        missing = mbr.misses_statuses(self.statuses, reply.ages, self.roster)
+        if reply.written is None or missing:
+            self.read.pop(peer, None)
+        else:
+            self.read[peer] = reply.written
 
     def join(self, platform: ModelPlatform) -> None:
         held = mbr.compact_roster(platform.roster(), fenced=self.fence.version)
@@ -169,7 +194,9 @@
         self.roster = roster
 
     def _report(self, now_s: float) -> None:
-        self.sequence += 1
+        if self.reported != self.roster.version:
+            self.reported = self.roster.version
+            self.sequence += 1
         status = HostStatus(
             host_id=self.own.host_id,
             incarnation=self.own.incarnation,
--- a/snipespring/decisions/membership/tests/test_fences.py
+++ b/snipespring/decisions/membership/tests/test_fences.py
@@ -23,6 +23,7 @@
 @define(kw_only=True)
 class Delayed:
     puller: int
+    peer: int
     incarnation: str
     sent_s: float
     reply: PullReply
@@ -146,7 +147,8 @@
     def pull_side(self, puller: int, sent_s: float) -> None:
         for peer in self.running():
             if peer != puller and (peer in self.side) == (puller in self.side):
-                self.hosts[puller].take(self._ask(puller, peer), sent_s)
+                reply = self._ask(puller, peer)
+                self.hosts[puller].take(make_host(peer).host_id, reply, sent_s)
         self.hosts[puller].step(self.now_s)
 
     @rule(puller=numbers, peer=numbers, delay_s=st.floats(0.0, 3.0))
@@ -157,6 +159,7 @@
             self.delayed.append(
                 Delayed(
                     puller=puller,
+                    peer=peer,
                     incarnation=self.hosts[puller].own.incarnation,
                     sent_s=sent_s,
                     reply=self._ask(puller, peer),
@@ -171,7 +174,7 @@
         if lost or host is None or host.own.incarnation != entry.incarnation:
             return
         if not host.frozen:
-            host.take(entry.reply, entry.sent_s)
+            host.take(make_host(entry.peer).host_id, entry.reply, entry.sent_s)
             host.step(self.now_s)
 
     @rule(delta_s=st.sampled_from([0.1, 1.0, 4.1, 4.5, 9.0]))
@@ -195,7 +198,8 @@
     def _ask(self, puller: int, peer: int) -> PullReply:
         seen = self.hosts[puller].seen
         held = seen.version if seen is not None else 0
-        return self.hosts[peer].reply(held, self.now_s)
+        read = self.hosts[puller].read.get(make_host(peer).host_id)
+        return self.hosts[peer].reply(held, self.now_s, read)
 
 
 TestFleetMachine = FleetMachine.TestCase
--- /dev/null
+++ b/snipespring/decisions/membership/tests/test_journals.py
@@ -0,0 +1,185 @@
+from attrs import define, evolve, field
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from immutables import Map
+
+from snipespring.decisions import membership as mbr
+from snipespring.records import (
+    Host,
+    HostId,
+    HostStatus,
+    HostStatuses,
+    HostView,
+    JournalPosition,
+    Roster,
+    Versions,
+)
+
+from .fleet_model import make_host
+
+HOSTS = 4
+numbers = st.integers(0, HOSTS - 1)
+
+
+@define(kw_only=True)
+class Node:
+    own: Host
+    sequence: int = 1
+    statuses: HostStatuses = field(factory=HostStatuses)
+    read: dict[HostId, JournalPosition] = field(factory=dict)
+
+    @property
+    def status(self) -> HostStatus:
+        return HostStatus(
+            host_id=self.own.host_id,
+            incarnation=self.own.incarnation,
+            sequence=self.sequence,
+            versions=Versions(roster=self.sequence),
+        )
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Let hosts change, restart and pull while replies get lost."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.started = HOSTS
+        self.nodes = [Node(own=make_host(n, n)) for n in range(HOSTS)]
+        self.ended_s: dict[HostStatus, float] = {}
+        self.roster = Roster()
+        self._list_hosts()
+
+    @rule(number=numbers)
+    def change(self, number: int) -> None:
+        node = self.nodes[number]
+        self.ended_s[node.status] = self.now_s
+        node.sequence += 1
+
+    @rule(number=numbers)
+    def restart(self, number: int) -> None:
+        self.ended_s[self.nodes[number].status] = self.now_s
+        self.nodes[number] = Node(own=make_host(number, self.started))
+        self.started += 1
+        self._list_hosts()
+
+    @rule(delta_s=st.sampled_from([0.01, 0.5, 6.0]))
+    def advance(self, delta_s: float) -> None:
+        self.now_s += delta_s
+
+    @rule(puller=numbers, peer=numbers, lost=st.booleans(), delay_s=st.floats(0.0, 1.0))
+    def pull(
+        self, puller: int, peer: int, lost: bool = False, delay_s: float = 0.0
+    ) -> None:
+        if puller == peer:
+            return
+        node, other = self.nodes[puller], self.nodes[peer]
+        sent_at_s = self.now_s
+        self.now_s += delay_s
+        for reporter in (node, other):
+            view = HostView(status=reporter.status, as_of_s=self.now_s)
+            reporter.statuses = mbr.merge_status(reporter.statuses, view)
+        after = mbr.read_after(node.read.get(other.own.host_id), other.own.incarnation)
+        changes = mbr.age_statuses(other.statuses, now_s=self.now_s, after=after)
+        ages = mbr.age_vector(self.roster, other.statuses, now_s=self.now_s)
+        if lost:
+            return
+        others = tuple(
+            entry for entry in changes if entry.status.host_id != node.own.host_id
+        )
+        taken = mbr.receive_statuses(node.statuses, others, sent_at_s=sent_at_s)
+        node.statuses = mbr.renew_statuses(
+            taken, ages, self.roster, own=node.own.host_id, sent_at_s=sent_at_s
+        )
+        if mbr.misses_statuses(node.statuses, ages, self.roster):
+            node.read.pop(other.own.host_id, None)
+        else:
+            node.read[other.own.host_id] = JournalPosition(
+                journal=other.own.incarnation, position=other.statuses.position
+            )
+
+    @rule()
+    def pull_all_until_settled(self) -> None:
+        for _ in range(4):
+            self.now_s += 0.5
+            for puller in range(HOSTS):
+                for peer in range(HOSTS):
+                    self.pull(puller, peer)
+        for node in self.nodes:
+            for other in self.nodes:
+                view = node.statuses.by_host[other.own.host_id]
+                assert view.status == other.status
+                assert self.now_s - view.as_of_s <= 1.5
+
+    @invariant()
+    def no_status_is_held_later_than_it_was_true(self) -> None:
+        for node in self.nodes:
+            for view in node.statuses.by_host.values():
+                assert view.as_of_s <= self.ended_s.get(view.status, self.now_s)
+
+    def _list_hosts(self) -> None:
+        hosts = Map({node.own.host_id: node.own for node in self.nodes})
+        self.roster = evolve(self.roster, version=self.roster.version + 1, hosts=hosts)
+
+
+TestJournalMachine = JournalMachine.TestCase
+TestJournalMachine.settings = settings(max_examples=200, stateful_step_count=30)
+
+
+def test_a_reply_at_rest_carries_no_status() -> None:
+    machine = JournalMachine()
+    machine.pull_all_until_settled()
+    first, second = machine.nodes[:2]
+    after = mbr.read_after(first.read[second.own.host_id], second.own.incarnation)
+    assert mbr.age_statuses(second.statuses, now_s=machine.now_s, after=after) == ()
+
+
+def test_ages_of_another_roster_are_ignored() -> None:
+    machine = JournalMachine()
+    machine.pull_all_until_settled()
+    node = machine.nodes[0]
+    ages = mbr.age_vector(machine.roster, node.statuses, now_s=machine.now_s)
+    newer = evolve(machine.roster, version=machine.roster.version + 1)
+    renewed = mbr.renew_statuses(
+        node.statuses, ages, newer, own=node.own.host_id, sent_at_s=machine.now_s + 9.0
+    )
+    assert renewed is node.statuses
+    assert not mbr.misses_statuses(HostStatuses(), ages, newer)
+
+
+def test_a_restart_is_heard_though_its_first_report_came_late() -> None:
+    machine = JournalMachine()
+    machine.pull(1, 0)
+    machine.restart(0)
+    machine.pull(1, 0, delay_s=0.9)
+    machine.advance(0.5)
+    machine.pull(1, 0)
+    machine.advance(0.5)
+    machine.pull(1, 0)
+    machine.no_status_is_held_later_than_it_was_true()
+    held = machine.nodes[1].statuses.by_host[make_host(0).host_id]
+    assert held.status == machine.nodes[0].status
+
+
+def test_a_restarted_peer_starts_a_new_journal() -> None:
+    machine = JournalMachine()
+    machine.pull_all_until_settled()
+    machine.restart(0)
+    machine.change(2)
+    machine.advance(0.5)
+    machine.pull(0, 2)
+    machine.pull(1, 0)
+    machine.no_status_is_held_later_than_it_was_true()
+    held = machine.nodes[1].statuses.by_host[make_host(2).host_id]
+    assert held.status == machine.nodes[2].status
+
+
+@given(st.floats(0.0, 20.0))
+def test_an_age_is_never_understated(age_s: float) -> None:
+    machine = JournalMachine()
+    machine.pull(1, 0)
+    now_s = machine.now_s + age_s
+    ages = mbr.age_vector(machine.roster, machine.nodes[1].statuses, now_s=now_s)
+    assert ages.ages[0] == 255 or ages.ages[0] * 0.02 >= age_s - 1e-9
+    assert (ages.ages[0] == 255) == (age_s > 254 * 0.02)
--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -41,6 +41,7 @@
     HostStatus,
     HostStatuses,
     HostView,
+    JournalPosition,
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
@@ -138,6 +139,7 @@
     Refused,
     SegmentAbsent,
     SegmentFound,
+    StatusAges,
 )
 from .metrics import (
     LATENCY_BOUNDS_S,
@@ -253,6 +255,7 @@
     "HostStep",
     "HostView",
     "Incarnation",
+    "JournalPosition",
     "KeyAccess",
     "KeyRule",
     "LatencyBuckets",
@@ -340,6 +343,7 @@
     "ShedByServer",
     "Sighting",
     "SlotLimit",
+    "StatusAges",
     "StopState",
     "Tally",
     "Tenure",
--- a/snipespring/records/fleet.py
+++ b/snipespring/records/fleet.py
@@ -11,6 +11,7 @@
     "HostStatus",
     "HostStatuses",
     "HostView",
+    "JournalPosition",
     "LeaseHeld",
     "LeaseLapsed",
     "LeaseState",
@@ -81,7 +82,7 @@
 
 @frozen(kw_only=True)
 class HostStatus:
-    """State what one host reports of itself; `sequence` rises per incarnation.
+    """State what one host reports of itself; `sequence` rises with its content.
 
     `unheard` names hosts that this one exchanged messages with and that have
     fallen silent towards it; a host that is `serving` holds its lease.
@@ -104,11 +105,25 @@
     as_of_s: float
 
 
+@frozen(kw_only=True)
+class JournalPosition:
+    """Name a place in the journal of statuses that one process keeps."""
+
+    journal: Incarnation
+    position: int
+
+
 @frozen(kw_only=True)
 class HostStatuses:
-    """Hold the latest status heard of each host."""
+    """Hold the latest status heard of each host.
+
+    `position` counts changes of content, and `changed_at` holds its value at
+    each host's last change; a later time alone changes neither.
+    """
 
     by_host: Map[HostId, HostView] = Map()
+    changed_at: Map[HostId, int] = field(default=Map(), repr=False)
+    position: int = 0
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -2,7 +2,7 @@
 
 from attrs import field, frozen
 
-from .fleet import HostStatus, Versions
+from .fleet import HostStatus, JournalPosition, Versions
 from .health_messages import HealthMessage
 from .identity import HostId
 from .limit_messages import LimitMessage
@@ -19,6 +19,7 @@
     "Refused",
     "SegmentAbsent",
     "SegmentFound",
+    "StatusAges",
 ]
 
 
@@ -44,19 +45,38 @@
 
 @frozen(kw_only=True)
 class Pull:
-    """Ask a peer for what it knows, stating the versions already held."""
+    """Ask a peer for what it knows, stating what is already held."""
 
     sender: HostId
     held: Versions
+    read: JournalPosition | None = None
+
+
+@frozen(kw_only=True)
+class StatusAges:
+    """Carry a byte a host of one roster, in the order of their ids.
+
+    A byte is an upper bound of the age of the host's status in units of 20 ms;
+    255 stands for an older or an unknown one.
+    """
+
+    roster: int
+    ages: bytes = field(repr=False)
 
 
 @frozen(kw_only=True)
 class PullReply:
-    """Answer a pull; ages hold at the moment of sending."""
+    """Answer a pull; ages hold at the moment of sending.
+
+    `statuses` are those that changed since the position that the puller has
+    read, `written` is the position that it has read with this reply.
+    """
 
     configuration: AgedSighting | None
     roster: AgedSighting | None
     statuses: tuple[AgedStatus, ...] = ()
+    ages: StatusAges | None = None
+    written: JournalPosition | None = None
 
 
 @frozen(kw_only=True)
