--- a/benchmarks/detection_fleet.py
+++ b/benchmarks/detection_fleet.py
@@ -321,8 +321,8 @@
     def _finish(self, attempt: _Attempt, result: BackendResult) -> None:
         left_s = attempt.deadline_at_s - self.now_s
         may_retry = attempt.number + 1 < MAX_ATTEMPTS and left_s > STEP_S / 10
-        match decide_after_attempt(result, attempt.run, may_retry=may_retry), result:
-            case TryAgain(), _:
+        match decide_after_attempt(result, attempt.run), result:
+            case TryAgain(), _ if may_retry:
                 retry = _Attempt(
                     host=attempt.host,
                     server=-1,
--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -1,5 +1,10 @@
 """List every region of the blackboard and the controller that writes it."""
 
+from .claims import (
+    CLAIM_MEMORY,
+    CLAIM_REPORTS,
+    TENURE,
+)
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -31,10 +36,18 @@
     STOP,
 )
 from .routing import (
+    ATTEMPT_WATCH,
+    REQUEST_QUEUES,
+    RETRY_BUDGETS,
+    RUNNING_ATTEMPTS,
     SERVER_LOADS,
+    SERVER_SUBSETS,
 )
 
 __all__ = [
+    "ATTEMPT_WATCH",
+    "CLAIM_MEMORY",
+    "CLAIM_REPORTS",
     "CONFIGURATION",
     "COUNTERS",
     "CREDIT_NEEDS",
@@ -53,9 +66,14 @@
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
     "REFUSED_CONFIGURATION",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
     "ROSTER",
+    "RUNNING_ATTEMPTS",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SERVER_SUBSETS",
     "SHARE_LEDGER",
     "STOP",
+    "TENURE",
 ]
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -10,16 +10,28 @@
     Accepted,
     Applier,
     Conflicted,
+    Damaged,
     NothingHeld,
     RulesHeld,
     Unreachable,
 )
+from .canceller import (
+    Canceller,
+)
+from .claim_owner import (
+    ClaimOwner,
+)
 from .claimant import (
     Claimant,
 )
 from .configurator import (
     Configurator,
 )
+from .dispatcher import (
+    Dispatcher,
+    NotPlaced,
+    Placed,
+)
 from .fence_keeper import (
     FenceKeeper,
 )
@@ -60,6 +72,10 @@
 from .segment_keeper import (
     SegmentKeeper,
 )
+from .sender import (
+    Delivery,
+    Sender,
+)
 from .share_book import (
     ShareBook,
 )
@@ -72,6 +88,12 @@
 from .status_keeper import (
     StatusKeeper,
 )
+from .subset_keeper import (
+    SubsetKeeper,
+)
+from .tenure_keeper import (
+    TenureKeeper,
+)
 from .watcher import (
     Watcher,
 )
@@ -81,10 +103,15 @@
     "Accountant",
     "AddressLister",
     "Applier",
+    "Canceller",
+    "ClaimOwner",
     "Claimant",
     "Configurator",
     "Conflicted",
     "Controller",
+    "Damaged",
+    "Delivery",
+    "Dispatcher",
     "FenceKeeper",
     "Forwarder",
     "HealthJudge",
@@ -93,17 +120,22 @@
     "Historian",
     "LeaseKeeper",
     "Limiter",
+    "NotPlaced",
     "NothingHeld",
+    "Placed",
     "Puller",
     "Responder",
     "RosterKeeper",
     "RulesHeld",
     "Runner",
     "SegmentKeeper",
+    "Sender",
     "ShareBook",
     "ShareBorrower",
     "ShareMover",
     "StatusKeeper",
+    "SubsetKeeper",
+    "TenureKeeper",
     "Unreachable",
     "Watcher",
 ]
--- a/snipespring/controllers/address_lister.py
+++ b/snipespring/controllers/address_lister.py
@@ -1,6 +1,8 @@
 """Answer callers that ask which hosts to use."""
 
-from attrs import define
+from collections.abc import Callable
+
+from attrs import define, evolve
 
 from ..blackboard import Board
 from ..blackboard.regions import CONFIGURATION, HOST_STATUSES, ROSTER, STOP
@@ -28,6 +30,7 @@
     clock: Clock
     own: Host
     lifetime_s: float
+    issue_prefix: Callable[[OrganisationName | None], str | None]
 
     def answer(self, request: Request) -> AddressAnswer:
         """Return the hosts that the caller should use."""
@@ -40,7 +43,8 @@
             near=self.own.domain,
             caller=request.request_id,
         )
-        return list_addresses(self._available(), question, lifetime_s=self.lifetime_s)
+        answer = list_addresses(self._available(), question, lifetime_s=self.lifetime_s)
+        return evolve(answer, idempotency_prefix=self.issue_prefix(organisation))
 
     def _available(self) -> tuple[Host, ...]:
         hosts = list_available(
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -3,20 +3,17 @@
 from attrs import define
 
 from ..records import (
+    ClaimReports,
+    ClaimRequest,
     CreditAsks,
-    CreditGrants,
-    EjectionList,
     EvidenceReport,
     FetchSegment,
     Message,
     Pull,
-    PullReply,
     Refused,
-    SegmentAbsent,
-    SegmentFound,
     ShareHandovers,
-    SharesTaken,
 )
+from .claim_owner import ClaimOwner
 from .health_judge import HealthJudge
 from .puller import Puller
 from .segment_keeper import SegmentKeeper
@@ -33,6 +30,7 @@
     segment_keeper: SegmentKeeper
     shares: ShareBook
     health_judge: HealthJudge
+    claim_owner: ClaimOwner
 
     def answer(self, message: Message) -> Message:
         """Return the reply to a message."""
@@ -47,13 +45,9 @@
                 return self.shares.take(message)
             case EvidenceReport():
                 return self.health_judge.answer(message)
-            case (
-                PullReply()
-                | SegmentFound()
-                | SegmentAbsent()
-                | EjectionList()
-                | Refused()
-                | CreditGrants()
-                | SharesTaken()
-            ):
+            case ClaimRequest():
+                return self.claim_owner.answer(message)
+            case ClaimReports():
+                return self.claim_owner.take(message)
+            case _:
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -20,9 +20,12 @@
 from ..controllers import (
     Accountant,
     AddressLister,
+    Canceller,
     Claimant,
+    ClaimOwner,
     Configurator,
     Controller,
+    Dispatcher,
     FenceKeeper,
     Forwarder,
     HealthJudge,
@@ -36,12 +39,16 @@
     RosterKeeper,
     Runner,
     SegmentKeeper,
+    Sender,
     ShareBook,
     ShareBorrower,
     ShareMover,
     StatusKeeper,
+    SubsetKeeper,
+    TenureKeeper,
     Watcher,
 )
+from ..decisions.claims import derive_issuing_key
 from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
@@ -81,6 +88,7 @@
     roster_keeper: RosterKeeper
     lease_keeper: LeaseKeeper
     share_mover: ShareMover
+    claimant: Claimant
     handovers: tuple[Callable[[], None], ...] = ()
 
     def start(self) -> None:
@@ -95,6 +103,7 @@
         self._announce()
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
+        self.claimant.step()
         self.callers.close()
         self._leave()
         self.runner.stop()
@@ -154,6 +163,17 @@
         interval_s=settings.peers.pull_interval_s,
         seeds=settings.peers.seeds,
     )
+    claim_owner = ClaimOwner(board=board, clock=clock, own=own)
+    claimant = Claimant(
+        board=board,
+        clock=clock,
+        client=links,
+        own=own,
+        owner=claim_owner,
+        historian=historian,
+        accountant=accountant,
+        issuing_key=derive_issuing_key(secret),
+    )
     roster_keeper = RosterKeeper(
         board=board,
         clock=clock,
@@ -182,6 +202,11 @@
         lease_s=settings.peers.lease_s,
     )
     health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
+    transport = HttpTransport(clock=clock)
+    canceller = Canceller(board=board, clock=clock, transport=transport)
+    dispatcher = Dispatcher(
+        board=board, clock=clock, rng=rng, bound=settings.callers.queue
+    )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
@@ -205,8 +230,11 @@
         ),
         segment_keeper,
         Configurator(board=board, clock=clock, historian=historian),
+        dispatcher,
+        canceller,
         roster_keeper,
         StatusKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, own=own),
         puller,
         lease_keeper,
         FenceKeeper(
@@ -229,23 +257,35 @@
             accountant=accountant,
             own=own,
         ),
+        TenureKeeper(board=board, clock=clock, own=own),
+        claim_owner,
+        claimant,
     )
     responder = Responder(
         puller=puller,
-        segment_keeper=segment_keeper,
         shares=book,
         health_judge=health_judge,
+        claim_owner=claim_owner,
+        segment_keeper=segment_keeper,
     )
-    forwarder = Forwarder(
+    sender = Sender(
         board=board,
         clock=clock,
         rng=rng,
-        transport=HttpTransport(clock=clock),
+        transport=transport,
+        dispatcher=dispatcher,
+        canceller=canceller,
+        accountant=accountant,
+        domain=own.domain,
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
         historian=historian,
         accountant=accountant,
         limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
-        claimant=Claimant(board=board, clock=clock),
-        domain=own.domain,
+        claimant=claimant,
+        sender=sender,
     )
 
     address_lister = AddressLister(
@@ -253,6 +293,7 @@
         clock=clock,
         own=own,
         lifetime_s=settings.callers.address_lifetime_s,
+        issue_prefix=claimant.issue_prefix,
     )
     return Proxy(
         board=board,
@@ -264,7 +305,7 @@
             app=CallersApp(
                 handle=forwarder.handle, list_addresses=address_lister.answer
             ),
-            threads=settings.callers.threads,
+            threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
         ),
@@ -285,6 +326,7 @@
         roster_keeper=roster_keeper,
         lease_keeper=lease_keeper,
         share_mover=share_mover,
+        claimant=claimant,
     )
 
 
--- a/snipespring/decisions/addresses.py
+++ b/snipespring/decisions/addresses.py
@@ -39,7 +39,10 @@
 def list_available(
     roster: Roster, statuses: HostStatuses, *, now_s: float
 ) -> tuple[Host, ...]:
-    """Return the hosts that serve, or all that stay where none is known to."""
+    """Return the hosts that serve, or all that stay if those span too little.
+
+    Where only one domain is known to serve, a host that may serve is offered too.
+    """
     staying: list[Host] = []
     serving: list[Host] = []
     for host in roster.hosts.values():
@@ -50,7 +53,8 @@
             staying.append(host)
             if view.status.serving and now_s - view.as_of_s <= STATUS_LIMIT_S:
                 serving.append(host)
-    return tuple(serving or staying)
+    spans_enough = _count_domains(serving) >= min(2, _count_domains(staying))
+    return tuple(serving if serving and spans_enough else staying)
 
 
 def list_addresses(
@@ -74,6 +78,10 @@
     return AddressAnswer(offers=offers, lifetime_s=lifetime_s)
 
 
+def _count_domains(hosts: Iterable[Host]) -> int:
+    return len({host.domain for host in hosts})
+
+
 def _list_pools(
     hosts: Iterable[Host], question: AddressQuestion
 ) -> dict[DomainName, list[Host]]:
--- a/snipespring/decisions/routing/__init__.py
+++ b/snipespring/decisions/routing/__init__.py
@@ -1,17 +1,31 @@
 """Choose backend servers by load, failure domain and health."""
 
-from .choice import (
-    Chosen,
-    NoServer,
-    choose_server,
+from .choice import Chosen, NoServer, ServersBusy, choose_server
+from .loads import (
+    cancel_reservation,
+    drain_check_at_s,
+    estimate_busy,
+    load_of,
+    mean_others,
     release_server,
     reserve_server,
+    service_load_of,
 )
+from .subsets import choose_subset, order_hosts
 
 __all__ = [
     "Chosen",
     "NoServer",
+    "ServersBusy",
+    "cancel_reservation",
     "choose_server",
+    "choose_subset",
+    "drain_check_at_s",
+    "estimate_busy",
+    "load_of",
+    "mean_others",
+    "order_hosts",
     "release_server",
     "reserve_server",
+    "service_load_of",
 ]
--- a/snipespring/decisions/tests/test_addresses.py
+++ b/snipespring/decisions/tests/test_addresses.py
@@ -109,6 +109,20 @@
     assert set(list_available(roster, statuses, now_s=100.0)) == {hosts[0], hosts[5]}
 
 
+def test_two_domains_are_offered_where_one_is_known_to_serve() -> None:
+    roster = make_roster(4)
+    host = make_host(0)
+    status = HostStatus(
+        host_id=host.host_id,
+        incarnation=host.incarnation,
+        sequence=1,
+        versions=Versions(configuration=1, roster=1),
+    )
+    view = HostView(status=status, as_of_s=99.0)
+    statuses = HostStatuses(by_host=Map({host.host_id: view}))
+    assert len(list_available(roster, statuses, now_s=100.0)) == 4
+
+
 def test_all_that_stay_are_offered_where_none_is_known_to_serve() -> None:
     roster = make_roster(4)
     assert len(list_available(roster, HostStatuses(), now_s=100.0)) == 4
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -1,9 +1,11 @@
 """Hold what passes between a host and a backend server."""
 
+from math import inf
+
 from attrs import field, frozen
 from immutables import Map
 
-from .identity import OrganisationName, ServerId
+from .identity import OrganisationName, ServerId, ServiceName
 from .requests import Header
 
 __all__ = [
@@ -14,10 +16,12 @@
     "BackendRequest",
     "BackendResult",
     "ConnectFailed",
+    "DrainSign",
     "ReportedLoad",
     "SendBroken",
     "ServerLoad",
     "ServerLoads",
+    "ServiceLoad",
     "ShedByServer",
 ]
 
@@ -110,17 +114,48 @@
 )
 
 
+@frozen(kw_only=True)
+class DrainSign:
+    """Hold when a server last reported that it drains, and how often since."""
+
+    at_s: float
+    renewals: int = 0
+
+
 @frozen(kw_only=True)
 class ServerLoad:
-    """Hold this host's view of one server's use of its slots."""
+    """Hold this host's view of one server's use of its slots.
+
+    `others` counts the busy slots in the last report that were not this host's;
+    `backoff_until_s` and `ramp_from_s` are readings of the monotonic clock.
+    """
 
     in_flight: int = 0
     reported: ReportedLoad | None = None
     reported_at_s: float = 0.0
+    others: int = 0
+    backoff_until_s: float = 0.0
+    ramp_from_s: float = 0.0
+    drain: DrainSign | None = None
+
+
+@frozen(kw_only=True)
+class ServiceLoad:
+    """Hold this host's view of one service.
+
+    `service_s` is the mean seconds of an answered attempt, `busy` the mean busy
+    slots that answers report; `limit` bounds this host's attempts in flight.
+    """
+
+    in_flight: int = 0
+    service_s: float = 0.0
+    busy: float = 0.0
+    limit: float = inf
 
 
 @frozen(kw_only=True)
 class ServerLoads:
-    """Hold the load of every server that this host has used."""
+    """Hold the load of every server and service that this host has used."""
 
     by_server: Map[ServerId, ServerLoad] = Map()
+    by_service: Map[ServiceName, ServiceLoad] = Map()
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from .claim_messages import ClaimMessage
 from .fleet import HostStatus, JournalPosition, Versions
 from .health_messages import HealthMessage
 from .identity import HostId
@@ -115,6 +116,7 @@
     | SegmentFound
     | SegmentAbsent
     | Refused
+    | ClaimMessage
     | HealthMessage
     | LimitMessage
 )
