--- a/snipespring/records/__init__.py
+++ b/snipespring/records/__init__.py
@@ -93,6 +93,7 @@
     HostStatus,
     HostStatuses,
     HostView,
+    JournalPosition,
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
@@ -191,6 +192,7 @@
     Refused,
     SegmentAbsent,
     SegmentFound,
+    StatusAges,
 )
 from .metrics import (
     LATENCY_BOUNDS_S,
@@ -353,6 +355,7 @@
     "HostView",
     "Incarnation",
     "IssuedKey",
+    "JournalPosition",
     "KeyAccess",
     "KeyDigest",
     "KeyRule",
@@ -464,6 +467,7 @@
     "Sighting",
     "SlotLimit",
     "SlotRequest",
+    "StatusAges",
     "StopState",
     "SubsetMember",
     "Tally",
