--- a/snipespring/controllers/share_book.py
+++ b/snipespring/controllers/share_book.py
@@ -128,7 +128,7 @@
         return plan
 
     def receive(self, sent: OutgoingAsks, reply: CreditGrants | None) -> None:
-        """Take in a holder's reply, None if no valid one came."""
+        """Take in a holder's reply, None if no valid one came; then plan anew."""
         self._transact(
             lambda ledger, now_s: (
                 receive_grants(ledger, sent, reply, now_s=now_s),
@@ -138,6 +138,8 @@
         with self._arrived:
             self._arrivals += 1
             self._arrived.notify_all()
+        for ask in sent.message.asks:
+            self.request_credit(ask.organisation)
 
     def lend(self, asks: CreditAsks) -> CreditGrants | Refused:
         """Lend from the shares held here while the lease is held."""
--- a/snipespring/controllers/share_borrower.py
+++ b/snipespring/controllers/share_borrower.py
@@ -62,5 +62,3 @@
             case _:
                 self.accountant.count("credit_calls", "failed")
                 self.book.receive(outgoing, None)
-        for ask in outgoing.message.asks:
-            self.book.request_credit(ask.organisation)
--- a/snipespring/controllers/share_mover.py
+++ b/snipespring/controllers/share_mover.py
@@ -1,7 +1,7 @@
 """Tell other hosts of the shares that passed to them."""
 
 import threading
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor, wait
 
 from attrs import define, field
 
@@ -18,7 +18,8 @@
 CALL_TIMEOUT_S = 0.5
 RETRY_DELAY_S = 0.2
 MAX_TRIES = 15
-MAX_CALLS = 4
+MAX_CALLS = 8
+STOP_LIMIT_S = 3.0
 MAX_EVENTS_PER_RELEASE = 10
 
 
@@ -46,13 +47,12 @@
             self._pool.submit(self._hand_over, release)
 
     def hand_over_all(self) -> None:
-        """Give up every share and wait until the other hosts were told."""
+        """Give up every share and wait a bounded time until the others were told."""
         futs = [
             self._pool.submit(self._hand_over, release)
             for release in self.book.release_all()
         ]
-        for fut in futs:
-            fut.result()
+        wait(futs, timeout=STOP_LIMIT_S)
 
     def close(self) -> None:
         """Give up on hosts that were not told yet."""
--- a/snipespring/decisions/limits/asks.py
+++ b/snipespring/decisions/limits/asks.py
@@ -22,10 +22,11 @@
 
 AHEAD_S = 0.25
 MIN_AHEAD = 1.0
+MIN_AHEAD_DEMAND = 0.4
 MAX_WAITING = 16
 MIN_REPEAT_S = 0.01
 MAX_REPEAT_S = 0.5
-AHEAD_REPEAT_S = 0.1
+AHEAD_REPEAT_S = 0.05
 SILENT_AVOID_S = 0.5
 
 
@@ -47,12 +48,14 @@
     ahead: float
 
 
-def credit_need(account: Account, *, now_s: float) -> CreditNeed:
+def credit_need(account: Account, limit: SlotLimit, *, now_s: float) -> CreditNeed:
     """Return the credit to borrow for an account grown to the present."""
-    free = spendable(account) - account.waiting
+    free = spendable(account) + sum(account.pending.values()) - account.waiting
     urgent = max(0.0, -free)
-    wanted = current_demand_per_s(account, now_s=now_s) * AHEAD_S
-    if wanted < MIN_AHEAD or free >= wanted / 2:
+    demand_per_s = current_demand_per_s(account, now_s=now_s)
+    wanted = min(demand_per_s * AHEAD_S, limit.capacity)
+    is_minor = demand_per_s < limit.rate_per_s * MIN_AHEAD_DEMAND
+    if is_minor or wanted < MIN_AHEAD or free >= wanted / 2:
         return CreditNeed(urgent=urgent)
     return CreditNeed(urgent=urgent, ahead=wanted - max(0.0, free))
 
--- a/snipespring/decisions/limits/ledger.py
+++ b/snipespring/decisions/limits/ledger.py
@@ -27,6 +27,7 @@
 )
 from .asks import (
     SILENT_AVOID_S,
+    PlannedAsk,
     credit_need,
     may_wait,
     next_ask_delay_s,
@@ -42,6 +43,7 @@
     lend_from_share,
     slot_limit,
 )
+from .tenure import peer_of
 
 __all__ = [
     "AskPlan",
@@ -131,7 +133,7 @@
         account = record_demand(account, now_s=now_s)
     paid = spend_one(account)
     if paid is not None:
-        need = credit_need(paid, now_s=now_s)
+        need = credit_need(paid, limit, now_s=now_s)
         is_low = need.urgent > 0 or need.ahead > 0
         until_s = min(now_s + MAX_PAYMENT_S, _soonest_end_s(account))
         return _put(ledger, rule.name, paid), Paid(is_low=is_low, until_s=until_s)
@@ -167,7 +169,7 @@
         limit = slot_limit(rule)
         account = open_account(ledger, name, rule, own, now_s=now_s)
         ledger = _put(ledger, name, account)
-        need = credit_need(account, now_s=now_s)
+        need = credit_need(account, limit, now_s=now_s)
         if need.urgent <= 0 and need.ahead <= 0:
             continue
         needing.add(name)
@@ -181,6 +183,8 @@
                 ahead=planned.ahead,
             )
             by_host.setdefault(planned.host, []).append(ask)
+            account = _add_pending(account, planned)
+        ledger = _put(ledger, name, account)
     outgoing: list[OutgoingAsks] = []
     sequence = ledger.sequence
     for host, asks in by_host.items():
@@ -224,6 +228,8 @@
             continue
         lender = Lender(peer=peer, slot=ask.slot)
         grant = grants.get((ask.organisation, ask.slot))
+        if lender in account.pending:
+            account = evolve(account, pending=account.pending.delete(lender))
         account = _note_grant(account, lender, ask, grant, sent.sent_at_s, now_s)
         ledger = _put(ledger, ask.organisation, account)
     return ledger
@@ -319,6 +325,12 @@
     return min(ends_s, default=float("inf"))
 
 
+def _add_pending(account: Account, planned: PlannedAsk) -> Account:
+    lender = Lender(peer=peer_of(planned.host), slot=planned.slot)
+    amount = planned.urgent + planned.ahead
+    return evolve(account, pending=account.pending.set(lender, amount))
+
+
 def _unspent(account: Account, host: Host, slot: int) -> float:
     peer = Peer(host_id=host.host_id, incarnation=host.incarnation)
     held = account.credits.get(Lender(peer=peer, slot=slot), ())
--- a/snipespring/records/limits.py
+++ b/snipespring/records/limits.py
@@ -121,13 +121,17 @@
 
 @frozen(kw_only=True)
 class Account:
-    """Hold what this host may spend for one organisation, and its demand."""
+    """Hold what this host may spend for one organisation, and its demand.
+
+    `pending` is the credit asked for whose answer has not come.
+    """
 
     roster_version: int = 0
     holders: tuple[Host, ...] = ()
     shares: Map[int, Share] = Map()
     credits: Map[Lender, tuple[Credit, ...]] = Map()
     lenders: Map[Lender, LenderView] = Map()
+    pending: Map[Lender, float] = Map()
     demand_per_s: float = 0.0
     demand_at_s: float = 0.0
     waiting: int = 0
