--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -110,6 +110,7 @@
         self.callers.close()
         self._leave()
         self.runner.stop()
+        self.share_mover.close()
         self.peers.close()
         self.links.close()
         self.operators.close()
@@ -131,7 +132,6 @@
         self.lease_keeper.step()
         self.roster_keeper.leave()
         self.share_mover.hand_over_all()
-        self.share_mover.close()
 
 
 def build_proxy(settings: Settings, secret: bytes) -> Proxy:
