Prefer other servers for a while after a failed attempt on one

Cause: a server that never answers looks idle to the host, and as a near one it drew most of the work; retries have a budget of a tenth. An attempt broken off because its caller left counted as a failure of the server. Ruled out: waiting for the ejection alone (seconds of failed reads); barring the server (takes capacity away on one host's view). Change: a failure makes the host prefer others for 0.5 s, doubled up to 10 s, then one repeatable attempt tries; AttemptCancelled is a result of its own and no evidence. Evidence about a failing server comes more slowly from each host.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -25,6 +25,8 @@
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
+    AnswerLate,
+    AttemptCancelled,
     BackendRequest,
     BackendResult,
     DomainName,
@@ -143,6 +145,11 @@
             attempt.request_id, timeout_s=attempt.timeout_s, is_gone=is_gone
         ):
             result = self.transport.send(server, attempt)
+        match result:
+            case AnswerLate(waited_s=waited_s) if is_gone():
+                result = AttemptCancelled(waited_s=waited_s)
+            case _:
+                pass
         took_s = self.clock.monotonic_s() - started_s
         self.dispatcher.release(server, result, started_s=started_s)
         self._record_end(server, attempt.request_id, result)
--- a/snipespring/decisions/attempts.py
+++ b/snipespring/decisions/attempts.py
@@ -9,6 +9,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AttemptCancelled,
     BackendResult,
     ConnectFailed,
     Header,
@@ -75,6 +76,8 @@
             return Unknown(reason=f"the connection broke: {reason}")
         case AnswerLate(waited_s=waited_s):
             return Unknown(reason=f"no answer within {waited_s:.2f} s")
+        case AttemptCancelled():
+            return Unknown(reason="the caller left")
         case AnswerBroken(reason=reason):
             return Unknown(reason=f"the answer was not whole: {reason}")
         case AnswerForeign():
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -8,6 +8,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AttemptCancelled,
     BackendResult,
     ConnectFailed,
     Evidence,
@@ -57,7 +58,7 @@
                 succeeded=held.succeeded + 1,
                 duration_sum_s=held.duration_sum_s + duration_s,
             )
-        case ShedByServer():
+        case ShedByServer() | AttemptCancelled():
             return held
         case (
             Answered()
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -21,6 +21,7 @@
 from .loads import (
     drain_check_at_s,
     estimate_busy,
+    is_avoided,
     load_of,
     mean_others,
     service_load_of,
@@ -164,6 +165,10 @@
 ) -> _Use:
     server = member.rule.server
     match states.by_server.get(server, HEALTHY):
+        case ServerHealthy() if is_avoided(
+            load_of(loads, server), now_s, repeatable=placement.repeatable
+        ):
+            return AVOIDED
         case ServerHealthy():
             from_s = max(member.since_s, load_of(loads, server).ramp_from_s)
             return PREFERRED if _is_drawn(_ramp_share(from_s, now_s), rng) else RAMPING
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -6,10 +6,16 @@
 from attrs import evolve
 
 from ...records import (
+    AnswerBroken,
     Answered,
+    AnswerForeign,
+    AnswerLate,
+    AttemptCancelled,
     BackendResult,
+    ConnectFailed,
     DrainSign,
     ReportedLoad,
+    SendBroken,
     ServerId,
     ServerLoad,
     ServerLoads,
@@ -24,6 +30,7 @@
     "drain_check_at_s",
     "estimate_busy",
     "forget_servers",
+    "is_avoided",
     "load_of",
     "mean_others",
     "release_server",
@@ -39,6 +46,8 @@
 DRAIN_CHECK_S = 5.0
 MAX_DRAIN_CHECK_S = 60.0
 MAX_DRAIN_RENEWALS = 4
+AVOIDANCE_S = 0.5
+MAX_AVOIDANCE_S = 10.0
 UNUSED = ServerLoad()
 UNUSED_SERVICE = ServiceLoad()
 
@@ -76,6 +85,18 @@
     return load.in_flight + mean + trust * (load.others - mean)
 
 
+def is_avoided(load: ServerLoad, now_s: float, *, repeatable: bool) -> bool:
+    """Return whether failures make the host prefer other servers.
+
+    After its time one repeatable attempt tries the server; others wait longer.
+    """
+    if load.failures == 0:
+        return False
+    if repeatable:
+        return now_s < load.avoid_until_s or load.in_flight > 0
+    return now_s < load.avoid_until_s + MAX_AVOIDANCE_S
+
+
 def drain_check_at_s(sign: DrainSign) -> float:
     """Return when a server that drained may be tried by one request again."""
     delay_s = min(MAX_DRAIN_CHECK_S, DRAIN_CHECK_S * 2.0**sign.renewals)
@@ -106,11 +127,21 @@
     match result:
         case Answered(load=report):
             load = _note_report(load, report, started_s=started_s, now_s=now_s)
+            load = evolve(load, failures=0, avoid_until_s=0.0)
         case ShedByServer(load=report, retry_after_s=retry_after_s):
             load = _note_report(load, report, started_s=started_s, now_s=now_s)
             load = _back_off(load, retry_after_s, now_s)
-        case _:
+        case AttemptCancelled():
+            load = _renew_sign(load, started_s=started_s, now_s=now_s)
+        case (
+            AnswerBroken()
+            | AnswerForeign()
+            | AnswerLate()
+            | ConnectFailed()
+            | SendBroken()
+        ):
             load = _renew_sign(load, started_s=started_s, now_s=now_s)
+            load = _note_failure(load, now_s)
     service = note_result(
         service_load_of(loads, server.service), result, duration_s=now_s - started_s
     )
@@ -174,6 +205,11 @@
             return load
 
 
+def _note_failure(load: ServerLoad, now_s: float) -> ServerLoad:
+    delay_s = min(MAX_AVOIDANCE_S, AVOIDANCE_S * 2.0 ** min(load.failures, 10))
+    return evolve(load, failures=load.failures + 1, avoid_until_s=now_s + delay_s)
+
+
 def _back_off(
     load: ServerLoad, retry_after_s: float | None, now_s: float
 ) -> ServerLoad:
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -19,6 +19,8 @@
 from snipespring.records import (
     Address,
     Answered,
+    AnswerLate,
+    AttemptCancelled,
     BackendResult,
     ConnectFailed,
     DomainName,
@@ -152,6 +154,26 @@
             assert kind != 1 or 0 not in kinds
 
 
+@given(seed=st.integers(0, 100))
+def test_host_avoids_a_server_that_just_failed_and_tries_it_again(seed: int) -> None:
+    failed = after(ServerLoads(), 0, AnswerLate(waited_s=1.0))
+    failed = after(failed, 0, ConnectFailed(reason="refused"))
+    first, once = Chosen(server=SERVERS[0]), Placement(domain=NEAR)
+    near = subset_of(MEMBERS[:2], 3)
+    assert choose(failed, now_s=100.9, seed=seed, subset=near) != first
+    assert choose(failed, now_s=105.0, placement=once, seed=seed, subset=near) != first
+    tried = [choose(failed, now_s=105.0, seed=one, subset=near) for one in range(30)]
+    assert first in tried
+    assert choose(failed, now_s=100.9, subset=subset_of(MEMBERS[:1], 3)) == first
+    well = after(failed, 0, answered())
+    assert load_of(well, SERVERS[0]).failures == 0
+
+
+def test_caller_that_left_is_no_failure_of_the_server() -> None:
+    loads = after(ServerLoads(), 0, AttemptCancelled(waited_s=0.1))
+    assert load_of(loads, SERVERS[0]).failures == 0
+
+
 def test_ejection_that_ran_out_leaves_a_small_part_of_the_work() -> None:
     ended: dict[ServerId, ServerState] = {
         SERVERS[0]: ServerEjected(reason="slow", until_s=99.0)
--- a/snipespring/decisions/tests/test_attempts.py
+++ b/snipespring/decisions/tests/test_attempts.py
@@ -19,6 +19,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AttemptCancelled,
     BackendResult,
     ConnectFailed,
     Header,
@@ -39,6 +40,7 @@
     AnswerLate(waited_s=1.0),
     AnswerBroken(reason="short"),
     AnswerForeign(expected_id="a", received_id="b"),
+    AttemptCancelled(waited_s=1.0),
 ]
 REFUSALS: list[BackendResult] = [
     ShedByServer(retry_after_s=0.1),
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -13,6 +13,7 @@
     "AnswerBroken",
     "AnswerForeign",
     "AnswerLate",
+    "AttemptCancelled",
     "BackendRequest",
     "BackendResult",
     "ConnectFailed",
@@ -103,6 +104,13 @@
     received_id: str
 
 
+@frozen(kw_only=True)
+class AttemptCancelled:
+    """State that the host broke the attempt off because its caller left."""
+
+    waited_s: float
+
+
 BackendResult = (
     Answered
     | ShedByServer
@@ -111,6 +119,7 @@
     | AnswerLate
     | AnswerBroken
     | AnswerForeign
+    | AttemptCancelled
 )
 
 
@@ -127,7 +136,8 @@
     """Hold this host's view of one server's use of its slots.
 
     `others` counts the busy slots in the last report that were not this host's;
-    `backoff_until_s` and `ramp_from_s` are readings of the monotonic clock.
+    `failures` counts failed attempts since the last answer; the host avoids the
+    server until `avoid_until_s`. Such times are readings of the monotonic clock.
     """
 
     in_flight: int = 0
@@ -136,6 +146,8 @@
     others: int = 0
     backoff_until_s: float = 0.0
     ramp_from_s: float = 0.0
+    failures: int = 0
+    avoid_until_s: float = 0.0
     drain: DrainSign | None = None
 
 
