--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -8,6 +8,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AttemptCancelled,
     BackendResult,
     ConnectFailed,
     Evidence,
@@ -95,7 +96,7 @@
             return counts
         case Answered():
             return evolve(counts, answered=add_duration(counts.answered, duration_s))
-        case ShedByServer():
+        case ShedByServer() | AttemptCancelled():
             return counts
         case AnswerLate():
             return evolve(counts, late=add_duration(counts.late, duration_s))
