--- a/snipespring/controllers/tests/test_sender.py
+++ b/snipespring/controllers/tests/test_sender.py
@@ -136,3 +136,5 @@
     ).reply
     assert len(transport.sent) == 1
     assert isinstance(reply.outcome, Unknown)
+    loads = sender.board.read(SERVER_LOADS)
+    assert load_of(loads, transport.sent[0][0]).failures == 0
