--- a/benchmarks/claims.py
+++ b/benchmarks/claims.py
@@ -31,8 +31,8 @@
     RecordedReply,
     RequestDigest,
     Roster,
-    RosterStep,
-    Tenure,
+    RosterSeen,
+    RosterTenure,
 )
 
 __all__ = ["main"]
@@ -77,8 +77,8 @@
         own=fleet[0],
         roster=roster,
         lease=LeaseHeld(until_s=LEASE_END_S),
-        tenure=Tenure(
-            steps=(RosterStep(version=7, hosts=roster.hosts),), contenders=roster
+        tenure=RosterTenure(
+            steps=(RosterSeen(version=7, hosts=roster.hosts),), contenders=roster
         ),
     )
 
--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -8,6 +8,7 @@
 from .fleet import (
     CONFIGURATION,
     FENCE,
+    HEARD_HOSTS,
     HOST_STATUSES,
     LEASE,
     OWN_STATUS,
@@ -17,35 +18,58 @@
     ROSTER,
 )
 from .health import (
+    EJECTION_LISTS,
     EVIDENCE,
+    HEALTH_POOLS,
+    LOCAL_HEALTH,
     SERVER_STATES,
 )
+from .limits import (
+    CREDIT_NEEDS,
+    SHARE_LEDGER,
+)
 from .process import (
     COUNTERS,
     EVENTS,
     STOP,
 )
 from .routing import (
+    ATTEMPT_WATCH,
+    REQUEST_QUEUES,
+    RETRY_BUDGETS,
+    RUNNING_ATTEMPTS,
     SERVER_LOADS,
+    SERVER_SUBSETS,
 )
 
 __all__ = [
+    "ATTEMPT_WATCH",
     "CLAIM_MEMORY",
     "CLAIM_REPORTS",
     "CONFIGURATION",
     "COUNTERS",
+    "CREDIT_NEEDS",
+    "EJECTION_LISTS",
     "EVENTS",
     "EVIDENCE",
     "FENCE",
+    "HEALTH_POOLS",
+    "HEARD_HOSTS",
     "HOST_STATUSES",
     "LEASE",
+    "LOCAL_HEALTH",
     "OWN_STATUS",
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
+    "REQUEST_QUEUES",
+    "RETRY_BUDGETS",
     "ROSTER",
+    "RUNNING_ATTEMPTS",
     "SERVER_LOADS",
     "SERVER_STATES",
+    "SERVER_SUBSETS",
+    "SHARE_LEDGER",
     "STOP",
     "TENURE",
 ]
--- a/snipespring/blackboard/regions/claims.py
+++ b/snipespring/blackboard/regions/claims.py
@@ -1,6 +1,6 @@
 """List the regions about claimed keys."""
 
-from ...records import ClaimMemory, PendingReports, Tenure
+from ...records import ClaimMemory, PendingReports, RosterTenure
 from ..region import Region
 
 __all__ = ["CLAIM_MEMORY", "CLAIM_REPORTS", "TENURE"]
@@ -11,4 +11,6 @@
 CLAIM_REPORTS = Region[PendingReports](
     name="claim_reports", writer="claimant", initial=PendingReports()
 )
-TENURE = Region[Tenure](name="tenure", writer="tenure_keeper", initial=Tenure())
+TENURE = Region[RosterTenure](
+    name="tenure", writer="tenure_keeper", initial=RosterTenure()
+)
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -11,6 +11,9 @@
     RulesHeld,
     Unreachable,
 )
+from .canceller import (
+    Canceller,
+)
 from .claim_handover import (
     ClaimHandover,
 )
@@ -23,12 +26,26 @@
 from .configurator import (
     Configurator,
 )
+from .dispatcher import (
+    Dispatcher,
+    NotPlaced,
+    Placed,
+)
 from .fence_keeper import (
     FenceKeeper,
 )
 from .forwarder import (
     Forwarder,
 )
+from .health_judge import (
+    HealthJudge,
+)
+from .health_keeper import (
+    HealthKeeper,
+)
+from .health_reporter import (
+    HealthReporter,
+)
 from .historian import (
     Historian,
 )
@@ -51,9 +68,25 @@
     Controller,
     Runner,
 )
+from .sender import (
+    Delivery,
+    Sender,
+)
+from .share_book import (
+    ShareBook,
+)
+from .share_borrower import (
+    ShareBorrower,
+)
+from .share_mover import (
+    ShareMover,
+)
 from .status_keeper import (
     StatusKeeper,
 )
+from .subset_keeper import (
+    SubsetKeeper,
+)
 from .tenure_keeper import (
     TenureKeeper,
 )
@@ -65,24 +98,37 @@
     "Accepted",
     "Accountant",
     "Applier",
+    "Canceller",
     "ClaimHandover",
     "ClaimOwner",
     "Claimant",
     "Configurator",
     "Conflicted",
     "Controller",
+    "Delivery",
+    "Dispatcher",
     "FenceKeeper",
     "Forwarder",
+    "HealthJudge",
+    "HealthKeeper",
+    "HealthReporter",
     "Historian",
     "LeaseKeeper",
     "Limiter",
+    "NotPlaced",
     "NothingHeld",
+    "Placed",
     "Puller",
     "Responder",
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "Sender",
+    "ShareBook",
+    "ShareBorrower",
+    "ShareMover",
     "StatusKeeper",
+    "SubsetKeeper",
     "TenureKeeper",
     "Unreachable",
     "Watcher",
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -2,9 +2,21 @@
 
 from attrs import define
 
-from ..records import ClaimFacts, ClaimReports, ClaimRequest, Message, Pull, Refused
+from ..records import (
+    ClaimFacts,
+    ClaimReports,
+    ClaimRequest,
+    CreditAsks,
+    EvidenceReport,
+    Message,
+    Pull,
+    Refused,
+    ShareHandovers,
+)
 from .claim_owner import ClaimOwner
+from .health_judge import HealthJudge
 from .puller import Puller
+from .share_book import ShareBook
 
 __all__ = ["Responder"]
 
@@ -14,6 +26,8 @@
     """Answer the calls of other hosts."""
 
     puller: Puller
+    shares: ShareBook
+    health_judge: HealthJudge
     claim_owner: ClaimOwner
 
     def answer(self, message: Message) -> Message:
@@ -21,6 +35,12 @@
         match message:
             case Pull():
                 return self.puller.answer(message)
+            case CreditAsks():
+                return self.shares.lend(message)
+            case ShareHandovers():
+                return self.shares.take(message)
+            case EvidenceReport():
+                return self.health_judge.answer(message)
             case ClaimRequest():
                 return self.claim_owner.answer(message)
             case ClaimReports():
--- a/snipespring/controllers/tests/test_claimant.py
+++ b/snipespring/controllers/tests/test_claimant.py
@@ -6,6 +6,7 @@
 from snipespring.blackboard.regions import CLAIM_REPORTS, EVENTS
 from snipespring.decisions.claims import CLAIM_WINDOW_S, memory
 from snipespring.decisions.claims.limits import TAKEOVER_WAIT_S
+from snipespring.decisions.membership import change_roster
 from snipespring.records import (
     ClaimGranted,
     ClaimRefused,
@@ -217,6 +218,19 @@
         assert isinstance(pair.ask(host, f"plain-{version}"), expected)
 
 
+def test_a_missed_version_that_the_roster_lists_is_no_gap(pair: Pair) -> None:
+    host = start_lone_host(pair, 7)
+    host.fence(7)
+    pair.clock.advance(TAKEOVER_WAIT_S)
+    other = pair.other.own
+    joined = change_roster(list_roster(7, [host.own]), joined=(other,))
+    left = change_roster(evolve(joined, version=8), left=(other.host_id,))
+    host.adopt(evolve(left, version=9))
+    host.renew_lease()
+    results = {type(pair.ask(host, f"plain-{number}")) for number in range(20)}
+    assert results == {ClaimGranted, ClaimRefused}
+
+
 def test_the_first_host_of_a_new_fleet_owns_plain_keys_at_once(pair: Pair) -> None:
     host = start_lone_host(pair, 1)
     host.renew_lease()
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import uuid
+from functools import partial
 from random import Random
 from types import FrameType
 
@@ -20,13 +21,18 @@
 )
 from ..controllers import (
     Accountant,
+    Canceller,
     Claimant,
     ClaimHandover,
     ClaimOwner,
     Configurator,
     Controller,
+    Dispatcher,
     FenceKeeper,
     Forwarder,
+    HealthJudge,
+    HealthKeeper,
+    HealthReporter,
     Historian,
     LeaseKeeper,
     Limiter,
@@ -34,13 +40,19 @@
     Responder,
     RosterKeeper,
     Runner,
+    Sender,
+    ShareBook,
+    ShareBorrower,
+    ShareMover,
     StatusKeeper,
+    SubsetKeeper,
     TenureKeeper,
     Watcher,
 )
 from ..decisions.addresses import list_addresses
 from ..decisions.claims import derive_issuing_key
 from ..decisions.keys import digest_key, find_key
+from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
 from ..frontends.http_server import HttpServer
@@ -83,6 +95,8 @@
     peers: PeerServer
     links: PeerLinks
     roster_keeper: RosterKeeper
+    lease_keeper: LeaseKeeper
+    share_mover: ShareMover
     claimant: Claimant
     handover: ClaimHandover
 
@@ -104,8 +118,13 @@
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.claimant.step()
         self.handover.hand_over()
-        self.roster_keeper.leave()
         self.callers.close()
+        finished = Leaving(until_s=until_s, finished=True)
+        self.board.write(STOP, finished, writer="stopper")
+        self.lease_keeper.step()
+        self.roster_keeper.leave()
+        self.share_mover.hand_over_all()
+        self.share_mover.close()
         self.runner.stop()
         self.peers.close()
         self.links.close()
@@ -123,6 +142,15 @@
     )
     links = PeerLinks(secret=secret)
     historian = Historian(board=board)
+    accountant = Accountant(board=board)
+    book = ShareBook(board=board, clock=clock, own=peer_of(own))
+    share_mover = ShareMover(
+        book=book,
+        client=links,
+        clock=clock,
+        historian=historian,
+        accountant=accountant,
+    )
     puller = Puller(
         board=board,
         clock=clock,
@@ -130,8 +158,8 @@
         own=own,
         fanout=settings.peers.fanout,
         interval_s=settings.peers.pull_interval_s,
+        seeds=settings.peers.seeds,
     )
-    accountant = Accountant(board=board)
     claim_owner = ClaimOwner(board=board, clock=clock, own=own)
     claimant = Claimant(
         board=board,
@@ -148,57 +176,101 @@
         clock=clock,
         rng=rng,
         platform=platform,
+        accountant=accountant,
         historian=historian,
         own=own,
+        fanout=settings.peers.fanout,
+    )
+    lease_keeper = LeaseKeeper(
+        board=board,
+        clock=clock,
+        historian=historian,
+        own=own,
+        lease_s=settings.peers.lease_s,
+    )
+    health_judge = HealthJudge(board=board, clock=clock, accountant=accountant, own=own)
+    transport = HttpTransport(clock=clock)
+    canceller = Canceller(board=board, clock=clock, transport=transport)
+    dispatcher = Dispatcher(
+        board=board, clock=clock, rng=rng, bound=settings.callers.queue
     )
     controllers: tuple[Controller, ...] = (
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=CONFIGURATION_OBJECT,
             region=PLATFORM_CONFIGURATION,
         ),
         Watcher(
             board=board,
             clock=clock,
+            rng=rng,
             platform=platform,
+            accountant=accountant,
+            own=own,
             object_name=ROSTER_OBJECT,
             region=PLATFORM_ROSTER,
         ),
         Configurator(board=board, clock=clock, historian=historian),
+        dispatcher,
+        canceller,
         roster_keeper,
-        StatusKeeper(board=board, own=own),
+        StatusKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, own=own),
         puller,
-        LeaseKeeper(
+        lease_keeper,
+        FenceKeeper(
             board=board,
             clock=clock,
-            historian=historian,
-            own=own.host_id,
+            own=own,
             lease_s=settings.peers.lease_s,
+            drift_margin_s=settings.peers.drift_margin_s,
         ),
-        FenceKeeper(
+        ShareBorrower(book=book, client=links, accountant=accountant),
+        share_mover,
+        health_judge,
+        HealthReporter(
+            board=board, clock=clock, client=links, judge=health_judge, own=own
+        ),
+        HealthKeeper(
             board=board,
             clock=clock,
-            own=own.host_id,
-            lease_s=settings.peers.lease_s,
-            drift_margin_s=settings.peers.drift_margin_s,
+            historian=historian,
+            accountant=accountant,
+            own=own,
         ),
         TenureKeeper(board=board, clock=clock, own=own),
         claim_owner,
         claimant,
     )
-    responder = Responder(puller=puller, claim_owner=claim_owner)
-    forwarder = Forwarder(
+    responder = Responder(
+        puller=puller,
+        shares=book,
+        health_judge=health_judge,
+        claim_owner=claim_owner,
+    )
+    sender = Sender(
         board=board,
         clock=clock,
         rng=rng,
-        transport=HttpTransport(clock=clock),
+        transport=transport,
+        dispatcher=dispatcher,
+        canceller=canceller,
+        accountant=accountant,
+        domain=own.domain,
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
         historian=historian,
         accountant=accountant,
-        limiter=Limiter(board=board, clock=clock),
+        limiter=Limiter(board=board, clock=clock, book=book, accountant=accountant),
         claimant=claimant,
-        domain=own.domain,
+        sender=sender,
     )
 
     def answer_addresses(request: Request) -> AddressAnswer:
@@ -215,7 +287,7 @@
         callers=HttpServer(
             address=own.callers,
             app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
-            threads=settings.callers.threads,
+            threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
         ),
@@ -226,9 +298,16 @@
             max_body_bytes=OPERATOR_BODY_BYTES,
             connections=OPERATOR_CONNECTIONS,
         ),
-        peers=PeerServer(address=own.peers, secret=secret, answer=responder.answer),
+        peers=PeerServer(
+            address=own.peers,
+            secret=secret,
+            answer=responder.answer,
+            count_refused=partial(accountant.count, "peer_frames_refused"),
+        ),
         links=links,
         roster_keeper=roster_keeper,
+        lease_keeper=lease_keeper,
+        share_mover=share_mover,
         claimant=claimant,
         handover=ClaimHandover(board=board, clock=clock, client=links, own=own),
     )
--- a/snipespring/decisions/claims/tenure.py
+++ b/snipespring/decisions/claims/tenure.py
@@ -11,10 +11,10 @@
     LeaseLapsed,
     OwnerStanding,
     Roster,
-    RosterStep,
-    Tenure,
+    RosterSeen,
+    RosterTenure,
 )
-from ..membership import holder_of
+from ..membership import holder_of, list_rosters
 from .limits import TAKEOVER_WAIT_S
 
 __all__ = ["advance_tenure", "find_misdirection", "is_settled", "role_of"]
@@ -28,16 +28,19 @@
 
 
 def advance_tenure(
-    tenure: Tenure, *, own: Host, roster: Roster, fence: Fence, now_s: float
-) -> Tenure:
-    """Return the tenure with a roster taken in; a missed version begins it anew."""
+    tenure: RosterTenure, *, own: Host, roster: Roster, fence: Fence, now_s: float
+) -> RosterTenure:
+    """Return the tenure with a roster taken in.
+
+    A version that was missed, and that the roster does not list, begins it anew.
+    """
     steps = _append(tenure.steps, roster)
     steps = tuple(_note_fence(step, fence, now_s) for step in steps)
     base = _find_base(steps, now_s)
     if base is None:
-        return Tenure(steps=steps)
+        return RosterTenure(steps=steps)
     steps = steps[base:]
-    return Tenure(steps=steps, contenders=_contenders(steps, own))
+    return RosterTenure(steps=steps, contenders=_contenders(steps, own))
 
 
 def find_misdirection(
@@ -72,30 +75,35 @@
     return holder is not None and holder.host_id == standing.own.host_id
 
 
-def _append(steps: tuple[RosterStep, ...], roster: Roster) -> tuple[RosterStep, ...]:
-    added = RosterStep(version=roster.version, hosts=roster.hosts)
-    if not steps:
-        return (added,)
-    last = steps[-1].version
+def _append(steps: tuple[RosterSeen, ...], roster: Roster) -> tuple[RosterSeen, ...]:
+    newest = RosterSeen(version=roster.version, hosts=roster.hosts)
+    last = steps[-1].version if steps else None
     if roster.version == last:
         return steps
-    if roster.version == last + 1:
-        return (*steps, added)
-    return (added,)
-
-
-def _note_fence(step: RosterStep, fence: Fence, now_s: float) -> RosterStep:
+    listed = tuple(
+        RosterSeen(version=version, hosts=hosts)
+        for version, hosts in list_rosters(roster)
+    )
+    versions = [step.version for step in listed]
+    if last in versions:
+        return (*steps, *listed[versions.index(last) + 1 :])
+    if last is not None and roster.version == last + 1:
+        return (*steps, newest)
+    return (newest,)
+
+
+def _note_fence(step: RosterSeen, fence: Fence, now_s: float) -> RosterSeen:
     if step.fenced_at_s is not None or step.version > fence.version:
         return step
     return evolve(step, fenced_at_s=now_s)
 
 
-def _find_base(steps: tuple[RosterStep, ...], now_s: float) -> int | None:
+def _find_base(steps: tuple[RosterSeen, ...], now_s: float) -> int | None:
     ripe = [index for index, step in enumerate(steps) if _is_ripe(step, now_s)]
     return ripe[-1] if ripe else None
 
 
-def _is_ripe(step: RosterStep, now_s: float) -> bool:
+def _is_ripe(step: RosterSeen, now_s: float) -> bool:
     if step.version == FIRST_VERSION:
         return True
     if step.fenced_at_s is None:
@@ -103,7 +111,7 @@
     return step.fenced_at_s + TAKEOVER_WAIT_S <= now_s
 
 
-def _contenders(steps: tuple[RosterStep, ...], own: Host) -> Roster | None:
+def _contenders(steps: tuple[RosterSeen, ...], own: Host) -> Roster | None:
     hosts: Map[HostId, Host] = Map()
     for step in steps:
         held = step.hosts.get(own.host_id)
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -1,23 +1,36 @@
 """Choose a backend server for one attempt."""
 
+from math import inf
 from random import Random
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 from ...records import (
-    DomainName,
-    ReportedLoad,
+    Placement,
+    ServerAvoided,
+    ServerEjected,
+    ServerHealthy,
     ServerId,
     ServerLoad,
     ServerLoads,
-    ServerRule,
-    ServiceRule,
+    ServerOnTrial,
+    ServerStates,
+    ServerSubset,
+    SubsetMember,
+)
+from .loads import (
+    drain_check_at_s,
+    estimate_busy,
+    load_of,
+    mean_others,
+    service_load_of,
 )
 
-__all__ = ["Chosen", "NoServer", "choose_server", "release_server", "reserve_server"]
+__all__ = ["Chosen", "NoServer", "ServersBusy", "choose_server"]
 
-REPORT_LIFETIME_S = 1.0
-UNKNOWN = ServerLoad()
+RAMP_S = 10.0
+RAMP_START = 0.1
+HEALTHY = ServerHealthy()
 
 
 @frozen(kw_only=True)
@@ -29,67 +42,170 @@
 
 @frozen(kw_only=True)
 class NoServer:
-    """State why no server can take an attempt."""
+    """State why no server will take an attempt."""
 
     reason: str
 
 
-def choose_server(
-    service: ServiceRule,
-    servers: tuple[ServerRule, ...],
-    loads: ServerLoads,
-    *,
-    domain: DomainName,
-    excluded: frozenset[ServerId],
-    now_s: float,
-    rng: Random,
-) -> Chosen | NoServer:
-    """Return the less loaded of two servers, from the near domain if it has any."""
-    usable = [
-        rule
-        for rule in servers
-        if rule.server not in excluded
-        and not _is_draining(loads, rule.server)
-        and loads.by_server.get(rule.server, UNKNOWN).in_flight < service.slots
-    ]
-    if not usable:
-        return NoServer(reason=f"no server of {service.name} has a free slot")
-    near = [rule for rule in usable if rule.domain == domain]
-    pool = near or usable
-    pair = rng.sample(pool, min(2, len(pool)))
-    best = min(pair, key=lambda rule: _load_of(loads, rule.server, now_s))
-    return Chosen(server=best.server)
+@frozen(kw_only=True)
+class ServersBusy:
+    """State that servers exist but none has room; `free_at_s` is the earliest.
 
+    It is infinite where only the end of an attempt of this host can give room.
+    """
 
-def reserve_server(loads: ServerLoads, server: ServerId) -> ServerLoads:
-    """Return the loads with one more attempt in flight on the server."""
-    return _add_in_flight(loads, server, 1)
+    free_at_s: float
 
 
-def release_server(
-    loads: ServerLoads, server: ServerId, report: ReportedLoad | None, now_s: float
-) -> ServerLoads:
-    """Return the loads with one attempt less and the load that came with it."""
-    loads = _add_in_flight(loads, server, -1)
-    if report is None:
-        return loads
-    load = evolve(loads.by_server[server], reported=report, reported_at_s=now_s)
-    return evolve(loads, by_server=loads.by_server.set(server, load))
+@frozen(kw_only=True)
+class _Preferred:
+    """Use the server before others."""
 
 
-def _add_in_flight(loads: ServerLoads, server: ServerId, delta: int) -> ServerLoads:
-    load = loads.by_server.get(server, UNKNOWN)
-    load = evolve(load, in_flight=load.in_flight + delta)
-    return evolve(loads, by_server=loads.by_server.set(server, load))
+@frozen(kw_only=True)
+class _Spare:
+    """Use the server only if no preferred one has a free slot; lower goes first."""
+
+    rank: int
+
+
+@frozen(kw_only=True)
+class _Barred:
+    """Send the server nothing."""
+
 
+_Use = _Preferred | _Spare | _Barred
 
-def _is_draining(loads: ServerLoads, server: ServerId) -> bool:
-    report = loads.by_server.get(server, UNKNOWN).reported
-    return report is not None and report.draining
+BARRED = _Barred()
+PREFERRED = _Preferred()
+RAMPING = _Spare(rank=1)
+AVOIDED = _Spare(rank=2)
+BEYOND_TRIAL = _Spare(rank=3)
 
 
-def _load_of(loads: ServerLoads, server: ServerId, now_s: float) -> float:
-    load = loads.by_server.get(server, UNKNOWN)
-    fresh = now_s - load.reported_at_s < REPORT_LIFETIME_S
-    reported = load.reported.busy if load.reported is not None and fresh else 0
-    return max(load.in_flight, reported)
+def choose_server(
+    subset: ServerSubset,
+    loads: ServerLoads,
+    states: ServerStates,
+    placement: Placement,
+    *,
+    now_s: float,
+    rng: Random,
+) -> Chosen | NoServer | ServersBusy:
+    """Return the least busy server, near ones first; spare ones last."""
+    service = service_load_of(loads, subset.service)
+    if service.in_flight + 1 > service.limit:
+        return ServersBusy(free_at_s=inf)
+    ranked: dict[int, list[SubsetMember]] = {}
+    room_at_s: list[float] = []
+    for member in subset.members:
+        if member.rule.server in placement.excluded:
+            continue
+        rank = _rank_of(member, loads, states, placement, now_s, rng)
+        if rank is None:
+            continue
+        load = load_of(loads, member.rule.server)
+        member_room_at_s = _room_at_s(load, subset.in_flight_cap, now_s)
+        room_at_s.append(member_room_at_s)
+        if member_room_at_s <= now_s:
+            ranked.setdefault(rank, []).append(member)
+    if not room_at_s:
+        return NoServer(reason="every server is ejected, on trial or was tried")
+    if not ranked:
+        return ServersBusy(free_at_s=min(room_at_s))
+    servers = [member.rule.server for member in subset.members]
+    mean = min(subset.slots, mean_others(loads, servers, now_s))
+    best = _least_busy(
+        ranked[min(ranked)],
+        loads,
+        mean,
+        placement,
+        slots=subset.slots,
+        now_s=now_s,
+        rng=rng,
+    )
+    return Chosen(server=best)
+
+
+def _room_at_s(load: ServerLoad, cap: int, now_s: float) -> float:
+    """Return when the server has room without the end of one of our attempts."""
+    if load.drain is not None:
+        check_at_s = max(load.backoff_until_s, drain_check_at_s(load.drain))
+        return inf if load.in_flight else check_at_s
+    if load.in_flight >= cap:
+        return inf
+    return max(now_s, load.backoff_until_s)
+
+
+def _rank_of(
+    member: SubsetMember,
+    loads: ServerLoads,
+    states: ServerStates,
+    placement: Placement,
+    now_s: float,
+    rng: Random,
+) -> int | None:
+    match _use_of(member, loads, states, placement, now_s, rng):
+        case _Preferred():
+            return 0
+        case _Spare(rank=rank):
+            return rank
+        case _Barred():
+            return None
+
+
+def _use_of(
+    member: SubsetMember,
+    loads: ServerLoads,
+    states: ServerStates,
+    placement: Placement,
+    now_s: float,
+    rng: Random,
+) -> _Use:
+    server = member.rule.server
+    match states.by_server.get(server, HEALTHY):
+        case ServerHealthy():
+            from_s = max(member.since_s, load_of(loads, server).ramp_from_s)
+            return PREFERRED if _is_drawn(_ramp_share(from_s, now_s), rng) else RAMPING
+        case ServerAvoided():
+            return AVOIDED
+        case ServerEjected():
+            return BARRED
+        case ServerOnTrial(share=share):
+            if not placement.repeatable:
+                return BARRED
+            return PREFERRED if _is_drawn(share, rng) else BEYOND_TRIAL
+
+
+def _ramp_share(from_s: float, now_s: float) -> float:
+    if from_s <= 0.0:
+        return 1.0
+    return min(1.0, RAMP_START + (1.0 - RAMP_START) * (now_s - from_s) / RAMP_S)
+
+
+def _is_drawn(share: float, rng: Random) -> bool:
+    return share >= 1.0 or rng.random() < share
+
+
+def _least_busy(
+    members: list[SubsetMember],
+    loads: ServerLoads,
+    mean: float,
+    placement: Placement,
+    *,
+    slots: int,
+    now_s: float,
+    rng: Random,
+) -> ServerId:
+    """Return the least busy server, a near one if a slot is free there."""
+
+    def busy(member: SubsetMember) -> float:
+        return estimate_busy(load_of(loads, member.rule.server), mean, now_s)
+
+    near = [
+        member
+        for member in members
+        if member.rule.domain == placement.domain and busy(member) <= slots - 1
+    ]
+    best = min(near or members, key=lambda member: (busy(member), rng.random()))
+    return best.rule.server
--- a/snipespring/records/claims.py
+++ b/snipespring/records/claims.py
@@ -37,8 +37,8 @@
     "Released",
     "RememberedClaim",
     "RequestDigest",
-    "RosterStep",
-    "Tenure",
+    "RosterSeen",
+    "RosterTenure",
     "Unclaimed",
 ]
 
@@ -149,7 +149,7 @@
 
 
 @frozen(kw_only=True)
-class RosterStep:
+class RosterSeen:
     """Hold a roster version and when this host saw every older lease ended."""
 
     version: int
@@ -158,7 +158,7 @@
 
 
 @frozen(kw_only=True)
-class Tenure:
+class RosterTenure:
     """Hold the roster versions that this host saw without a gap.
 
     `contenders` holds every host of these versions once the first is old
@@ -166,7 +166,7 @@
     its own throughout.
     """
 
-    steps: tuple[RosterStep, ...] = ()
+    steps: tuple[RosterSeen, ...] = ()
     contenders: Roster | None = field(default=None, repr=False)
 
 
@@ -177,7 +177,7 @@
     own: Host
     roster: Roster
     lease: LeaseState
-    tenure: Tenure
+    tenure: RosterTenure
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/messages.py
+++ b/snipespring/records/messages.py
@@ -4,7 +4,9 @@
 
 from .claim_messages import ClaimMessage
 from .fleet import HostStatus, Versions
+from .health_messages import HealthMessage
 from .identity import HostId
+from .limit_messages import LimitMessage
 
 __all__ = [
     "AgedSighting",
@@ -62,7 +64,7 @@
     reason: str
 
 
-Message = Pull | PullReply | Refused | ClaimMessage
+Message = Pull | PullReply | Refused | ClaimMessage | HealthMessage | LimitMessage
 
 
 @frozen(kw_only=True)
