--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -9,12 +9,14 @@
     CONFIGURATION,
     FENCE,
     HEARD_HOSTS,
+    HELD_SEGMENTS,
     HOST_STATUSES,
     LEASE,
     OWN_STATUS,
     PEER_VIEW,
     PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
+    REFUSED_CONFIGURATION,
     ROSTER,
 )
 from .health import (
@@ -35,6 +37,7 @@
 )
 from .routing import (
     ATTEMPT_WATCH,
+    HELD_BODIES,
     REQUEST_QUEUES,
     RETRY_BUDGETS,
     RUNNING_ATTEMPTS,
@@ -55,6 +58,8 @@
     "FENCE",
     "HEALTH_POOLS",
     "HEARD_HOSTS",
+    "HELD_BODIES",
+    "HELD_SEGMENTS",
     "HOST_STATUSES",
     "LEASE",
     "LOCAL_HEALTH",
@@ -62,6 +67,7 @@
     "PEER_VIEW",
     "PLATFORM_CONFIGURATION",
     "PLATFORM_ROSTER",
+    "REFUSED_CONFIGURATION",
     "REQUEST_QUEUES",
     "RETRY_BUDGETS",
     "ROSTER",
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -3,14 +3,21 @@
 from .accountant import (
     Accountant,
 )
+from .address_lister import (
+    AddressLister,
+)
 from .applier import (
     Accepted,
     Applier,
     Conflicted,
+    Damaged,
     NothingHeld,
     RulesHeld,
     Unreachable,
 )
+from .body_keeper import (
+    BodyKeeper,
+)
 from .canceller import (
     Canceller,
 )
@@ -68,6 +75,9 @@
     Controller,
     Runner,
 )
+from .segment_keeper import (
+    SegmentKeeper,
+)
 from .sender import (
     Delivery,
     Sender,
@@ -97,7 +107,9 @@
 __all__ = [
     "Accepted",
     "Accountant",
+    "AddressLister",
     "Applier",
+    "BodyKeeper",
     "Canceller",
     "ClaimHandover",
     "ClaimOwner",
@@ -105,6 +117,7 @@
     "Configurator",
     "Conflicted",
     "Controller",
+    "Damaged",
     "Delivery",
     "Dispatcher",
     "FenceKeeper",
@@ -123,6 +136,7 @@
     "RosterKeeper",
     "RulesHeld",
     "Runner",
+    "SegmentKeeper",
     "Sender",
     "ShareBook",
     "ShareBorrower",
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -7,10 +7,11 @@
 from attrs import define, evolve, field, frozen
 
 from ..blackboard import Board
-from ..blackboard.regions import EVIDENCE, RETRY_BUDGETS
+from ..blackboard.regions import EVIDENCE, RETRY_BUDGETS, ROSTER
 from ..decisions.attempts import (
     Finish,
     TryAgain,
+    attempt_headers,
     attempt_limit,
     attempt_timeout_s,
     best_result,
@@ -20,7 +21,7 @@
 )
 from ..decisions.health import record_end, record_start
 from ..decisions.replies import refusal_reply, result_reply
-from ..decisions.retries import NoBudget, earn_retry, spend_retry
+from ..decisions.retries import NoBudget, earn_retry, most_allowed, spend_retry
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
@@ -162,7 +163,7 @@
             method=request.method,
             path=request.path,
             organisation=admitted.organisation,
-            headers=request.headers,
+            headers=attempt_headers(request, run),
             body=request.body,
             timeout_s=attempt_timeout_s(
                 run,
@@ -203,10 +204,11 @@
         if tried:
             return
         now_s = self.clock.monotonic_s()
+        most = most_allowed(len(self.board.read(ROSTER).hosts))
 
         def earn(held: RetryBudgets) -> RetryBudgets:
             budget = held.by_service.get(service.name, RetryBudget(at_s=now_s))
-            budget = earn_retry(budget, service.retry_share, now_s)
+            budget = earn_retry(budget, service.retry_share, most=most, now_s=now_s)
             by_service = held.by_service.set(service.name, budget)
             return evolve(held, by_service=by_service)
 
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -8,19 +8,18 @@
 from random import Random
 from types import FrameType
 
-from attrs import define, evolve
+from attrs import define
 
 from ..blackboard import Board
 from ..blackboard.regions import (
-    CONFIGURATION,
-    HOST_STATUSES,
     PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
-    ROSTER,
     STOP,
 )
 from ..controllers import (
     Accountant,
+    AddressLister,
+    BodyKeeper,
     Canceller,
     Claimant,
     ClaimHandover,
@@ -40,6 +39,7 @@
     Responder,
     RosterKeeper,
     Runner,
+    SegmentKeeper,
     Sender,
     ShareBook,
     ShareBorrower,
@@ -49,9 +49,7 @@
     TenureKeeper,
     Watcher,
 )
-from ..decisions.addresses import list_addresses
 from ..decisions.claims import derive_issuing_key
-from ..decisions.keys import digest_key, find_key
 from ..decisions.limits import peer_of
 from ..frontends.backends import HttpTransport
 from ..frontends.callers import CallersApp
@@ -59,23 +57,18 @@
 from ..frontends.operators import OperatorsApp
 from ..frontends.peers import PeerLinks, PeerServer
 from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT, HttpPlatform
-from ..records import (
-    AddressAnswer,
-    Host,
-    Incarnation,
-    Leaving,
-    OrganisationName,
-    Request,
-)
+from ..records import Host, Incarnation, Leaving
 from ..settings import Settings
 from ..utils import Clock, SystemClock
 
 __all__ = ["Proxy", "build_proxy", "run_proxy"]
 
 DRAIN_LIMIT_S = 30.0
+SPREAD_ROUNDS = 6  # pulls until every host knows that this one leaves
 OPERATOR_THREADS = 2
 OPERATOR_CONNECTIONS = 50
 OPERATOR_BODY_BYTES = 65536
+HELD_BODY_BYTES = 64 * 1024 * 1024
 WALL_DIGITS = 13
 MS_PER_S = 1000
 
@@ -109,26 +102,36 @@
 
     def stop(self) -> None:
         """Leave the address answers, finish the requests, then close everything."""
-        lifetime_s = self.settings.callers.address_lifetime_s
-        until_s = self.clock.monotonic_s() + lifetime_s
-        self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
-        self.callers.drain()
-        threading.Event().wait(lifetime_s)
+        self._announce()
         self.callers.stop_listening()
         self.callers.wait_idle(DRAIN_LIMIT_S)
         self.claimant.step()
         self.handover.hand_over()
         self.callers.close()
-        finished = Leaving(until_s=until_s, finished=True)
+        self._leave()
+        self.runner.stop()
+        self.peers.close()
+        self.links.close()
+        self.operators.close()
+
+    def _announce(self) -> None:
+        """Tell all hosts, hand over, and wait until no caller keeps this address."""
+        peers = self.settings.peers
+        spread_s = SPREAD_ROUNDS * peers.pull_interval_s
+        wait_s = spread_s + self.settings.callers.address_lifetime_s
+        until_s = self.clock.monotonic_s() + wait_s
+        self.board.write(STOP, Leaving(until_s=until_s), writer="stopper")
+        self.callers.drain()
+        threading.Event().wait(wait_s)
+
+    def _leave(self) -> None:
+        """Give up the lease, then the place in the roster, then the shares."""
+        finished = Leaving(until_s=self.clock.monotonic_s(), finished=True)
         self.board.write(STOP, finished, writer="stopper")
         self.lease_keeper.step()
         self.roster_keeper.leave()
         self.share_mover.hand_over_all()
         self.share_mover.close()
-        self.runner.stop()
-        self.peers.close()
-        self.links.close()
-        self.operators.close()
 
 
 def build_proxy(settings: Settings, secret: bytes) -> Proxy:
@@ -181,6 +184,16 @@
         own=own,
         fanout=settings.peers.fanout,
     )
+    segment_keeper = SegmentKeeper(
+        board=board,
+        rng=rng,
+        platform=platform,
+        client=links,
+        accountant=accountant,
+        own=own,
+        fanout=settings.peers.fanout,
+        seeds=settings.peers.seeds,
+    )
     lease_keeper = LeaseKeeper(
         board=board,
         clock=clock,
@@ -215,12 +228,13 @@
             object_name=ROSTER_OBJECT,
             region=PLATFORM_ROSTER,
         ),
+        segment_keeper,
         Configurator(board=board, clock=clock, historian=historian),
         dispatcher,
         canceller,
         roster_keeper,
         StatusKeeper(board=board, clock=clock, own=own),
-        SubsetKeeper(board=board, clock=clock, own=own),
+        SubsetKeeper(board=board, clock=clock, transport=transport, own=own),
         puller,
         lease_keeper,
         FenceKeeper(
@@ -252,6 +266,7 @@
         shares=book,
         health_judge=health_judge,
         claim_owner=claim_owner,
+        segment_keeper=segment_keeper,
     )
     sender = Sender(
         board=board,
@@ -273,12 +288,13 @@
         sender=sender,
     )
 
-    def answer_addresses(request: Request) -> AddressAnswer:
-        organisation = _find_organisation(board, request)
-        answer = _answer_addresses(board, own, settings, organisation)
-        prefix = claimant.issue_prefix(organisation)
-        return evolve(answer, idempotency_prefix=prefix)
-
+    address_lister = AddressLister(
+        board=board,
+        clock=clock,
+        own=own,
+        lifetime_s=settings.callers.address_lifetime_s,
+        issue_prefix=claimant.issue_prefix,
+    )
     return Proxy(
         board=board,
         clock=clock,
@@ -286,10 +302,13 @@
         runner=Runner(board=board, controllers=controllers),
         callers=HttpServer(
             address=own.callers,
-            app=CallersApp(handle=forwarder.handle, list_addresses=answer_addresses),
+            app=CallersApp(
+                handle=forwarder.handle, list_addresses=address_lister.answer
+            ),
             threads=settings.callers.threads + settings.callers.queue,
             max_body_bytes=settings.callers.max_body_bytes,
             connections=settings.callers.connections,
+            bodies=BodyKeeper(board=board, limit_bytes=HELD_BODY_BYTES),
         ),
         operators=HttpServer(
             address=own.operators,
@@ -342,25 +361,3 @@
         peers=settings.listen.peers,
         operators=settings.listen.operators,
     )
-
-
-def _find_organisation(board: Board, request: Request) -> OrganisationName | None:
-    key = find_key(request)
-    keys = board.read(CONFIGURATION).keys
-    return keys.get(digest_key(key)) if key is not None else None
-
-
-def _answer_addresses(
-    board: Board, own: Host, settings: Settings, organisation: OrganisationName | None
-) -> AddressAnswer:
-    statuses = board.read(HOST_STATUSES).by_host
-    leaving = frozenset(
-        host_id for host_id, view in statuses.items() if view.status.leaving
-    )
-    return list_addresses(
-        board.read(ROSTER).hosts.values(),
-        leaving=leaving,
-        organisation=organisation,
-        near=own.domain,
-        lifetime_s=settings.callers.address_lifetime_s,
-    )
