--- a/snipespring/decisions/claims/tenure.py
+++ b/snipespring/decisions/claims/tenure.py
@@ -14,7 +14,7 @@
     RosterSeen,
     RosterTenure,
 )
-from ..membership import holder_of
+from ..membership import holder_of, list_rosters
 from .limits import TAKEOVER_WAIT_S
 
 __all__ = ["advance_tenure", "find_misdirection", "is_settled", "role_of"]
@@ -30,7 +30,10 @@
 def advance_tenure(
     tenure: RosterTenure, *, own: Host, roster: Roster, fence: Fence, now_s: float
 ) -> RosterTenure:
-    """Return the tenure with a roster taken in; a missed version begins it anew."""
+    """Return the tenure with a roster taken in.
+
+    A version that was missed, and that the roster does not list, begins it anew.
+    """
     steps = _append(tenure.steps, roster)
     steps = tuple(_note_fence(step, fence, now_s) for step in steps)
     base = _find_base(steps, now_s)
@@ -73,15 +76,20 @@
 
 
 def _append(steps: tuple[RosterSeen, ...], roster: Roster) -> tuple[RosterSeen, ...]:
-    added = RosterSeen(version=roster.version, hosts=roster.hosts)
-    if not steps:
-        return (added,)
-    last = steps[-1].version
+    newest = RosterSeen(version=roster.version, hosts=roster.hosts)
+    last = steps[-1].version if steps else None
     if roster.version == last:
         return steps
-    if roster.version == last + 1:
-        return (*steps, added)
-    return (added,)
+    listed = tuple(
+        RosterSeen(version=version, hosts=hosts)
+        for version, hosts in list_rosters(roster)
+    )
+    versions = [step.version for step in listed]
+    if last in versions:
+        return (*steps, *listed[versions.index(last) + 1 :])
+    if last is not None and roster.version == last + 1:
+        return (*steps, newest)
+    return (newest,)
 
 
 def _note_fence(step: RosterSeen, fence: Fence, now_s: float) -> RosterSeen:
