--- a/benchmarks/speed.py
+++ b/benchmarks/speed.py
@@ -3,7 +3,6 @@
 Run with `python -m benchmarks.speed`; the table goes to standard output.
 """
 
-import os
 import queue
 import sys
 import tempfile
@@ -23,6 +22,8 @@
 
 from standins.harness import Fleet, FleetPlan, free_network
 
+from .processes import read_cpu_s, read_loopback_bytes, read_memory_mb
+
 __all__ = ["Speed", "main"]
 
 KEY = "the-key-of-the-speed-benchmark"
@@ -152,26 +153,6 @@
     print(f"| {' | '.join(cells)} |", flush=True)
 
 
-def read_cpu_s(pid: int) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def read_memory_mb(pid: int) -> float:
-    """Return the resident memory of a process in MB."""
-    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
-    return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
-def read_loopback_bytes() -> int:
-    """Return the bytes that the loopback interface has carried."""
-    for line in Path("/proc/net/dev").read_text().splitlines():
-        if line.strip().startswith("lo:"):
-            return int(line.split(":")[1].split()[0])
-    return 0
-
-
 def measure_idle(fleet: Fleet) -> None:
     """Print what the proxies cost while no caller sends anything."""
     pids = [
