Stop the canceller from waking itself; look only at services in use

Cause: an idle proxy used a whole core. The canceller wrote its watch region in each idle round, which woke itself: 1,095,809 rounds in 10 s. The health judge, keeper and reporter walked all 620 services four times a second. Ruled out: the watchers and pulls, 0.04 s of 10 s together. Change: the watch is written only when it changes; health looks at the services that have evidence, pools or lists. Conclusion: a test holds that an idle canceller does not wake itself.

--- a/snipespring/controllers/canceller.py
+++ b/snipespring/controllers/canceller.py
@@ -52,8 +52,7 @@
         with self._lock:
             running = list(self.board.read(RUNNING_ATTEMPTS).by_id.values())
             if not running:
-                idle = AttemptWatch(is_active=False)
-                self.board.write(ATTEMPT_WATCH, idle, writer=self.name)
+                self._set_active(False)
                 return None
             gone = {one.attempt_id: self._is_gone[one.attempt_id] for one in running}
         now_s = self.clock.monotonic_s()
@@ -72,9 +71,7 @@
         with self._lock:
             self._is_gone[attempt_id] = is_gone
             self.board.update(RUNNING_ATTEMPTS, add, writer=self.name)
-            if not self.board.read(ATTEMPT_WATCH).is_active:
-                active = AttemptWatch(is_active=True)
-                self.board.write(ATTEMPT_WATCH, active, writer=self.name)
+            self._set_active(True)
 
     def _end(self, attempt_id: str) -> None:
         def remove(held: RunningAttempts) -> RunningAttempts:
@@ -83,3 +80,9 @@
         with self._lock:
             del self._is_gone[attempt_id]
             self.board.update(RUNNING_ATTEMPTS, remove, writer=self.name)
+
+    def _set_active(self, is_active: bool) -> None:
+        """Write the watch only if it changes, since each write wakes the controller."""
+        if self.board.read(ATTEMPT_WATCH).is_active != is_active:
+            watch = AttemptWatch(is_active=is_active)
+            self.board.write(ATTEMPT_WATCH, watch, writer=self.name)
--- a/snipespring/controllers/health_judge.py
+++ b/snipespring/controllers/health_judge.py
@@ -46,10 +46,9 @@
     watches = ()
 
     def step(self) -> float:
-        """Judge every service held; return seconds until the next round."""
+        """Judge every service with reports; return seconds until the next round."""
         cfg = self.board.read(CONFIGURATION)
-        held = self.board.read(HEALTH_POOLS).by_service
-        for service in {*cfg.services, *held}:
+        for service in self.board.read(HEALTH_POOLS).by_service:
             added = self.board.transact(
                 HEALTH_POOLS,
                 partial(self._judge, cfg=cfg, name=service),
--- a/snipespring/controllers/health_keeper.py
+++ b/snipespring/controllers/health_keeper.py
@@ -18,6 +18,7 @@
     describe_service,
     drop_services,
     list_changes,
+    list_services,
     states_in_force,
 )
 from ..records import (
@@ -68,7 +69,10 @@
 
     def _judge_paths(self, cfg: Configuration, now_s: float) -> LocalHealth:
         local = drop_services(self.board.read(LOCAL_HEALTH), frozenset(cfg.services))
-        for service in cfg.services.values():
+        for name in list_services(self.board.read(EVIDENCE)):
+            service = cfg.services.get(name)
+            if service is None:
+                continue
             local = avoid_servers(
                 local,
                 self._own_report(service.name, now_s),
--- a/snipespring/controllers/health_reporter.py
+++ b/snipespring/controllers/health_reporter.py
@@ -17,6 +17,7 @@
     describe_service,
     find_holder,
     is_due,
+    list_services,
     receive_list,
     select_changed,
 )
@@ -65,11 +66,17 @@
     def step(self) -> float:
         """Report on every service that is due; return seconds until the next."""
         self._collect()
-        for service in self.board.read(CONFIGURATION).services:
+        for service in self._services_in_use():
             if service not in self._calls:
                 self._report(service)
         return CHECK_INTERVAL_S
 
+    def _services_in_use(self) -> frozenset[ServiceName]:
+        known = self.board.read(CONFIGURATION).services
+        used = list_services(self.board.read(EVIDENCE))
+        listed = self.board.read(EJECTION_LISTS).by_service.keys()
+        return frozenset(name for name in used.union(listed) if name in known)
+
     def _collect(self) -> None:
         for service, fut in list(self._calls.items()):
             if fut.done():
@@ -82,7 +89,6 @@
             self.board.read(EVIDENCE), self.board.read(SERVER_LOADS), service, now_s
         )
         held = self.board.read(EJECTION_LISTS).by_service.get(service)
-        holder = find_holder(self.board.read(ROSTER), service)
         due = is_due(
             self._sent.get(service),
             servers,
@@ -90,7 +96,10 @@
             has_entries=held is not None and _has_entries(held),
             now_s=now_s,
         )
-        if holder is not None and due:
+        if not due:
+            return
+        holder = find_holder(self.board.read(ROSTER), service)
+        if holder is not None:
             report = self._make_report(service, servers)
             self._calls[service] = self._pool.submit(
                 self._call, holder, report, servers
--- a/snipespring/controllers/tests/test_canceller.py
+++ b/snipespring/controllers/tests/test_canceller.py
@@ -75,3 +75,17 @@
 
 
 TestCancel = CancelMachine.TestCase
+
+
+def test_idle_canceller_does_not_wake_itself() -> None:
+    board = Board()
+    canceller = Canceller(
+        board=board, clock=ManualClock(), transport=ScriptedTransport()
+    )
+    sub = board.subscribe(canceller.watches)
+    with canceller.watch("attempt-1", timeout_s=1.0, is_gone=lambda: False):
+        canceller.step()
+    canceller.step()
+    sub.wait(0)
+    assert canceller.step() is None
+    assert not sub.wait(0)
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -25,7 +25,7 @@
 )
 from .histograms import add_duration
 
-__all__ = ["describe_service", "record_end", "record_start"]
+__all__ = ["describe_service", "list_services", "record_end", "record_start"]
 
 FIRST_CALLER_ERROR = 400
 FIRST_SERVER_ERROR = 500
@@ -60,6 +60,11 @@
     return evolve(evidence, by_server=evidence.by_server.set(server, held))
 
 
+def list_services(evidence: Evidence) -> frozenset[ServiceName]:
+    """Return the services that this host has sent work to."""
+    return frozenset(server.service for server in evidence.by_server)
+
+
 def describe_service(
     evidence: Evidence, loads: ServerLoads, service: ServiceName, now_s: float
 ) -> tuple[ServerReport, ...]:
