--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -114,6 +114,16 @@
     ]
 
 
+def arrive_at_four(rng: Random, plan: Plan) -> list[Request]:
+    """Spread each organisation's requests over four hosts, as addresses do."""
+    return [
+        Request(organisation=rule.name, host=rng.choice(four), arrived_s=time_s)
+        for rule in plan.rules
+        for four in [rng.sample(range(plan.hosts), 4)]
+        for time_s in poisson_times_s(rng, plan.load * rule.rate_per_s, plan.seconds)
+    ]
+
+
 def arrive_in_bursts(rng: Random, plan: Plan) -> list[Request]:
     """Send a burst each period, each to another host."""
     requests = []
@@ -157,6 +167,7 @@
     return [
         even,
         evolve(even, name="all on one host", arrivals=arrive_at_one),
+        evolve(even, name="over four hosts", arrivals=arrive_at_four),
         evolve(even, name="burst moving", arrivals=arrive_in_bursts),
         evolve(heavy, counted=frozenset(rule.name for rule in rules[1:])),
         evolve(heavy, name="one at 5 x: itself", counted=frozenset({rules[0].name})),
@@ -169,6 +180,7 @@
             fenced_at_s=KILL_AT_S + DETECTION_S + FENCE_S,
         ),
         hour,
+        evolve(hour, name="platform away 1 h, four hosts", arrivals=arrive_at_four),
         evolve(
             hour,
             name="platform away 1 h, a slot's and the counter's holder dead for half",
