--- a/snipespring/controllers/tests/test_limits_cases.py
+++ b/snipespring/controllers/tests/test_limits_cases.py
@@ -178,3 +178,12 @@
     holder, _ = holder_with_peers(fleet)
     holder.clock.pause_s = LEASE_S + 1.0
     assert not isinstance(holder.book.pay(fleet.rule), Paid)
+
+
+def test_payment_across_a_short_pause_is_made_anew() -> None:
+    fleet = steady_fleet(rate_per_s=1000.0)
+    holder, _ = holder_with_peers(fleet)
+    holder.clock.pause_s = 0.3
+    fleet.request(holder, 1)
+    assert len(fleet.admitted_at_s) == 1
+    assert 1 + sum(spend_all(fleet, model) for model in fleet.hosts) == BURST
