--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -19,13 +19,14 @@
 __all__ = ["main"]
 
 KEY = "the-test-key-of-hauliers"
-CALLERS = 4
+CALLERS = 6
 BETWEEN_S = 0.02
 CALL_TIMEOUT_S = 4.0
 CHECK_S = 0.05
 LIMIT_S = 60.0
 FREEZE_S = 6.0
 OUTAGE_S = 20.0
+WARM_UP_S = 2.0
 
 
 @frozen(kw_only=True)
@@ -57,7 +58,8 @@
     def _ask(self) -> None:
         try:
             answer = call(self.known[0], "GET", "/addresses", headers={"Api-Key": KEY})
-        except OSError:
+        except OSError as exc:
+            self.seen[type(exc).__name__] += 1
             self._turn()
             return
         self.asked_s = time.monotonic()
@@ -183,10 +185,14 @@
 def _traffic(fleet: Fleet) -> Iterator[Callable[[], Counter[str]]]:
     stopping = threading.Event()
     known = [fleet.callers(index) for index in range(3)]
-    callers = [Caller(known=list(known), stopping=stopping) for _ in range(CALLERS)]
+    callers = [
+        Caller(known=[*known[first:], *known[:first]], stopping=stopping)
+        for first in (number % len(known) for number in range(CALLERS))
+    ]
     threads = [threading.Thread(target=caller.run) for caller in callers]
     for thread in threads:
         thread.start()
+    threading.Event().wait(WARM_UP_S)
     try:
         yield lambda: sum((caller.seen for caller in callers), Counter())
     finally:
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -10,6 +10,7 @@
     CONFIGURATION,
     LEASE,
 )
+from ..decisions.claims import loses_claim_key
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
 from ..decisions.replies import refusal_reply
 from ..decisions.rules import find_route
@@ -44,6 +45,7 @@
 __all__ = ["Forwarder"]
 
 SHORT_RETRY_S = 0.2
+KEY_IN_KEY = "the idempotency key holds the organisation's key"
 
 
 @define(kw_only=True, eq=False)
@@ -72,8 +74,13 @@
             case KeyRefused(reason=reason):
                 return self._refuse(request, None, 401, reason, "keys")
             case Authenticated(organisation=organisation, key=key):
+                stripped = strip_key(request, key)
+                if loses_claim_key(request, stripped):
+                    return self._refuse(
+                        request, organisation, 400, KEY_IN_KEY, "claims"
+                    )
                 admitted = AdmittedRequest(
-                    request=strip_key(request, key),
+                    request=stripped,
                     route=route,
                     organisation=organisation,
                     deadline_at_s=_deadline_at_s(cfg, route, request, started_s),
--- a/snipespring/controllers/responder.py
+++ b/snipespring/controllers/responder.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from ..records import (
+    ClaimFacts,
     ClaimReports,
     ClaimRequest,
     CreditAsks,
@@ -49,5 +50,7 @@
                 return self.claim_owner.answer(message)
             case ClaimReports():
                 return self.claim_owner.take(message)
+            case ClaimFacts():
+                return self.claim_owner.take_facts(message)
             case _:
                 return Refused(reason="a reply came where a call was expected")
--- a/snipespring/controllers/tests/test_health.py
+++ b/snipespring/controllers/tests/test_health.py
@@ -135,7 +135,7 @@
             lease = LeaseHeld(until_s=until_s)
             host.board.write(LEASE, lease, writer="lease_keeper")
             host.board.update(
-                EVIDENCE, lambda held: work_once(held, sick), writer="sender"
+                EVIDENCE, lambda held: work_once(held, sick), writer=EVIDENCE.writer
             )
         self.step()
 
