Build a host from parts and take test networks at random

Cause: the assembly stood in one function of 180 lines; two test runs at once could take the same loopback network, since the search began at the process id and went upwards ('address already in use' in 2 of 4 parallel runs). Ruled out: a lock file, which would outlive a killed run. Change: shared things and five parts, each with its controllers; networks are drawn at random.

--- /dev/null
+++ b/snipespring/daemons/parts.py
@@ -0,0 +1,324 @@
+"""Build the controllers of each part of a host."""
+
+from attrs import define
+
+from ..blackboard import Region
+from ..blackboard.regions import PLATFORM_CONFIGURATION, PLATFORM_ROSTER
+from ..controllers import (
+    Canceller,
+    Claimant,
+    ClaimHandover,
+    ClaimOwner,
+    Configurator,
+    Controller,
+    Dispatcher,
+    FenceKeeper,
+    Forwarder,
+    HealthJudge,
+    HealthKeeper,
+    HealthReporter,
+    LeaseKeeper,
+    Limiter,
+    Puller,
+    RosterKeeper,
+    SegmentKeeper,
+    Sender,
+    ShareBook,
+    ShareBorrower,
+    ShareMover,
+    StatusKeeper,
+    SubsetKeeper,
+    TenureKeeper,
+    Watcher,
+)
+from ..decisions.claims import derive_issuing_key
+from ..decisions.limits import peer_of
+from ..frontends.backends import HttpTransport
+from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT
+from ..records import Sighting
+from .shared import Shared
+
+__all__ = [
+    "ClaimPart",
+    "HealthPart",
+    "LimitPart",
+    "MembershipPart",
+    "RequestPart",
+    "build_claims",
+    "build_health",
+    "build_limits",
+    "build_membership",
+    "build_requests",
+]
+
+
+@define(kw_only=True, eq=False)
+class MembershipPart:
+    """Hold what keeps roster, lease, fence, statuses and configuration."""
+
+    puller: Puller
+    roster_keeper: RosterKeeper
+    segment_keeper: SegmentKeeper
+    lease_keeper: LeaseKeeper
+    others: tuple[Controller, ...]
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return every controller of the part."""
+        return (
+            self.puller,
+            self.roster_keeper,
+            self.segment_keeper,
+            self.lease_keeper,
+            *self.others,
+        )
+
+
+@define(kw_only=True, eq=False)
+class LimitPart:
+    """Hold what keeps the shares of organisations' limits."""
+
+    book: ShareBook
+    mover: ShareMover
+    borrower: ShareBorrower
+    limiter: Limiter
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return every controller of the part."""
+        return (self.borrower, self.mover)
+
+
+@define(kw_only=True, eq=False)
+class HealthPart:
+    """Hold what judges backend servers."""
+
+    judge: HealthJudge
+    reporter: HealthReporter
+    keeper: HealthKeeper
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return every controller of the part."""
+        return (self.judge, self.reporter, self.keeper)
+
+
+@define(kw_only=True, eq=False)
+class ClaimPart:
+    """Hold what lets a request with an idempotency key run at most once."""
+
+    owner: ClaimOwner
+    claimant: Claimant
+    handover: ClaimHandover
+    tenure: TenureKeeper
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return every controller of the part."""
+        return (self.tenure, self.owner, self.claimant)
+
+
+@define(kw_only=True, eq=False)
+class RequestPart:
+    """Hold what takes a request to a backend server and back."""
+
+    forwarder: Forwarder
+    dispatcher: Dispatcher
+    canceller: Canceller
+    subset_keeper: SubsetKeeper
+
+    @property
+    def controllers(self) -> tuple[Controller, ...]:
+        """Return every controller of the part."""
+        return (self.dispatcher, self.canceller, self.subset_keeper)
+
+
+def build_membership(shared: Shared) -> MembershipPart:
+    """Return the part that follows the platform and the other hosts."""
+    peers = shared.settings.peers
+    return MembershipPart(
+        puller=Puller(
+            board=shared.board,
+            clock=shared.clock,
+            client=shared.links,
+            own=shared.own,
+            fanout=peers.fanout,
+            interval_s=peers.pull_interval_s,
+            seeds=peers.seeds,
+        ),
+        roster_keeper=RosterKeeper(
+            board=shared.board,
+            clock=shared.clock,
+            rng=shared.rng,
+            platform=shared.platform,
+            accountant=shared.accountant,
+            historian=shared.historian,
+            own=shared.own,
+            fanout=peers.fanout,
+        ),
+        segment_keeper=SegmentKeeper(
+            board=shared.board,
+            rng=shared.rng,
+            platform=shared.platform,
+            client=shared.links,
+            accountant=shared.accountant,
+            own=shared.own,
+            fanout=peers.fanout,
+            seeds=peers.seeds,
+        ),
+        lease_keeper=LeaseKeeper(
+            board=shared.board,
+            clock=shared.clock,
+            historian=shared.historian,
+            own=shared.own,
+            lease_s=peers.lease_s,
+        ),
+        others=_build_followers(shared),
+    )
+
+
+def _build_followers(shared: Shared) -> tuple[Controller, ...]:
+    peers = shared.settings.peers
+    return (
+        _build_watcher(shared, CONFIGURATION_OBJECT, PLATFORM_CONFIGURATION),
+        _build_watcher(shared, ROSTER_OBJECT, PLATFORM_ROSTER),
+        Configurator(
+            board=shared.board, clock=shared.clock, historian=shared.historian
+        ),
+        StatusKeeper(board=shared.board, clock=shared.clock, own=shared.own),
+        FenceKeeper(
+            board=shared.board,
+            clock=shared.clock,
+            own=shared.own,
+            lease_s=peers.lease_s,
+            drift_margin_s=peers.drift_margin_s,
+        ),
+    )
+
+
+def _build_watcher(
+    shared: Shared, object_name: str, region: Region[Sighting | None]
+) -> Watcher:
+    return Watcher(
+        board=shared.board,
+        clock=shared.clock,
+        rng=shared.rng,
+        platform=shared.platform,
+        accountant=shared.accountant,
+        own=shared.own,
+        object_name=object_name,
+        region=region,
+    )
+
+
+def build_limits(shared: Shared) -> LimitPart:
+    """Return the part that admits requests inside their organisation's rate."""
+    book = ShareBook(board=shared.board, clock=shared.clock, own=peer_of(shared.own))
+    return LimitPart(
+        book=book,
+        mover=ShareMover(
+            book=book,
+            client=shared.links,
+            clock=shared.clock,
+            historian=shared.historian,
+            accountant=shared.accountant,
+        ),
+        borrower=ShareBorrower(
+            book=book, client=shared.links, accountant=shared.accountant
+        ),
+        limiter=Limiter(
+            board=shared.board,
+            clock=shared.clock,
+            book=book,
+            accountant=shared.accountant,
+        ),
+    )
+
+
+def build_health(shared: Shared) -> HealthPart:
+    """Return the part that tells sick backend servers from busy ones."""
+    judge = HealthJudge(
+        board=shared.board,
+        clock=shared.clock,
+        accountant=shared.accountant,
+        own=shared.own,
+    )
+    return HealthPart(
+        judge=judge,
+        reporter=HealthReporter(
+            board=shared.board,
+            clock=shared.clock,
+            client=shared.links,
+            judge=judge,
+            own=shared.own,
+        ),
+        keeper=HealthKeeper(
+            board=shared.board,
+            clock=shared.clock,
+            historian=shared.historian,
+            accountant=shared.accountant,
+            own=shared.own,
+        ),
+    )
+
+
+def build_claims(shared: Shared, secret: bytes) -> ClaimPart:
+    """Return the part that claims keys and remembers them."""
+    owner = ClaimOwner(board=shared.board, clock=shared.clock, own=shared.own)
+    return ClaimPart(
+        owner=owner,
+        claimant=Claimant(
+            board=shared.board,
+            clock=shared.clock,
+            client=shared.links,
+            own=shared.own,
+            owner=owner,
+            historian=shared.historian,
+            accountant=shared.accountant,
+            issuing_key=derive_issuing_key(secret),
+        ),
+        handover=ClaimHandover(
+            board=shared.board,
+            clock=shared.clock,
+            client=shared.links,
+            own=shared.own,
+        ),
+        tenure=TenureKeeper(board=shared.board, clock=shared.clock, own=shared.own),
+    )
+
+
+def build_requests(shared: Shared, limiter: Limiter, claimant: Claimant) -> RequestPart:
+    """Return the part that serves callers' requests."""
+    board, clock = shared.board, shared.clock
+    transport = HttpTransport(clock=clock)
+    canceller = Canceller(board=board, clock=clock, transport=transport)
+    dispatcher = Dispatcher(
+        board=board, clock=clock, rng=shared.rng, bound=shared.settings.callers.queue
+    )
+    sender = Sender(
+        board=board,
+        clock=clock,
+        rng=shared.rng,
+        transport=transport,
+        dispatcher=dispatcher,
+        canceller=canceller,
+        accountant=shared.accountant,
+        domain=shared.own.domain,
+    )
+    forwarder = Forwarder(
+        board=board,
+        clock=clock,
+        historian=shared.historian,
+        accountant=shared.accountant,
+        limiter=limiter,
+        claimant=claimant,
+        sender=sender,
+    )
+    return RequestPart(
+        forwarder=forwarder,
+        dispatcher=dispatcher,
+        canceller=canceller,
+        subset_keeper=SubsetKeeper(
+            board=board, clock=clock, transport=transport, own=shared.own
+        ),
+    )
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import yaml
@@ -99,8 +100,9 @@
 
 def free_network() -> str:
     """Return the first two numbers of a loopback network that nobody uses."""
-    for offset in range(NETWORKS):
-        network = f"127.{FIRST_NETWORK + (os.getpid() + offset) % NETWORKS}"
+    numbers = SystemRandom().sample(range(NETWORKS), NETWORKS)
+    for number in numbers:
+        network = f"127.{FIRST_NETWORK + number}"
         with socket.socket() as probe:
             try:
                 probe.bind((f"{network}.0.1", PLATFORM_PORT))
