Offer callers the holders of their organisation's credit first

Ruled out: offering holders alone, which puts a large organisation on few hosts: they come first only where they suffice for its rate. Conclusion: the effect on added time at the target size is not measured.

--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -17,6 +17,7 @@
     measure_rules,
     measure_statuses,
 )
+from .state_roles import measure_evidence, measure_limits
 
 __all__ = ["main"]
 
@@ -51,7 +52,19 @@
     """Measure placement, lease, fence and status merges by hosts."""
 
 
-Role = Routes | Rules | Memory | Addresses | Membership
+@cappa.command(name="health")
+@frozen(kw_only=True)
+class Health:
+    """Measure evidence and judgement by servers of a service."""
+
+
+@cappa.command(name="limits")
+@frozen(kw_only=True)
+class Limits:
+    """Measure payments and accounts by organisations."""
+
+
+Role = Routes | Rules | Memory | Addresses | Membership | Health | Limits
 
 
 @cappa.command(name="slopes")
@@ -78,6 +91,10 @@
             return measure_addresses()
         case Membership():
             return measure_placement() + measure_leases() + measure_statuses()
+        case Health():
+            return measure_evidence()
+        case Limits():
+            return measure_limits()
 
 
 def main() -> None:
--- /dev/null
+++ b/benchmarks/slopes/state_roles.py
@@ -0,0 +1,172 @@
+"""Measure the series of evidence and limits on the project's own code."""
+
+import tracemalloc
+
+from immutables import Map
+
+from snipespring.blackboard import Board
+from snipespring.blackboard.regions import FENCE, LEASE, ROSTER
+from snipespring.controllers import ShareBook
+from snipespring.decisions.health import (
+    absorb_report,
+    judge_pool,
+    policy_of,
+    renew_pool,
+)
+from snipespring.decisions.limits import peer_of
+from snipespring.records import (
+    Address,
+    DomainName,
+    EjectCarefully,
+    EvidenceReport,
+    Fence,
+    HostId,
+    Incarnation,
+    LeaseHeld,
+    OrganisationName,
+    OrganisationRule,
+    OutcomeCounts,
+    Pool,
+    Roster,
+    ServerId,
+    ServerReport,
+    ServiceName,
+    ServiceRule,
+)
+from snipespring.records.health import Histogram
+from snipespring.utils import ManualClock
+
+from .fit import Point, Series, time_call_us
+from .inputs import make_roster
+
+__all__ = ["measure_evidence", "measure_limits"]
+
+SERVER_SIZES = (15, 30, 60, 120)
+ACCOUNT_SIZES = (125, 250, 500, 1000)
+SERVICE = ServiceName("s")
+KB = 1000.0
+FAR_S = 1e9
+
+
+def measure_evidence() -> list[Series]:
+    """Measure taking in one report and judging one service by its servers."""
+    absorbed = tuple(Point(size=n, cost=_absorb_us(n)) for n in SERVER_SIZES)
+    judged = tuple(Point(size=n, cost=_judge_us(n)) for n in SERVER_SIZES)
+    return [
+        _series("health", "take in a report", "servers", "us", absorbed),
+        _series("health", "judge a service", "servers", "us", judged),
+    ]
+
+
+def measure_limits() -> list[Series]:
+    """Measure one payment and the memory of accounts by organisations."""
+    paid = tuple(Point(size=n, cost=_pay_us(n)) for n in ACCOUNT_SIZES)
+    kept = tuple(Point(size=n, cost=_accounts_kb(n)) for n in ACCOUNT_SIZES)
+    return [
+        _series("limits", "pay for a request", "organisations", "us", paid),
+        _series("limits", "memory", "organisations", "KB", kept),
+    ]
+
+
+def _series(
+    role: str, what: str, size_unit: str, cost_unit: str, points: tuple[Point, ...]
+) -> Series:
+    return Series(
+        role=role, what=what, size_unit=size_unit, cost_unit=cost_unit, points=points
+    )
+
+
+def _absorb_us(servers: int) -> float:
+    pool = absorb_report(_make_pool(), _make_report(servers, 1), 1000.0)
+    report = _make_report(servers, 2)
+    return time_call_us(lambda: absorb_report(pool, report, 1000.25), calls=10)
+
+
+def _judge_us(servers: int) -> float:
+    pool = absorb_report(_make_pool(), _make_report(servers, 1), 1000.0)
+    pool = absorb_report(pool, _make_report(servers, 2), 1000.25)
+    service = ServiceRule(name=SERVICE, asked_by="benchmark")
+    names = frozenset(_server(n) for n in range(servers))
+    policy = policy_of(EjectCarefully())
+    return time_call_us(
+        lambda: judge_pool(pool, service, names, policy=policy, now_s=1000.5), calls=5
+    )
+
+
+def _make_pool() -> Pool:
+    roster = make_roster(1)
+    pool = renew_pool(
+        None,
+        own=roster.hosts[HostId("h0")],
+        service=SERVICE,
+        roster=roster,
+        lease=LeaseHeld(until_s=FAR_S),
+        now_s=1000.0,
+    )
+    if pool is None:
+        raise ValueError("the only host does not hold the service")
+    return pool
+
+
+def _make_report(servers: int, sequence: int) -> EvidenceReport:
+    return EvidenceReport(
+        sender=HostId("h0"),
+        incarnation=Incarnation("1"),
+        sequence=sequence,
+        domain=DomainName("d0"),
+        service=SERVICE,
+        servers=tuple(_make_server_report(n, sequence) for n in range(servers)),
+    )
+
+
+def _make_server_report(n: int, sequence: int) -> ServerReport:
+    return ServerReport(
+        server=_server(n),
+        counts=OutcomeCounts(errors=sequence, broken=sequence),
+        under_way=Histogram(),
+    )
+
+
+def _server(n: int) -> ServerId:
+    address = Address(ip=f"10.0.{n // 256}.{n % 256}", port=9001)
+    return ServerId(service=SERVICE, address=address)
+
+
+def _make_book() -> ShareBook:
+    board = Board()
+    roster = make_roster(1)
+    own = roster.hosts[HostId("h0")]
+    held = Roster(version=1, hosts=Map({own.host_id: own}))
+    board.write(ROSTER, held, writer=ROSTER.writer)
+    board.write(LEASE, LeaseHeld(until_s=FAR_S), writer=LEASE.writer)
+    board.write(FENCE, Fence(version=1), writer=FENCE.writer)
+    return ShareBook(board=board, clock=ManualClock(), own=peer_of(own))
+
+
+def _rule(n: int) -> OrganisationRule:
+    return OrganisationRule(
+        name=OrganisationName(f"o{n}"), rate_per_s=50.0, burst=100.0, asked_by="bench"
+    )
+
+
+def _pay_all(book: ShareBook, organisations: int) -> None:
+    for n in range(organisations):
+        book.pay(_rule(n))
+
+
+def _pay_us(organisations: int) -> float:
+    book = _make_book()
+    _pay_all(book, organisations)
+    return time_call_us(lambda: _pay_all(book, organisations)) / organisations
+
+
+def _accounts_kb(organisations: int) -> float:
+    tracemalloc.start()
+    try:
+        book = _make_book()
+        _pay_all(book, organisations)
+        used, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    del book
+    return used / KB
--- a/snipespring/controllers/address_lister.py
+++ b/snipespring/controllers/address_lister.py
@@ -8,10 +8,12 @@
 from ..blackboard.regions import CONFIGURATION, HOST_STATUSES, ROSTER, STOP
 from ..decisions.addresses import AddressQuestion, list_addresses, list_available
 from ..decisions.keys import digest_key, find_key
+from ..decisions.limits import slot_holders
 from ..records import (
     AddressAnswer,
     Configuration,
     Host,
+    HostId,
     Leaving,
     OrganisationName,
     Request,
@@ -42,10 +44,17 @@
             rate_per_s=_rate_per_s(cfg, organisation),
             near=self.own.domain,
             caller=request.request_id,
+            holders=self._holders(organisation),
         )
         answer = list_addresses(self._available(), question, lifetime_s=self.lifetime_s)
         return evolve(answer, idempotency_prefix=self.issue_prefix(organisation))
 
+    def _holders(self, organisation: OrganisationName | None) -> frozenset[HostId]:
+        if organisation is None:
+            return frozenset()
+        holders = slot_holders(self.board.read(ROSTER), organisation)
+        return frozenset(host.host_id for host in holders)
+
     def _available(self) -> tuple[Host, ...]:
         hosts = list_available(
             self.board.read(ROSTER),
--- a/snipespring/decisions/addresses.py
+++ b/snipespring/decisions/addresses.py
@@ -10,6 +10,7 @@
     AddressAnswer,
     DomainName,
     Host,
+    HostId,
     HostStatuses,
     OfferedAddress,
     OrganisationName,
@@ -29,12 +30,17 @@
 
 @frozen(kw_only=True)
 class AddressQuestion:
-    """State who asks, in which domain and for how much traffic a second."""
+    """State who asks, in which domain and for how much traffic a second.
+
+    `holders` are the hosts that admit the organisation's requests without asking
+    another host for credit.
+    """
 
     organisation: OrganisationName | None
     rate_per_s: float
     near: DomainName
     caller: str
+    holders: frozenset[HostId] = frozenset()
 
 
 def list_available(
@@ -64,11 +70,11 @@
     """Return hosts for the organisation, near first, in at least two domains.
 
     An organisation has a pool in each domain that grows with its rate; callers
-    are spread over the pool.
+    are spread over the pool, and over the holders in it where these suffice.
     """
     pools = _list_pools(hosts, question)
-    near = rank_hosts(pools.pop(question.near, []), question.caller)
-    far = _rank_far(pools.values(), question.caller)
+    near = pools.pop(question.near, [])
+    far = _interleave(pools.values(), question.caller)
     chosen = [*near[:NEAR_OFFERS], *far[:FAR_OFFERS]]
     if len(chosen) < NEAR_OFFERS + FAR_OFFERS:
         rest = [*near[NEAR_OFFERS:], *far[FAR_OFFERS:]]
@@ -86,18 +92,32 @@
 def _list_pools(
     hosts: Iterable[Host], question: AddressQuestion
 ) -> dict[DomainName, list[Host]]:
+    """Return the pool of each domain in the order in which the caller uses it."""
     by_domain: dict[DomainName, list[Host]] = {}
     for host in rank_hosts(hosts, question.organisation or ""):
         by_domain.setdefault(host.domain, []).append(host)
     needed = ceil(question.rate_per_s / RATE_PER_HOST_S / max(1, len(by_domain)))
-    size = max(MIN_POOL, needed)
-    return {domain: members[:size] for domain, members in by_domain.items()}
-
-
-def _rank_far(pools: Iterable[list[Host]], caller: str) -> list[Host]:
-    """Return the best host of each domain, then the second best of each."""
-    ranked = [rank_hosts(pool, caller) for pool in pools]
+    return {
+        domain: _rank_pool(members, question, needed)
+        for domain, members in by_domain.items()
+    }
+
+
+def _rank_pool(
+    members: list[Host], question: AddressQuestion, needed: int
+) -> list[Host]:
+    holders = [host for host in members if host.host_id in question.holders]
+    others = [host for host in members if host.host_id not in question.holders]
+    pool = [*holders, *others][: max(MIN_POOL, needed)]
+    ranked = rank_hosts(pool, question.caller)
+    if len(holders) >= needed:
+        ranked.sort(key=lambda host: host.host_id not in question.holders)
+    return ranked
+
+
+def _interleave(pools: Iterable[list[Host]], caller: str) -> list[Host]:
+    """Return the first host of each domain, then the second of each."""
     ordered: list[Host] = []
-    for row in zip_longest(*ranked):
+    for row in zip_longest(*pools):
         ordered += rank_hosts((host for host in row if host is not None), caller)
     return ordered
--- a/snipespring/decisions/tests/test_addresses.py
+++ b/snipespring/decisions/tests/test_addresses.py
@@ -10,6 +10,7 @@
     list_addresses,
     list_available,
 )
+from snipespring.decisions.limits import slot_holders
 from snipespring.decisions.membership.tests.fleet_model import make_host, make_roster
 from snipespring.records import (
     Address,
@@ -141,3 +142,24 @@
     views = {own.host_id: HostView(status=status, as_of_s=99.0)}
     found = list_available(roster, HostStatuses(by_host=Map(views)), now_s=100.0)
     assert len({host.domain for host in found}) == 2
+
+
+@given(st.integers(6, 50), numbers, numbers)
+def test_holders_come_first_in_their_domain_where_they_suffice(
+    count: int, organisation: int, caller: int
+) -> None:
+    roster = make_roster(count, domains=3)
+    name = OrganisationName(f"o{organisation}")
+    holders = slot_holders(roster, name)
+    question = AddressQuestion(
+        organisation=name,
+        rate_per_s=50.0,
+        near=DomainName("d0"),
+        caller=str(caller),
+        holders=frozenset(host.host_id for host in holders),
+    )
+    answer = list_addresses(roster.hosts.values(), question, lifetime_s=LIFETIME_S)
+    near = [host.callers for host in holders if host.domain == "d0"]
+    if near:
+        assert answer.offers[0].address in near
+    assert len({offer.domain for offer in answer.offers}) >= 2
