--- a/standins/harness.py
+++ b/standins/harness.py
@@ -23,6 +23,7 @@
 STOP_LIMIT_S = 30.0
 CHECK_INTERVAL_S = 0.05
 CALL_TIMEOUT_S = 15.0
+LOG_TAIL_CHARS = 4000
 PLATFORM_PORT = 8500
 CALLERS_PORT = 8080
 PEERS_PORT = 7400
@@ -179,8 +180,14 @@
         self.processes[name].send_signal(signum)
 
     def wait_exit(self, name: str) -> int:
-        """Wait for a process to end and return its exit code."""
-        return self.processes[name].wait(STOP_LIMIT_S)
+        """Wait for a process to end and return its exit code.
+
+        Raise TimeoutError with the end of its log if it does not end.
+        """
+        try:
+            return self.processes[name].wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired as exc:
+            raise TimeoutError(f"{name} runs on: {self._read_log(name)}") from exc
 
     def apply_rules(self, lines: tuple[str, ...]) -> int:
         """Write rules through the command line; return its exit code."""
@@ -219,6 +226,11 @@
         content = json.dumps(fault).encode()
         call(self.platform, "POST", "/control/faults", body=content)
 
+    def _read_log(self, name: str) -> str:
+        log_name = name.replace("proxy-", "host-")
+        text = (self.folder / f"{log_name}.log").read_text()
+        return text[-LOG_TAIL_CHARS:]
+
     def _start_all(self) -> None:
         self._start(
             "platform",
