Refuse truthfully before the first configuration; retry hints only where they help

Cause: a host without configuration answered 404 to every route, which callers take as final; 401, 404 and 400 carried Retry-After, though no retry helps; a refused claim wrote two events. Ruled out: keeping the listener closed until configured: the address answer already leaves such hosts out, and operators then see nothing. Change: 503 not run with Retry-After until a configuration is in force; no Retry-After on 4xx but 429; the claimant alone records its refusals.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -45,6 +45,11 @@
 __all__ = ["Forwarder"]
 
 SHORT_RETRY_S = 0.2
+STATUS_BAD_REQUEST = 400
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_TOO_MANY_REQUESTS = 429
+NO_CONFIGURATION = "no configuration is in force yet"
 KEY_IN_KEY = "the idempotency key holds the organisation's key"
 
 
@@ -64,20 +69,22 @@
         """Return the reply to a request; `is_gone` tells that its caller left."""
         started_s = self.clock.monotonic_s()
         cfg = self.board.read(CONFIGURATION)
+        if cfg.version == 0:
+            return self._refuse_for_now(request, NO_CONFIGURATION, "configuration")
         route = find_route(cfg, request.method, request.path)
         if route is None:
-            return self._refuse(request, None, 404, "no route", "routes")
+            return self._refuse(request, None, STATUS_NOT_FOUND, "no route", "routes")
         lapsed = self._lapsed_lease(route)
         if lapsed is not None:
-            return self._refuse(request, None, 503, lapsed.reason, "lease")
+            return self._refuse_for_now(request, lapsed.reason, "lease")
         match authenticate(cfg, route, request):
             case KeyRefused(reason=reason):
-                return self._refuse(request, None, 401, reason, "keys")
+                return self._refuse(request, None, STATUS_UNAUTHORIZED, reason, "keys")
             case Authenticated(organisation=organisation, key=key):
                 stripped = strip_key(request, key)
                 if loses_claim_key(request, stripped):
                     return self._refuse(
-                        request, organisation, 400, KEY_IN_KEY, "claims"
+                        request, organisation, STATUS_BAD_REQUEST, KEY_IN_KEY, "claims"
                     )
                 admitted = AdmittedRequest(
                     request=stripped,
@@ -115,17 +122,18 @@
             case ClaimRepeated(reply=reply):
                 return evolve(reply, request_id=admitted.request.request_id)
             case ClaimRefused(outcome=outcome, status=status):
-                reply = refusal_reply(
-                    admitted.request.request_id, outcome, status=status
-                )
-                return self._finish(admitted, reply, "claims")
+                self.accountant.count("replies", type(outcome).__name__)
+                request_id = admitted.request.request_id
+                return refusal_reply(request_id, outcome, status=status)
 
     def _refuse_over_limit(self, admitted: AdmittedRequest, over: OverLimit) -> Reply:
         request = admitted.request
         self.accountant.count("refusals", "limits")
         self._record(request, admitted.organisation, over.reason, "limits")
         outcome = NotRun(reason=over.reason, retry_after_s=over.retry_after_s)
-        return refusal_reply(request.request_id, outcome, status=429)
+        return refusal_reply(
+            request.request_id, outcome, status=STATUS_TOO_MANY_REQUESTS
+        )
 
     def _lapsed_lease(self, route: RouteRule) -> LeaseLapsed | None:
         match route.access, self.board.read(LEASE):
@@ -172,9 +180,15 @@
     ) -> Reply:
         self.accountant.count("refusals", rule)
         self._record(request, organisation, reason, rule)
-        outcome = NotRun(reason=reason, retry_after_s=SHORT_RETRY_S)
+        outcome = NotRun(reason=reason)
         return refusal_reply(request.request_id, outcome, status=status)
 
+    def _refuse_for_now(self, request: Request, reason: str, rule: str) -> Reply:
+        self.accountant.count("refusals", rule)
+        self._record(request, None, reason, rule)
+        outcome = NotRun(reason=reason, retry_after_s=SHORT_RETRY_S)
+        return refusal_reply(request.request_id, outcome)
+
     def _record(
         self,
         request: Request,
