Close peer links at a stop without waiting for the peers

Cause: closing the peers' listener waited for each open connection's closing handshake, up to 10 s where a peer is frozen, and for its handler; a link that got no nonce in time stayed open with its thread. Ruled out: the library's handlers outliving the close: it waits for them. Change: sockets are closed first, with short opening and closing timeouts; a link that fails before its nonces is closed; connections are opened in the way that the library asks for. Conclusion: a stop no longer depends on the peers.

--- a/snipespring/frontends/peers/client.py
+++ b/snipespring/frontends/peers/client.py
@@ -90,16 +90,24 @@
         max_size=MAX_MESSAGE_BYTES,
         ping_interval=None,
         proxy=None,
+        legacy=True,
     )
+    try:
+        seal = _exchange_nonces(conn, secret, timeout_s)
+    except (OSError, WebSocketException):
+        conn.close_socket()
+        raise
+    return _Link(conn=conn, seal=seal)
+
+
+def _exchange_nonces(conn: ClientConnection, secret: bytes, timeout_s: float) -> Seal:
     conn.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     own_nonce = new_nonce()
     conn.send(own_nonce)
     nonce = conn.recv(timeout=timeout_s, decode=False)
     if not isinstance(nonce, bytes) or len(nonce) != NONCE_BYTES:
-        conn.close()
         raise OSError("the peer sent no nonce")
-    seal = Seal(secret=secret, nonce=own_nonce + nonce, sending=b"C", receiving=b"S")
-    return _Link(conn=conn, seal=seal)
+    return Seal(secret=secret, nonce=own_nonce + nonce, sending=b"C", receiving=b"S")
 
 
 def _exchange(link: _Link, message: Message, timeout_s: float) -> PeerResult:
--- a/snipespring/frontends/peers/server.py
+++ b/snipespring/frontends/peers/server.py
@@ -14,6 +14,8 @@
 
 __all__ = ["PeerServer"]
 
+OPEN_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.1
 NONCE_WAIT_S = 5.0
 
 
@@ -32,6 +34,7 @@
     _server: Server | None = field(default=None, init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _conns: set[ServerConnection] = field(factory=set, init=False)
+    _closed: bool = field(default=False, init=False)
 
     def start(self) -> None:
         """Begin to listen; raise OSError if the address is taken."""
@@ -42,22 +45,28 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             ping_interval=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
         )
         threading.Thread(
             target=self._server.serve_forever, name="peers", daemon=True
         ).start()
 
     def close(self) -> None:
-        """Stop listening and close every connection."""
-        if self._server is not None:
-            self._server.shutdown()
+        """Stop listening and close every connection without waiting for its peer."""
         with self._lock:
+            self._closed = True
             conns = list(self._conns)
         for conn in conns:
             conn.close_socket()
+        if self._server is not None:
+            self._server.shutdown()
 
     def _serve_connection(self, conn: ServerConnection) -> None:
         with self._lock:
+            if self._closed:
+                conn.close_socket()
+                return
             self._conns.add(conn)
         try:
             conn.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/snipespring/frontends/peers/tests/test_links.py
+++ b/snipespring/frontends/peers/tests/test_links.py
@@ -1,9 +1,12 @@
+import socket
 from collections import Counter
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from threading import Thread
 
 import pytest
 from websockets.exceptions import ConnectionClosed
+from websockets.protocol import State
 from websockets.sync.client import connect
 from websockets.sync.server import ServerConnection, serve
 
@@ -18,11 +21,15 @@
     PullReply,
     Versions,
 )
-from standins.harness import free_network
+from standins.harness import free_network, wait_until
 
 SECRET = b"a secret of a test fleet"
 ADDRESS = Address(ip=f"{free_network()}.9.1", port=7400)
 NONCE = b"n" * 16
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: peer\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n\r\n"
+)
 PULL = Pull(sender=HostId("a"), held=Versions())
 REPLY = PullReply(configuration=None, roster=None)
 
@@ -101,3 +108,31 @@
         link.close()
     server.shutdown()
     thread.join()
+
+
+def test_a_close_does_not_wait_for_a_peer_that_is_frozen() -> None:
+    server = PeerServer(address=ADDRESS, secret=SECRET, answer=answer)
+    server.start()
+    with (
+        socket.create_connection((ADDRESS.ip, ADDRESS.port), timeout=5.0) as sock,
+        ThreadPoolExecutor(1) as pool,
+    ):
+        sock.sendall(UPGRADE)
+        assert sock.recv(12) == b"HTTP/1.1 101"
+        pool.submit(server.close).result(timeout=5.0)
+
+
+def test_a_link_without_a_nonce_leaves_no_connection() -> None:
+    opened: list[ServerConnection] = []
+
+    def stay_silent(conn: ServerConnection) -> None:
+        opened.append(conn)
+        for _ in conn:
+            pass
+
+    with serve(stay_silent, ADDRESS.ip, ADDRESS.port) as silent:
+        Thread(target=silent.serve_forever, daemon=True).start()
+        links = PeerLinks(secret=SECRET)
+        result = links.call(ADDRESS, PULL, timeout_s=0.1)
+        assert isinstance(result, PeerFailed)
+        wait_until(lambda: opened[0].state is State.CLOSED, "the link to be closed")
