Read the newest sightings in one place

Ruled out: a region of merged sightings, which would change when each wakes. Behaviour is unchanged.

--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -91,6 +91,10 @@
 from .share_mover import (
     ShareMover,
 )
+from .sightings import (
+    see_configuration,
+    see_roster,
+)
 from .status_keeper import (
     StatusKeeper,
 )
@@ -146,4 +150,6 @@
     "TenureKeeper",
     "Unreachable",
     "Watcher",
+    "see_configuration",
+    "see_roster",
 ]
--- a/snipespring/controllers/configurator.py
+++ b/snipespring/controllers/configurator.py
@@ -10,7 +10,6 @@
     PLATFORM_CONFIGURATION,
     REFUSED_CONFIGURATION,
 )
-from ..decisions.membership import merge_sightings
 from ..decisions.rules import (
     CheckedRules,
     ParsedSegment,
@@ -25,6 +24,7 @@
 from ..records import ConfigurationStep, HeldSegments, RefusedConfiguration, Sighting
 from ..utils import Clock
 from .historian import Historian
+from .sightings import see_configuration
 
 __all__ = ["Configurator"]
 
@@ -42,10 +42,7 @@
 
     def step(self) -> None:
         """Apply the newest sighting if it is newer than what is in force."""
-        seen = merge_sightings(
-            self.board.read(PLATFORM_CONFIGURATION),
-            self.board.read(PEER_VIEW).configuration,
-        )
+        seen = see_configuration(self.board)
         held = self.board.read(CONFIGURATION).version
         refused = self.board.read(REFUSED_CONFIGURATION).version
         if seen is None or seen.version <= max(held, refused):
--- a/snipespring/controllers/lease_keeper.py
+++ b/snipespring/controllers/lease_keeper.py
@@ -14,7 +14,7 @@
     ROSTER,
     STOP,
 )
-from ..decisions.membership import decide_lease, merge_sightings
+from ..decisions.membership import decide_lease
 from ..records import (
     Host,
     LeaseHeld,
@@ -26,6 +26,7 @@
 )
 from ..utils import Clock
 from .historian import Historian
+from .sightings import see_configuration, see_roster
 
 __all__ = ["LeaseKeeper"]
 
@@ -59,7 +60,8 @@
                 return LeaseLapsed(reason="the host has finished its work")
             case _:
                 pass
-        view = board.read(PEER_VIEW)
+        configuration_seen = see_configuration(board)
+        roster_seen = see_roster(board)
         roster = board.read(ROSTER)
         configuration = max(
             board.read(CONFIGURATION).version,
@@ -68,10 +70,8 @@
         return decide_lease(
             own=self.own,
             in_force=Versions(configuration=configuration, roster=roster.version),
-            configuration=merge_sightings(
-                board.read(PLATFORM_CONFIGURATION), view.configuration
-            ),
-            roster_seen=merge_sightings(board.read(PLATFORM_ROSTER), view.roster),
+            configuration=configuration_seen,
+            roster_seen=roster_seen,
             roster=roster,
             statuses=board.read(HOST_STATUSES),
             lease_s=self.lease_s,
--- a/snipespring/controllers/puller.py
+++ b/snipespring/controllers/puller.py
@@ -11,8 +11,6 @@
     HOST_STATUSES,
     OWN_STATUS,
     PEER_VIEW,
-    PLATFORM_CONFIGURATION,
-    PLATFORM_ROSTER,
     ROSTER,
 )
 from ..decisions.membership import (
@@ -46,6 +44,7 @@
     Versions,
 )
 from ..utils import Clock
+from .sightings import see_configuration, see_roster
 
 __all__ = ["Puller"]
 
@@ -214,12 +213,7 @@
         )
 
     def _sightings(self) -> tuple[Sighting | None, Sighting | None]:
-        view = self.board.read(PEER_VIEW)
-        configuration = merge_sightings(
-            self.board.read(PLATFORM_CONFIGURATION), view.configuration
-        )
-        roster = merge_sightings(self.board.read(PLATFORM_ROSTER), view.roster)
-        return configuration, roster
+        return see_configuration(self.board), see_roster(self.board)
 
 
 def _version(seen: Sighting | None) -> int:
--- a/snipespring/controllers/roster_keeper.py
+++ b/snipespring/controllers/roster_keeper.py
@@ -12,7 +12,6 @@
     HEARD_HOSTS,
     HOST_STATUSES,
     PEER_VIEW,
-    PLATFORM_CONFIGURATION,
     PLATFORM_ROSTER,
     ROSTER,
     STOP,
@@ -23,7 +22,6 @@
     change_roster,
     compact_roster,
     list_silent_hosts,
-    merge_sightings,
 )
 from ..frontends.platform import (
     CONFIGURATION_OBJECT,
@@ -49,6 +47,7 @@
 from ..utils import Clock
 from .accountant import Accountant
 from .historian import Historian
+from .sightings import see_configuration, see_roster
 
 __all__ = ["RosterKeeper"]
 
@@ -122,10 +121,7 @@
         Before that it must not join, or its reports would attest too little.
         """
         self.accountant.count("platform_calls", "read")
-        seen = merge_sightings(
-            self.board.read(PLATFORM_CONFIGURATION),
-            self.board.read(PEER_VIEW).configuration,
-        )
+        seen = see_configuration(self.board)
         match self.platform.read(CONFIGURATION_OBJECT):
             case ObjectAbsent():
                 return True
@@ -149,9 +145,7 @@
                 self._record(f"removed {host_id}: silent")
 
     def _follow(self) -> None:
-        seen = merge_sightings(
-            self.board.read(PLATFORM_ROSTER), self.board.read(PEER_VIEW).roster
-        )
+        seen = see_roster(self.board)
         held = self.board.read(ROSTER)
         if seen is None or seen.version <= held.version:
             return
--- a/snipespring/controllers/segment_keeper.py
+++ b/snipespring/controllers/segment_keeper.py
@@ -12,7 +12,7 @@
     PLATFORM_CONFIGURATION,
     ROSTER,
 )
-from ..decisions.membership import backoff_s, choose_neighbours, merge_sightings
+from ..decisions.membership import backoff_s, choose_neighbours
 from ..decisions.rules import RootRecord, Segment, missing_segments, verify_segment
 from ..frontends.peers import PeerClient
 from ..frontends.platform import Platform, decode_root, segment_object
@@ -27,6 +27,7 @@
     Sighting,
 )
 from .accountant import Accountant
+from .sightings import see_configuration
 
 __all__ = ["SegmentKeeper"]
 
@@ -55,7 +56,7 @@
     def step(self) -> float | None:
         """Fetch what the newest root misses; return seconds until the next try."""
         from_platform = self.board.read(PLATFORM_CONFIGURATION)
-        seen = merge_sightings(from_platform, self.board.read(PEER_VIEW).configuration)
+        seen = see_configuration(self.board)
         if seen is None or seen.version <= self._gathered_version:
             return None
         root = decode_root(seen.content, version=seen.version)
