Judge what other hosts admit unseen by what callers ask

Cause: a host took what others admit unseen to be 3.5 times what had been admitted before.

Ruled out: hosts that are silent (the view was 0.01 to 0.2 s old at the refusals), the restart of hosts (none), the lease (held).

Change: reports carry what was asked in the last half second beside what was admitted; the chance of a request falls with the demand seen, not with a multiple of what was admitted. A host pressed beyond its usual few requests takes all hosts to be pressed alike, so that a surge shows before a view does.

--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -28,6 +28,7 @@
     LeaseHeld,
     Leaving,
     OrganisationName,
+    OrganisationTimes,
     PublishedHost,
     ServerNews,
     UsageLog,
@@ -152,12 +153,14 @@
     fleet = SmallFleet()
     for count, link in enumerate(fleet.links.values()):
         times = (fleet.clock.now_s,) * (count + 1)
-        log = UsageLog(by_organisation=Map({NAME: times}))
+        used = OrganisationTimes(admitted_s=times, asked_s=(fleet.clock.now_s + 9.0,))
+        log = UsageLog(by_organisation=Map({NAME: used}))
         link.board.write(USAGE_LOG, log, writer="usage_limiter")
     fleet.run()
     for count, link in enumerate(fleet.links.values()):
         view = link.board.read(FLEET_VIEW)
-        assert view.usage[NAME] == sum(range(1, 10)) - (count + 1)
+        assert view.usage[NAME].admitted == sum(range(1, 10)) - (count + 1)
+        assert view.usage[NAME].asked == 8
         assert view.heard_hosts == 9
 
 
--- a/snipespring/controllers/usage_limiter.py
+++ b/snipespring/controllers/usage_limiter.py
@@ -12,7 +12,13 @@
     SETTINGS,
     USAGE_LOG,
 )
-from ..decisions.domains import UsageBounds, admit_usage, log_usage, prune_usage
+from ..decisions.domains import (
+    UsageBounds,
+    admit_usage,
+    log_admitted,
+    log_asked,
+    prune_usage,
+)
 from ..records import Admission, Admitted, OrganisationName, UsageLog
 from ..settings import GatewayLimitSettings
 from ..utils import Clock
@@ -35,7 +41,7 @@
     def admit(
         self, organisation: OrganisationName, *, deadline_at_s: float
     ) -> Admission:
-        """Count one request as admitted or say why it is refused."""
+        """Count one request and say whether it is admitted."""
         rule = self.board.read(CONFIGURATION).organisations.get(organisation)
         if rule is None:
             return Admitted()
@@ -46,10 +52,11 @@
 
         def step(log: UsageLog) -> tuple[UsageLog, Admission]:
             log = prune_usage(log, window_s=bounds.window_s, now_s=now_s)
+            log = log_asked(log, organisation, now_s)
             admission = admit_usage(
                 rule,
                 bounds,
-                log.by_organisation.get(organisation, ()),
+                log.by_organisation[organisation],
                 view,
                 known_hosts=known_hosts,
                 now_s=now_s,
@@ -57,7 +64,7 @@
             )
             match admission:
                 case Admitted():
-                    return log_usage(log, organisation, now_s), admission
+                    return log_admitted(log, organisation, now_s), admission
                 case _:
                     return log, admission
 
--- a/snipespring/decisions/domains/__init__.py
+++ b/snipespring/decisions/domains/__init__.py
@@ -3,7 +3,14 @@
 from .addresses import AddressBounds, offer_addresses
 from .hubs import choose_hubs, is_hub
 from .known import list_known
-from .usage import UsageBounds, admit_usage, count_usage, log_usage, prune_usage
+from .usage import (
+    UsageBounds,
+    admit_usage,
+    count_usage,
+    log_admitted,
+    log_asked,
+    prune_usage,
+)
 from .views import (
     hear_report,
     hear_summary,
@@ -23,7 +30,8 @@
     "hear_summary",
     "is_hub",
     "list_known",
-    "log_usage",
+    "log_admitted",
+    "log_asked",
     "make_digest",
     "make_summary",
     "make_view",
--- a/snipespring/decisions/domains/tests/test_usage.py
+++ b/snipespring/decisions/domains/tests/test_usage.py
@@ -1,17 +1,30 @@
+from collections.abc import Callable, Iterable
 from math import inf
 from random import Random
 
+import pytest
+from attrs import define, field
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from immutables import Map
 
-from snipespring.decisions.domains import UsageBounds, admit_usage
+from snipespring.decisions.domains import (
+    UsageBounds,
+    admit_usage,
+    count_usage,
+    log_admitted,
+    log_asked,
+    prune_usage,
+)
 from snipespring.records import (
     Admitted,
     FleetView,
     OrganisationName,
     OrganisationRule,
+    OrganisationTimes,
+    OrganisationUsage,
     OverLimit,
+    UsageLog,
 )
 
 NAME = OrganisationName("valeters")
@@ -19,6 +32,7 @@
 VIEW_INTERVAL_S = 0.25
 STEP_S = 0.01
 ONSET_S = 4.0
+MIN_ADMITTED = 0.96  # of what is asked within the rate; demand is drawn
 USUAL_SHARE = 0.6  # of its rate, that an organisation sends on a quiet day
 
 
@@ -28,15 +42,26 @@
     )
 
 
-def view(used: int, hosts: int, at_s: float) -> FleetView:
-    return FleetView(heard_hosts=hosts, usage=Map({NAME: used}), as_of_s=at_s)
+def view(used: int, hosts: int, at_s: float, asked: int = 0) -> FleetView:
+    usage = OrganisationUsage(organisation=NAME, admitted=used, asked=asked)
+    return FleetView(heard_hosts=hosts, usage=Map({NAME: usage}), as_of_s=at_s)
+
+
+def own(admitted_s: Iterable[float], asked_s: Iterable[float]) -> OrganisationTimes:
+    return OrganisationTimes(admitted_s=tuple(admitted_s), asked_s=tuple(asked_s))
 
 
 def admit(
     limit: OrganisationRule, times: tuple[float, ...], seen: FleetView, now_s: float
 ) -> bool:
     admission = admit_usage(
-        limit, BOUNDS, times, seen, known_hosts=32, now_s=now_s, rng=Random(1)
+        limit,
+        BOUNDS,
+        own(times, (now_s,)),
+        seen,
+        known_hosts=32,
+        now_s=now_s,
+        rng=Random(1),
     )
     return isinstance(admission, Admitted)
 
@@ -58,7 +83,7 @@
     admission = admit_usage(
         rule(1.0, 1.0),
         BOUNDS,
-        (8.0,) * 40,
+        own((8.0,) * 40, (10.0,)),
         view(0, 1, 10.0),
         known_hosts=1,
         now_s=10.0,
@@ -68,6 +93,70 @@
     assert admission.retry_after_s == 3.0
 
 
+@define(kw_only=True, eq=False)
+class Fleet:
+    """Hosts that admit requests of one organisation, with views that are late."""
+
+    limit: OrganisationRule
+    hosts: int
+    lag_s: float
+    rng: Random
+    logs: list[UsageLog] = field(init=False)
+    views: list[FleetView] = field(init=False)
+    taken: list[float] = field(factory=list, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.logs = [UsageLog()] * self.hosts
+        self.views = [FleetView(heard_hosts=self.hosts, as_of_s=0.0)] * self.hosts
+
+    def run(self, demand: Callable[[float], float], until_s: float) -> None:
+        counts: list[OrganisationUsage] = []
+        for step in range(int(until_s / STEP_S)):
+            now_s = step * STEP_S
+            if step % int(VIEW_INTERVAL_S / STEP_S) == 0:
+                counts = [self.count(log, now_s - self.lag_s) for log in self.logs]
+                self.views = [self.see(counts, one, now_s) for one in counts]
+            if self.rng.random() < demand(now_s) * STEP_S:
+                self.ask(now_s)
+
+    def ask(self, now_s: float) -> None:
+        host = self.rng.randrange(self.hosts)
+        log = prune_usage(
+            self.logs[host], window_s=BOUNDS.window_s + self.lag_s, now_s=now_s
+        )
+        log = log_asked(log, NAME, now_s)
+        admission = admit_usage(
+            self.limit,
+            BOUNDS,
+            log.by_organisation[NAME],
+            self.views[host],
+            known_hosts=self.hosts,
+            now_s=now_s,
+            rng=self.rng,
+        )
+        if isinstance(admission, Admitted):
+            log = log_admitted(log, NAME, now_s)
+            self.taken.append(now_s)
+        self.logs[host] = log
+
+    def count(self, log: UsageLog, seen_s: float) -> OrganisationUsage:
+        times = log.by_organisation.get(NAME, OrganisationTimes())
+        seen = OrganisationTimes(
+            admitted_s=tuple(at_s for at_s in times.admitted_s if at_s <= seen_s),
+            asked_s=tuple(at_s for at_s in times.asked_s if at_s <= seen_s),
+        )
+        log = UsageLog(by_organisation=Map({NAME: seen}))
+        counted = count_usage(log, window_s=BOUNDS.window_s, now_s=seen_s)
+        return counted[0] if counted else OrganisationUsage(organisation=NAME)
+
+    def see(
+        self, counts: list[OrganisationUsage], one: OrganisationUsage, now_s: float
+    ) -> FleetView:
+        used = sum(count.admitted for count in counts) - one.admitted
+        asked = sum(count.asked for count in counts) - one.asked
+        return view(used, self.hosts, now_s, asked)
+
+
 @settings(max_examples=40)
 @given(
     rate_per_s=st.floats(min_value=3.0, max_value=60.0),
@@ -80,37 +169,25 @@
     rate_per_s: float, hosts: int, pressure: float, lag_s: float, seed: int
 ) -> None:
     """Press every host beyond the rate, with views that are late."""
-    limit, rng = rule(rate_per_s, rate_per_s), Random(seed)
-    times: list[list[float]] = [[] for _ in range(hosts)]
-    views = [FleetView(heard_hosts=hosts, as_of_s=0.0) for _ in range(hosts)]
-    taken: list[float] = []
-    for step in range(int(12.0 / STEP_S)):
-        now_s = step * STEP_S
-        if step % int(VIEW_INTERVAL_S / STEP_S) == 0:
-            seen_s = now_s - lag_s
-            counts = [
-                sum(seen_s - BOUNDS.window_s < at_s <= seen_s for at_s in one)
-                for one in times
-            ]
-            views = [view(sum(counts) - own, hosts, now_s) for own in counts]
-        demand_per_s = rate_per_s * (pressure if now_s > ONSET_S else USUAL_SHARE)
-        if rng.random() < demand_per_s * STEP_S:
-            host = rng.randrange(hosts)
-            admission = admit_usage(
-                limit,
-                BOUNDS,
-                tuple(times[host]),
-                views[host],
-                known_hosts=hosts,
-                now_s=now_s,
-                rng=rng,
-            )
-            if isinstance(admission, Admitted):
-                times[host].append(now_s)
-                taken.append(now_s)
+    limit = rule(rate_per_s, rate_per_s)
+    fleet = Fleet(limit=limit, hosts=hosts, lag_s=lag_s, rng=Random(seed))
+    fleet.run(
+        lambda now_s: rate_per_s * (pressure if now_s > ONSET_S else USUAL_SHARE), 12.0
+    )
     allowed = (rate_per_s * BOUNDS.window_s + rate_per_s) * 1.1 + 20
-    for start_s in taken:
-        assert sum(start_s <= at_s < start_s + 5.0 for at_s in taken) <= allowed
+    for start_s in fleet.taken:
+        assert sum(start_s <= at_s < start_s + 5.0 for at_s in fleet.taken) <= allowed
+
+
+@pytest.mark.parametrize("pressure", [1.0, 1.7])
+@pytest.mark.parametrize("rate_per_s", [8.0, 20.0])
+def test_organisation_gets_its_rate_however_much_it_asks(
+    rate_per_s: float, pressure: float
+) -> None:
+    limit = rule(rate_per_s, rate_per_s)
+    fleet = Fleet(limit=limit, hosts=32, lag_s=0.25, rng=Random(5))
+    fleet.run(lambda _: rate_per_s * pressure, 25.0)
+    assert len(fleet.taken) >= MIN_ADMITTED * rate_per_s * 25.0
 
 
 def test_organisation_within_its_rate_is_hardly_ever_refused() -> None:
--- a/snipespring/decisions/domains/usage.py
+++ b/snipespring/decisions/domains/usage.py
@@ -12,21 +12,32 @@
     FleetView,
     OrganisationName,
     OrganisationRule,
+    OrganisationTimes,
     OrganisationUsage,
     OverLimit,
     UsageLog,
 )
 
-__all__ = ["UsageBounds", "admit_usage", "count_usage", "log_usage", "prune_usage"]
-
-SAFETY = 0.9  # of what the window allows, for admissions that no view shows yet
-RESERVE = 4.0  # requests below that, for their scatter at small rates
-VIEW_LAG_S = 1.0  # a report, a summary and a digest, one interval each
-UNSEEN_FACTOR = 3.5  # how far demand may exceed what was admitted before
+__all__ = [
+    "UsageBounds",
+    "admit_usage",
+    "count_usage",
+    "log_admitted",
+    "log_asked",
+    "prune_usage",
+]
+
+SAFETY = 0.92  # of what the window allows, for admissions that no view shows yet
+RESERVE = 2.0  # requests below that, for their scatter at small rates
+DEMAND_WINDOW_S = 0.5  # short, so that a surge shows within two reports
+VIEW_LAG_S = 0.6  # a report, a summary and a digest, an interval each at most
+UNSEEN_FACTOR = 1.3  # how far demand may exceed what was seen last
 MIN_UNSEEN = 1.5  # requests that may be under way to an organisation that was idle
+USUAL_ASKED = 2  # requests within the demand window that are no sign of a surge
 VIEW_LIMIT_S = 1.5  # an older view counts as none
 SILENT_SHARE = 0.5  # of an even share, which a host without a view may spend
 MIN_RETRY_S = 0.1
+UNUSED = OrganisationTimes()
 
 
 @frozen(kw_only=True)
@@ -41,7 +52,7 @@
 def admit_usage(
     rule: OrganisationRule,
     bounds: UsageBounds,
-    times: tuple[float, ...],
+    own: OrganisationTimes,
     view: FleetView,
     *,
     known_hosts: int,
@@ -50,64 +61,105 @@
 ) -> Admission:
     """Return whether one more request of the organisation keeps the rate.
 
-    `times` are this host's own admissions; `known_hosts` counts all hosts that
-    may admit requests, heard of or not. Others admit meanwhile what no view
-    shows yet; the chance of a request falls as that reaches what is left.
+    `own` are this host's own requests, this one among those asked; `known_hosts`
+    counts all hosts that may admit requests, heard of or not. Others admit
+    meanwhile what no view shows yet: at most what is asked of them. The chance of
+    a request falls as that reaches what is left.
     """
     if rule.rate_per_s == inf:
         return Admitted()
-    own = len(times) - bisect_left(times, now_s - bounds.window_s)
+    admitted = _count_since(own.admitted_s, now_s - bounds.window_s)
     allowed = _allowed(rule, bounds)
     known_hosts = max(known_hosts, view.heard_hosts)
     even = allowed / known_hosts
+    elsewhere = view.usage.get(rule.name, OrganisationUsage(organisation=rule.name))
     if view.as_of_s is None or now_s - view.as_of_s > VIEW_LIMIT_S:
-        chance = 1.0 if own + 1.0 <= SILENT_SHARE * even else 0.0
+        chance = 1.0 if admitted + 1.0 <= SILENT_SHARE * even else 0.0
     else:
         silent = known_hosts - view.heard_hosts
-        used = own + view.usage.get(rule.name, 0)
+        used = admitted + elsewhere.admitted
         left = allowed - used - SILENT_SHARE * even * silent
-        unseen = max(MIN_UNSEEN, used / bounds.window_s * VIEW_LAG_S)
-        chance = left / (UNSEEN_FACTOR * unseen)
+        demand_per_s = _estimate_demand(own, elsewhere, view.heard_hosts, now_s)
+        chance = left / (UNSEEN_FACTOR * max(MIN_UNSEEN, demand_per_s * VIEW_LAG_S))
     if rng.random() < chance:
         return Admitted()
     reason = (
-        f"{own} admitted here, {view.usage.get(rule.name, 0)} elsewhere in "
+        f"{admitted} admitted here, {elsewhere.admitted} elsewhere in "
         f"{bounds.window_s:g} s, {allowed:.0f} allowed"
     )
-    return OverLimit(reason=reason, retry_after_s=_retry_after_s(times, now_s, bounds))
+    return OverLimit(
+        reason=reason, retry_after_s=_retry_after_s(own.admitted_s, now_s, bounds)
+    )
+
+
+def log_asked(log: UsageLog, organisation: OrganisationName, now_s: float) -> UsageLog:
+    """Return the log with one more request, admitted or not."""
+    own = log.by_organisation.get(organisation, UNUSED)
+    own = evolve(own, asked_s=(*own.asked_s, now_s))
+    return evolve(log, by_organisation=log.by_organisation.set(organisation, own))
 
 
-def log_usage(log: UsageLog, organisation: OrganisationName, now_s: float) -> UsageLog:
+def log_admitted(
+    log: UsageLog, organisation: OrganisationName, now_s: float
+) -> UsageLog:
     """Return the log with one more admission."""
-    times = (*log.by_organisation.get(organisation, ()), now_s)
-    return evolve(log, by_organisation=log.by_organisation.set(organisation, times))
+    own = log.by_organisation.get(organisation, UNUSED)
+    own = evolve(own, admitted_s=(*own.admitted_s, now_s))
+    return evolve(log, by_organisation=log.by_organisation.set(organisation, own))
 
 
 def prune_usage(log: UsageLog, *, window_s: float, now_s: float) -> UsageLog:
-    """Return the log without admissions that left the window."""
+    """Return the log without requests that left their windows."""
     kept = log.by_organisation
-    for name, times in log.by_organisation.items():
-        start = bisect_left(times, now_s - window_s)
-        if start == len(times):
+    for name, own in log.by_organisation.items():
+        recent = OrganisationTimes(
+            admitted_s=_since(own.admitted_s, now_s - window_s),
+            asked_s=_since(own.asked_s, now_s - DEMAND_WINDOW_S),
+        )
+        if recent == UNUSED:
             kept = kept.delete(name)
-        elif start:
-            kept = kept.set(name, times[start:])
+        elif recent != own:
+            kept = kept.set(name, recent)
     return evolve(log, by_organisation=kept)
 
 
 def count_usage(
     log: UsageLog, *, window_s: float, now_s: float
 ) -> tuple[OrganisationUsage, ...]:
-    """Return how many requests of each organisation the window holds."""
+    """Return how many requests of each organisation the windows hold."""
     counts = (
-        (name, len(times) - bisect_left(times, now_s - window_s))
-        for name, times in sorted(log.by_organisation.items())
-    )
-    return tuple(
-        OrganisationUsage(organisation=name, admitted=count)
-        for name, count in counts
-        if count
+        OrganisationUsage(
+            organisation=name,
+            admitted=_count_since(own.admitted_s, now_s - window_s),
+            asked=_count_since(own.asked_s, now_s - DEMAND_WINDOW_S),
+        )
+        for name, own in sorted(log.by_organisation.items())
     )
+    return tuple(count for count in counts if count.admitted or count.asked)
+
+
+def _since(times: tuple[float, ...], start_s: float) -> tuple[float, ...]:
+    return times[bisect_left(times, start_s) :]
+
+
+def _count_since(times: tuple[float, ...], start_s: float) -> int:
+    return len(times) - bisect_left(times, start_s)
+
+
+def _estimate_demand(
+    own: OrganisationTimes,
+    elsewhere: OrganisationUsage,
+    hosts: int,
+    now_s: float,
+) -> float:
+    """Return the requests a second that are asked of all hosts.
+
+    A surge shows here before any view shows it: callers press all hosts alike.
+    """
+    asked = _count_since(own.asked_s, now_s - DEMAND_WINDOW_S)
+    by_view = asked + elsewhere.asked
+    by_surge = max(0, asked - USUAL_ASKED) * hosts
+    return max(by_view, by_surge) / DEMAND_WINDOW_S
 
 
 def _allowed(rule: OrganisationRule, bounds: UsageBounds) -> float:
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -1,6 +1,5 @@
 """Combine the reports of hosts into digests, summaries and views."""
 
-from collections import Counter
 from collections.abc import Iterable
 
 from attrs import evolve
@@ -68,7 +67,7 @@
         sender=own,
         serving=tuple(sorted(view.serving)),
         heard_hosts=view.heard_hosts,
-        usage=_list_usage(Counter(view.usage)),
+        usage=_list_usage(view.usage),
     )
 
 
@@ -95,15 +94,13 @@
         for heard in reports.by_domain.values()
         if now_s - heard.at_s <= SUMMARY_LIMIT_S
     ]
-    usage = _sum_usage(others)
     serving = set(_list_serving(recent))
     for heard in summaries:
-        usage.update({one.organisation: one.admitted for one in heard.summary.usage})
         serving.update(heard.serving)
     return FleetView(
         serving=frozenset(serving),
         heard_hosts=len(others) + 1 + sum(one.summary.heard_hosts for one in summaries),
-        usage=Map(usage),
+        usage=_sum_usage([*others, *(heard.summary for heard in summaries)]),
         as_of_s=now_s,
     )
 
@@ -113,7 +110,7 @@
     return FleetView(
         serving=frozenset(digest.serving),
         heard_hosts=digest.heard_hosts,
-        usage=Map({one.organisation: one.admitted for one in digest.usage}),
+        usage=_sum_usage([digest]),
         as_of_s=now_s,
     )
 
@@ -134,15 +131,24 @@
     return [report.host.host_id for report in reports if report.is_serving]
 
 
-def _sum_usage(reports: Iterable[HostReport]) -> Counter[OrganisationName]:
-    total: Counter[OrganisationName] = Counter()
-    for report in reports:
-        total.update({one.organisation: one.admitted for one in report.usage})
-    return total
-
-
-def _list_usage(usage: Counter[OrganisationName]) -> tuple[OrganisationUsage, ...]:
-    return tuple(
-        OrganisationUsage(organisation=name, admitted=count)
-        for name, count in sorted(usage.items())
-    )
+def _sum_usage(
+    messages: Iterable[HostReport | DomainSummary | ReportDigest],
+) -> Map[OrganisationName, OrganisationUsage]:
+    total: dict[OrganisationName, OrganisationUsage] = {}
+    for message in messages:
+        for one in message.usage:
+            held = total.get(one.organisation)
+            if held is not None:
+                one = evolve(
+                    held,
+                    admitted=held.admitted + one.admitted,
+                    asked=held.asked + one.asked,
+                )
+            total[one.organisation] = one
+    return Map(total)
+
+
+def _list_usage(
+    usage: Map[OrganisationName, OrganisationUsage],
+) -> tuple[OrganisationUsage, ...]:
+    return tuple(one for _, one in sorted(usage.items()))
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -24,7 +24,10 @@
 )
 usage = st.lists(
     st.builds(
-        OrganisationUsage, organisation=names.map(OrganisationName), admitted=counts
+        OrganisationUsage,
+        organisation=names.map(OrganisationName),
+        admitted=counts,
+        asked=counts,
     ),
     max_size=4,
 ).map(tuple)
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -13,6 +13,7 @@
     "HeardReport",
     "HeardSummary",
     "HostReport",
+    "OrganisationTimes",
     "OrganisationUsage",
     "ReportDigest",
     "ServerNews",
@@ -23,10 +24,15 @@
 
 @frozen(kw_only=True)
 class OrganisationUsage:
-    """Count an organisation's requests admitted within the limit's window."""
+    """Count an organisation's requests.
+
+    `admitted` counts those within the limit's window, `asked` all those of the
+    last half second, refused ones too.
+    """
 
     organisation: OrganisationName
-    admitted: int
+    admitted: int = 0
+    asked: int = 0
 
 
 @frozen(kw_only=True)
@@ -123,12 +129,20 @@
 
     serving: frozenset[HostId] = frozenset()
     heard_hosts: int = 1
-    usage: Map[OrganisationName, int] = Map()
+    usage: Map[OrganisationName, OrganisationUsage] = Map()
     as_of_s: float | None = None
 
 
+@frozen(kw_only=True)
+class OrganisationTimes:
+    """Hold the local times of an organisation's requests here, oldest first."""
+
+    admitted_s: tuple[float, ...] = ()
+    asked_s: tuple[float, ...] = ()
+
+
 @frozen(kw_only=True)
 class UsageLog:
-    """Hold the local times of admissions, by organisation, oldest first."""
+    """Hold the times of requests by organisation."""
 
-    by_organisation: Map[OrganisationName, tuple[float, ...]] = Map()
+    by_organisation: Map[OrganisationName, OrganisationTimes] = Map()
