Let one watcher a failure domain confirm the configuration for all

Each host watched the configuration by itself every 1.5 s, for its lease.

Ruled out: longer watches (a watch confirms as of its start: with 3 s the lease lapsed, see docs/platform.md); stale reads (they may be seconds old and confirm nothing).

Change: the first hub of a domain watches for half a second at a time, and its digests carry the version that the store confirmed and the age of that. A newer version is read from the store at once; without a confirmation for 0.7 of the bound of configuration (new setting platform.apply) a host asks by itself. Digests count only from the address of the host that they name.

Conclusion: calls now grow with the domains, not with the hosts, but for the feed of servers, which every host still follows.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -6,7 +6,7 @@
     TENURE,
 )
 from .domains import DOMAIN_REPORTS, FLEET_VIEW, USAGE_LOG
-from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED
+from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_RELAY
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -86,6 +86,7 @@
     "SETTINGS",
     "SHARE_LEDGER",
     "STOP",
+    "STORE_RELAY",
     "TENURE",
     "USAGE_LOG",
 ]
--- a/snipespring/blackboard/regions/feeds.py
+++ b/snipespring/blackboard/regions/feeds.py
@@ -1,9 +1,15 @@
 """List the regions that hold what the platform's store publishes."""
 
-from ...records import Configuration, FeedView, PublishedHost, PublishedServer
+from ...records import (
+    Configuration,
+    FeedView,
+    PublishedHost,
+    PublishedServer,
+    StoreRelay,
+)
 from ..region import Region
 
-__all__ = ["CONFIGURATION_FEED", "HOST_FEED", "SERVER_FEED"]
+__all__ = ["CONFIGURATION_FEED", "HOST_FEED", "SERVER_FEED", "STORE_RELAY"]
 
 CONFIGURATION_FEED = Region[FeedView[Configuration]](
     name="configuration_feed", writer="configuration_feed", initial=FeedView()
@@ -14,3 +20,6 @@
 HOST_FEED = Region[FeedView[PublishedHost]](
     name="host_feed", writer="host_feed", initial=FeedView()
 )
+STORE_RELAY = Region[StoreRelay](
+    name="store_relay", writer="domain_link", initial=StoreRelay()
+)
--- a/snipespring/controllers/__init__.py
+++ b/snipespring/controllers/__init__.py
@@ -23,7 +23,7 @@
 from .confirmation_keeper import ConfirmationKeeper
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_link import DomainLink
-from .feed_keeper import Feed, FeedKeeper
+from .feed_keeper import ConfigurationKeeper, Feed, FeedKeeper
 from .fence_keeper import FenceKeeper
 from .forwarder import Forwarder
 from .health_judge import HealthJudge
@@ -64,6 +64,7 @@
     "ClaimOwner",
     "Claimant",
     "Claims",
+    "ConfigurationKeeper",
     "Configurator",
     "ConfirmationKeeper",
     "Conflicted",
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -7,11 +7,14 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import (
+    CONFIGURATION_FEED,
     DOMAIN_REPORTS,
     FLEET_VIEW,
     HOST_FEED,
+    STORE_RELAY,
     USAGE_LOG,
 )
+from ..decisions.confirmations import hear_relay, state_confirmation
 from ..decisions.domains import (
     choose_hubs,
     count_usage,
@@ -35,6 +38,7 @@
     PublishedHost,
     ReportDigest,
     ServerNews,
+    StoreRelay,
 )
 from ..utils import Clock
 from .readiness import is_ready
@@ -44,6 +48,7 @@
 REPORT_INTERVAL_S = 0.25
 LISTING_ROUNDS = 8  # a summary names the hosts that serve at least this often
 HUB_LIMIT_S = 1.0  # a hub that answered no report for this long is silent
+SENT_REPORTS = 8  # whose answers may still come
 HUB_RETRY_S = 4.0  # after which a silent hub is tried again
 
 
@@ -64,6 +69,7 @@
     _sequence: int = field(default=0, init=False)
     _asked_s: dict[HostId, float] = field(factory=dict, init=False)
     _silent_s: dict[HostId, float] = field(factory=dict, init=False)
+    _sent_s: dict[int, float] = field(factory=dict, init=False)
     _told_serving: tuple[HostId, ...] | None = field(default=None, init=False)
 
     def step(self) -> float:
@@ -84,6 +90,7 @@
             if hub.host_id != self.own.host_id:
                 self._ask(hub, report, now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own.host_id
+        self._change_relay(lambda relay: evolve(relay, is_watcher=is_first))
         if is_first:
             self._tell_domains(now_s)
         return REPORT_INTERVAL_S
@@ -95,7 +102,7 @@
                 self._hear(message)
                 self._answer(message, sender)
             case ReportDigest():
-                self._see(message)
+                self._see(message, sender)
             case ServerNews():
                 self._relay(message, sender)
                 self.on_news(message)
@@ -124,21 +131,27 @@
             self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), self.own
         )
 
+    def _is_from(self, host_id: HostId, sender: Address) -> bool:
+        """Return whether a message came from the address of the host named."""
+        known = self._list_known()
+        return any(one.host_id == host_id and one.peers == sender for one in known)
+
+    def _change_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
+        self.board.update(STORE_RELAY, change, writer=self.name)
+
     def _relay(self, news: ServerNews, sender: Address) -> None:
         """Pass news of another domain on to the hosts of this one."""
         if news.domain == self.own.domain:
             return
         hosts = self._list_known()
-        origin = next((one for one in hosts if one.host_id == news.sender), None)
-        if origin is not None and origin.peers == sender:
+        if self._is_from(news.sender, sender):
             self._send_domain(news, hosts)
 
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Pass a summary that came from its own domain on to the other hubs."""
-        hosts = self._list_known()
-        origin = next((one for one in hosts if one.host_id == summary.sender), None)
-        if origin is None or origin.peers != sender:
+        if not self._is_from(summary.sender, sender):
             return
+        hosts = self._list_known()
         for hub in choose_hubs(hosts, self.own.domain, silent=frozenset()):
             if hub.host_id != self.own.host_id:
                 self.links.send(hub.peers, summary)
@@ -171,18 +184,24 @@
         )
 
     def _answer(self, report: HostReport, sender: Address) -> None:
+        now_s = self.clock.monotonic_s()
         digest = make_digest(
-            self.board.read(DOMAIN_REPORTS),
-            self.own.host_id,
-            report.host.host_id,
-            now_s=self.clock.monotonic_s(),
+            self.board.read(DOMAIN_REPORTS), self.own.host_id, report, now_s=now_s
         )
+        feed = self.board.read(CONFIGURATION_FEED)
+        confirmation = state_confirmation(feed, now_s=now_s)
+        digest = evolve(digest, confirmation=confirmation)
         self.links.send(sender, digest)
 
-    def _see(self, digest: ReportDigest) -> None:
+    def _see(self, digest: ReportDigest, sender: Address) -> None:
         with self._lock:
             self._asked_s.pop(digest.sender, None)
             self._silent_s.pop(digest.sender, None)
+            sent_s = self._sent_s.get(digest.sequence)
+        if sent_s is not None and self._is_from(digest.sender, sender):
+            self._change_relay(
+                lambda relay: hear_relay(relay, digest.confirmation, sent_s=sent_s)
+            )
         view = view_of_digest(digest, now_s=self.clock.monotonic_s())
         self.board.write(FLEET_VIEW, view, writer=self.name)
 
@@ -194,6 +213,8 @@
     def _ask(self, hub: PublishedHost, report: HostReport, now_s: float) -> None:
         with self._lock:
             self._asked_s.setdefault(hub.host_id, now_s)
+            self._sent_s[report.sequence] = now_s
+            self._sent_s.pop(report.sequence - SENT_REPORTS, None)
         self.links.send(hub.peers, report)
 
     def _list_silent(self, now_s: float) -> frozenset[HostId]:
--- a/snipespring/controllers/feed_keeper.py
+++ b/snipespring/controllers/feed_keeper.py
@@ -1,14 +1,17 @@
 """Follow one feed of the platform's store."""
 
 from random import Random
-from typing import Generic, Protocol, TypeVar
+from typing import Any, Generic, Protocol, TypeVar
 
 from attrs import define, field
 
 from ..blackboard import Board, Region
+from ..blackboard.regions import STORE_RELAY
+from ..decisions.confirmations import AskStore, RelyOnRelay, follow_relay
 from ..decisions.feeds import SkippedItem, apply_answer, apply_listing
 from ..decisions.membership import backoff_s
 from ..records import (
+    Configuration,
     FeedAway,
     FeedChanges,
     FeedGap,
@@ -20,7 +23,7 @@
 from .accountant import Accountant
 from .historian import Historian
 
-__all__ = ["Feed", "FeedKeeper"]
+__all__ = ["ConfigurationKeeper", "Feed", "FeedKeeper"]
 
 T = TypeVar("T")
 
@@ -52,7 +55,7 @@
     feed: Feed[T]
     region: Region[FeedView[T]]
     wait_s: float
-    watches = ()
+    watches: tuple[Region[Any], ...] = field(default=(), init=False)
     _failures: int = field(default=0, init=False)
 
     @property
@@ -119,3 +122,39 @@
             return bool(changes)
         case FeedGap():
             return False
+
+
+@define(kw_only=True, eq=False)
+class ConfigurationKeeper:
+    """Follow the configuration, by another host's answers where these are fresh.
+
+    A question to the store is sent once no confirmation is younger than `limit_s`.
+    """
+
+    keeper: FeedKeeper[Configuration]
+    limit_s: float
+    watches: tuple[Region[Any], ...] = field(default=(STORE_RELAY,), init=False)
+    _next_ask_s: float = field(default=0.0, init=False)
+
+    @property
+    def name(self) -> str:
+        """Return the writer's name on the blackboard."""
+        return self.keeper.name
+
+    def step(self) -> float:
+        """Take in what was relayed or ask the store; return the pause."""
+        keeper, board = self.keeper, self.keeper.board
+        now_s = keeper.clock.monotonic_s()
+        held = board.read(keeper.region)
+        relay = board.read(STORE_RELAY)
+        match follow_relay(held, relay, limit_s=self.limit_s, now_s=now_s):
+            case AskStore() if now_s < self._next_ask_s:
+                return self._next_ask_s - now_s
+            case AskStore():
+                pause_s = keeper.step()
+                self._next_ask_s = keeper.clock.monotonic_s() + pause_s
+                return pause_s
+            case RelyOnRelay(view=view, ask_at_s=ask_at_s):
+                if view != held:
+                    board.write(keeper.region, view, writer=self.name)
+                return ask_at_s - now_s
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -8,11 +8,13 @@
 from snipespring.blackboard import Board
 from snipespring.blackboard.regions import (
     CONFIGURATION,
+    CONFIGURATION_FEED,
     FLEET_VIEW,
     HOST_FEED,
     LEASE,
     SERVER_FEED,
     STOP,
+    STORE_RELAY,
     USAGE_LOG,
 )
 from snipespring.controllers import DomainLink
@@ -20,6 +22,7 @@
 from snipespring.records import (
     Address,
     Configuration,
+    Confirmation,
     DomainMessage,
     DomainName,
     FeedView,
@@ -30,6 +33,8 @@
     OrganisationName,
     OrganisationTimes,
     PublishedHost,
+    RelayedVersion,
+    ReportDigest,
     ServerNews,
     UsageLog,
 )
@@ -201,3 +206,51 @@
     fleet.run(24)
     assert domains().count("c") == 1
     assert len(domains()) == 3
+
+
+def confirm(fleet: SmallFleet, host_id: str, version: int) -> None:
+    view = FeedView(
+        items=Map({"main": Configuration(version=version)}),
+        confirmed_s=fleet.clock.now_s,
+    )
+    board = fleet.link(host_id).board
+    board.write(CONFIGURATION_FEED, view, writer="configuration_feed")
+
+
+def test_first_hub_asks_the_store_and_relays_what_it_confirmed() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    for domain in DOMAINS:
+        confirm(fleet, f"{domain}-0", 4)
+    asked_s = fleet.clock.now_s
+    fleet.run(4)
+    for link in fleet.links.values():
+        relay = link.board.read(STORE_RELAY)
+        is_first = link.own.host_id.endswith("-0")
+        assert relay.is_watcher == is_first
+        if not is_first:
+            assert relay.relayed == RelayedVersion(version=4, confirmed_s=asked_s)
+
+
+def test_next_hub_asks_the_store_once_the_first_is_dead() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    fleet.dead = {HostId("a-0")}
+    fleet.run(8)
+    assert fleet.link("a-1").board.read(STORE_RELAY).is_watcher
+    assert not fleet.link("a-2").board.read(STORE_RELAY).is_watcher
+
+
+def test_digest_from_a_foreign_address_confirms_nothing() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    link = fleet.link("a-2")
+    digest = ReportDigest(
+        sender=HostId("a-0"),
+        sequence=ROUNDS,
+        serving=(),
+        heard_hosts=1,
+        confirmation=Confirmation(version=9, age_s=0.0),
+    )
+    link.receive(digest, Address(ip="10.9.9.9", port=7100))
+    assert link.board.read(STORE_RELAY).relayed is None
--- a/snipespring/controllers/tests/test_platform_followers.py
+++ b/snipespring/controllers/tests/test_platform_followers.py
@@ -3,6 +3,7 @@
 from random import Random
 from typing import Any
 
+import pytest
 from attrs import define, field
 from immutables import Map
 
@@ -12,15 +13,21 @@
     CONFIGURATION_FEED,
     LEASE,
     SERVER_FEED,
+    STORE_RELAY,
 )
 from snipespring.controllers import (
     Accountant,
     Cataloguer,
+    ConfigurationKeeper,
     ConfirmationKeeper,
     FeedKeeper,
     Historian,
 )
-from snipespring.daemons.gateway_parts import CONFIRM_SHARE, LEASE_MARGIN_S
+from snipespring.daemons.gateway_parts import (
+    LEASE_MARGIN_S,
+    NOTICE_SHARE,
+    WATCH_SHARE,
+)
 from snipespring.decisions.catalog import RetryBounds
 from snipespring.records import (
     Address,
@@ -35,8 +42,10 @@
     LeaseHeld,
     LeaseLapsed,
     PublishedServer,
+    RelayedVersion,
     ServiceName,
     ServiceRule,
+    StoreRelay,
 )
 from snipespring.utils import ManualClock
 
@@ -142,7 +151,7 @@
 def test_lease_outlasts_the_watches_that_renew_it() -> None:
     followers = started()
     revoke_s = LEASE_S + LEASE_MARGIN_S
-    followers.feed.delay_s = CONFIRM_SHARE * revoke_s
+    followers.feed.delay_s = WATCH_SHARE * NOTICE_SHARE * revoke_s
     for _ in range(20):
         followers.feed.answers.append(FeedChanges(changes=(), revision=7))
         followers.keeper.step()
@@ -205,3 +214,42 @@
     followers.board.write(SERVER_FEED, gone, writer="server_feed")
     followers.cataloguer.step()
     assert SERVICE not in followers.board.read(CONFIGURATION).servers
+
+
+def relay_to(followers: Followers, version: int, *, is_watcher: bool = False) -> None:
+    relayed = RelayedVersion(version=version, confirmed_s=followers.clock.now_s)
+    relay = StoreRelay(is_watcher=is_watcher, relayed=relayed)
+    followers.board.write(STORE_RELAY, relay, writer="domain_link")
+
+
+def test_lease_goes_on_by_relayed_confirmations_without_a_call() -> None:
+    followers = started()
+    keeper = ConfigurationKeeper(keeper=followers.keeper, limit_s=1.4)
+    for _ in range(20):
+        followers.clock.advance(1.0)
+        relay_to(followers, 4)
+        assert keeper.step() == pytest.approx(1.4)
+        followers.lease.step()
+        assert isinstance(followers.board.read(LEASE), LeaseHeld)
+    assert followers.feed.asked_after == []
+
+
+def test_relayed_newer_version_is_read_from_the_store() -> None:
+    followers = started()
+    keeper = ConfigurationKeeper(keeper=followers.keeper, limit_s=1.4)
+    relay_to(followers, 5)
+    followers.feed.answers.append(FeedChanges(changes=(item(5),), revision=9))
+    keeper.step()
+    followers.cataloguer.step()
+    assert followers.board.read(CONFIGURATION).version == 5
+
+
+def test_failed_question_is_not_repeated_by_what_is_relayed() -> None:
+    followers = started()
+    keeper = ConfigurationKeeper(keeper=followers.keeper, limit_s=1.4)
+    followers.clock.advance(3.0)
+    followers.feed.answers.append(FeedAway(reason="silent"))
+    pause_s = keeper.step()
+    relay_to(followers, 5)
+    assert keeper.step() == pytest.approx(pause_s)
+    assert len(followers.feed.asked_after) == 1
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -11,6 +11,7 @@
     AddressBook,
     BodyKeeper,
     Cataloguer,
+    ConfigurationKeeper,
     ConfirmationKeeper,
     Controller,
     Feed,
@@ -31,8 +32,10 @@
 from .core import Core, make_core
 
 __all__ = [
-    "CONFIRM_SHARE",
     "LEASE_MARGIN_S",
+    "NOTICE_SHARE",
+    "RELAY_SHARE",
+    "WATCH_SHARE",
     "Base",
     "build_callers",
     "build_followers",
@@ -43,7 +46,9 @@
 
 T = TypeVar("T")
 
-CONFIRM_SHARE = 0.3  # of the revocation bound: a watch confirms as of its start
+NOTICE_SHARE = 0.4  # of the revocation bound, at most, until a change is noticed
+WATCH_SHARE = 0.25  # of that time: a watch confirms as of its start
+RELAY_SHARE = 0.7  # of that time, without which a host asks by itself
 SERVER_WATCH_S = 20.0  # keep-alive probes find a silent connection sooner
 LEASE_MARGIN_S = 0.5  # from the end of the lease to the last use of a key
 RETRY_SAFETY = 0.8  # of the retry budget, which each host keeps for itself
@@ -106,9 +111,11 @@
     """Return the controllers that follow the store."""
     core, platform = base.core, base.settings.platform
     configurations = configuration_feed(base.store)
-    confirm_s = CONFIRM_SHARE * platform.revoke_s
+    notice_s = min(platform.apply_s, NOTICE_SHARE * platform.revoke_s)
+    watch_s, limit_s = WATCH_SHARE * notice_s, RELAY_SHARE * notice_s
+    keeper = _build_keeper(core, configurations, CONFIGURATION_FEED, watch_s)
     return (
-        _build_keeper(core, configurations, CONFIGURATION_FEED, confirm_s),
+        ConfigurationKeeper(keeper=keeper, limit_s=limit_s),
         _build_keeper(core, server_feed(base.store), SERVER_FEED, SERVER_WATCH_S),
         _build_registrar(base),
         Cataloguer(
--- /dev/null
+++ b/snipespring/decisions/confirmations.py
@@ -0,0 +1,92 @@
+"""Decide whether a host asks the store or relies on what another host relays."""
+
+from attrs import evolve, frozen
+
+from ..records import (
+    Configuration,
+    Confirmation,
+    FeedView,
+    RelayedVersion,
+    StoreRelay,
+)
+
+__all__ = [
+    "AskStore",
+    "RelyOnRelay",
+    "follow_relay",
+    "hear_relay",
+    "state_confirmation",
+]
+
+MIN_STEP_S = 0.3  # a confirmation that is hardly younger wakes nobody
+
+
+@frozen(kw_only=True)
+class AskStore:
+    """Ask the store now."""
+
+
+@frozen(kw_only=True)
+class RelyOnRelay:
+    """Hold the feed as confirmed, and when it is to be confirmed again."""
+
+    view: FeedView[Configuration]
+    ask_at_s: float
+
+
+def follow_relay(
+    view: FeedView[Configuration], relay: StoreRelay, *, limit_s: float, now_s: float
+) -> AskStore | RelyOnRelay:
+    """Return whether the feed is confirmed well enough without a question.
+
+    A relayed confirmation of the version held confirms it here. One of a newer
+    version, or none for `limit_s` seconds, makes the host ask by itself.
+    """
+    if relay.is_watcher or view.confirmed_s is None:
+        return AskStore()
+    version, confirmed_s = _newest_version(view), view.confirmed_s
+    if relay.relayed is not None and relay.relayed.version > version:
+        return AskStore()
+    if relay.relayed is not None and relay.relayed.version == version:
+        confirmed_s = max(confirmed_s, relay.relayed.confirmed_s)
+    if now_s >= confirmed_s + limit_s:
+        return AskStore()
+    view = evolve(view, confirmed_s=confirmed_s)
+    return RelyOnRelay(view=view, ask_at_s=confirmed_s + limit_s)
+
+
+def state_confirmation(
+    view: FeedView[Configuration], *, now_s: float
+) -> Confirmation | None:
+    """Return what another host may rely on, None before the first answer."""
+    if view.confirmed_s is None:
+        return None
+    age_s = now_s - view.confirmed_s
+    return Confirmation(version=_newest_version(view), age_s=age_s)
+
+
+def hear_relay(
+    relay: StoreRelay, confirmation: Confirmation | None, *, sent_s: float
+) -> StoreRelay:
+    """Return the relay after the answer to a report that was sent at `sent_s`.
+
+    The answer was made later, so that its age counts from `sent_s` at the earliest.
+    """
+    if confirmation is None:
+        return relay
+    held = relay.relayed
+    confirmed_s = sent_s - confirmation.age_s
+    if held is not None:
+        is_newer = confirmation.version > held.version
+        is_younger = (
+            confirmation.version == held.version
+            and confirmed_s >= held.confirmed_s + MIN_STEP_S
+        )
+        if not (is_newer or is_younger):
+            return relay
+    relayed = RelayedVersion(version=confirmation.version, confirmed_s=confirmed_s)
+    return evolve(relay, relayed=relayed)
+
+
+def _newest_version(view: FeedView[Configuration]) -> int:
+    return max((one.version for one in view.items.values()), default=0)
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -59,12 +59,13 @@
 
 
 def make_digest(
-    reports: DomainReports, own: HostId, receiver: HostId, *, now_s: float
+    reports: DomainReports, own: HostId, report: HostReport, *, now_s: float
 ) -> ReportDigest:
-    """Return what the receiver should know of all others."""
-    view = make_view(reports, receiver, now_s=now_s)
+    """Return what the host that sent a report should know of all others."""
+    view = make_view(reports, report.host.host_id, now_s=now_s)
     return ReportDigest(
         sender=own,
+        sequence=report.sequence,
         serving=tuple(sorted(view.serving)),
         heard_hosts=view.heard_hosts,
         usage=_list_usage(view.usage),
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -4,6 +4,7 @@
 from snipespring.frontends.datagrams import decode_datagram, encode_datagram
 from snipespring.records import (
     Address,
+    Confirmation,
     DomainMessage,
     DomainName,
     DomainSummary,
@@ -51,9 +52,14 @@
     st.builds(
         ReportDigest,
         sender=names.map(HostId),
+        sequence=counts,
         serving=host_ids,
         heard_hosts=counts,
         usage=usage,
+        confirmation=st.none()
+        | st.builds(
+            Confirmation, version=counts, age_s=st.floats(min_value=0.0, max_value=9.0)
+        ),
     ),
     st.builds(
         DomainSummary,
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -7,6 +7,7 @@
 from .identity import DomainName, HostId, Incarnation, OrganisationName
 
 __all__ = [
+    "Confirmation",
     "DomainReports",
     "DomainSummary",
     "FleetView",
@@ -49,19 +50,34 @@
     usage: tuple[OrganisationUsage, ...] = ()
 
 
+@frozen(kw_only=True)
+class Confirmation:
+    """State which configuration the store holds, and how old that knowledge is.
+
+    The age counts from when the confirming question was sent.
+    """
+
+    version: int
+    age_s: float
+
+
 @frozen(kw_only=True)
 class ReportDigest:
     """Answer a report with what the others in the failure domain reported.
 
+    `sequence` is the report's.
+
     `serving` lists the hosts of the whole fleet that serve, `usage` leaves out
     the receiver's own part. `heard_hosts` counts the hosts heard, the receiver
     included.
     """
 
     sender: HostId
+    sequence: int
     serving: tuple[HostId, ...]
     heard_hosts: int
     usage: tuple[OrganisationUsage, ...] = ()
+    confirmation: Confirmation | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -17,6 +17,8 @@
     "ForeignItem",
     "PublishedHost",
     "PublishedServer",
+    "StoreRelay",
+    "RelayedVersion",
 ]
 
 T = TypeVar("T")
@@ -108,3 +110,25 @@
     revision: int | None = None
     confirmed_s: float | None = None
     regained_s: float | None = None
+
+
+@frozen(kw_only=True)
+class RelayedVersion:
+    """Hold which configuration the store confirmed to another host.
+
+    `confirmed_s` is a local time before which the confirming question was not sent.
+    """
+
+    version: int
+    confirmed_s: float
+
+
+@frozen(kw_only=True)
+class StoreRelay:
+    """State whether this host asks the store for its failure domain.
+
+    A host that does not relies on what a host that does relays to it.
+    """
+
+    is_watcher: bool = True
+    relayed: RelayedVersion | None = None
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -150,13 +150,14 @@
 class GatewayPlatformSettings:
     """Locate the platform's store and bound what follows from its answers.
 
-    A withdrawn key stops within `revoke_s`; a server that left gets nothing
-    after `drain_s`.
+    A withdrawn key stops within `revoke_s`; a configuration is in force within
+    `apply_s`; a server that left gets nothing after `drain_s`.
     """
 
     store: Address
     timeout_s: Seconds = Seconds(1.0)
     revoke_s: Seconds = Seconds(5.0)
+    apply_s: Seconds = Seconds(2.0)
     drain_s: Seconds = Seconds(2.0)
 
 
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -31,6 +31,7 @@
         "Drain": "2000ms",
         "Grace": "6s",
         "Revoke": "5000ms",
+        "ConfigApply": "2000ms",
         "RetryBudgetRatio": 0.2,
         "BudgetWindow": "10s",
         "RetryBudgetSlack": 56,
