Weigh the good answers of a domain against a first failure; stay near at some risk

At 46 to 48 s nine of fourteen servers of ledger failed; at most half were avoided, and the two that were not looked idle, since they fail at once, and drew the work. Two sound servers stayed avoided for over 15 s after one failure each: sound servers fail 1.2 % by themselves, and only failures were told to other hosts. Half of the reads of histories went to other domains.

Ruled out: lost datagrams (failures reached every host of the domain), false health answers (not read), full servers (busy at 0.3 of their slots).

Change: up to seven in ten servers may be avoided; where all trusted ones have four waiting beyond their slots, the least suspected is tried. Reports and digests carry the good answers of the last two seconds by server; they weigh against a first failure, not against a second. A request that may be repeated accepts 0.3 more of failing in its own domain, a bulky one 0.15, and a bulky one waits for up to four others there. While few hosts were heard of, as after a start of all, failures go to every known host of the domain, and hosts are listed at once.

--- a/snipespring/blackboard/regions/__init__.py
+++ b/snipespring/blackboard/regions/__init__.py
@@ -5,7 +5,7 @@
     CLAIM_REPORTS,
     TENURE,
 )
-from .domains import DOMAIN_REPORTS, FLEET_VIEW, USAGE_LOG
+from .domains import ANSWER_LOG, DOMAIN_REPORTS, FLEET_VIEW, USAGE_LOG
 from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_RELAY
 from .fleet import (
     CONFIGURATION,
@@ -49,6 +49,7 @@
 )
 
 __all__ = [
+    "ANSWER_LOG",
     "ATTEMPT_WATCH",
     "CLAIM_MEMORY",
     "CLAIM_REPORTS",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -1,10 +1,13 @@
 """List the regions about the other hosts, as datagrams tell of them."""
 
-from ...records import DomainReports, FleetView, UsageLog
+from ...records import AnswerLog, DomainReports, FleetView, UsageLog
 from ..region import Region
 
-__all__ = ["DOMAIN_REPORTS", "FLEET_VIEW", "USAGE_LOG"]
+__all__ = ["ANSWER_LOG", "DOMAIN_REPORTS", "FLEET_VIEW", "USAGE_LOG"]
 
+ANSWER_LOG = Region[AnswerLog](
+    name="answer_log", writer="health_keeper", initial=AnswerLog()
+)
 DOMAIN_REPORTS = Region[DomainReports](
     name="domain_reports", writer="domain_link", initial=DomainReports()
 )
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -7,6 +7,7 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import (
+    ANSWER_LOG,
     CONFIGURATION_FEED,
     DOMAIN_REPORTS,
     FLEET_VIEW,
@@ -17,11 +18,13 @@
 from ..decisions.confirmations import hear_relay, state_confirmation
 from ..decisions.domains import (
     choose_hubs,
+    count_answers,
     count_usage,
     hear_report,
     hear_summary,
     is_hub,
     list_known,
+    list_receivers,
     make_digest,
     make_summary,
     make_view,
@@ -157,11 +160,9 @@
                 self.links.send(hub.peers, summary)
 
     def _send_domain(self, news: ServerNews, hosts: tuple[PublishedHost, ...]) -> None:
-        serving = self.board.read(FLEET_VIEW).serving
-        for host in hosts:
-            is_near = host.domain == self.own.domain and host.host_id in serving
-            if is_near and host.host_id != self.own.host_id:
-                self.links.send(host.peers, news)
+        receivers = list_receivers(hosts, self.board.read(FLEET_VIEW), self.own)
+        for host in receivers:
+            self.links.send(host.peers, news)
 
     def _make_report(self, now_s: float) -> HostReport:
         board = self.board
@@ -173,6 +174,7 @@
             usage=count_usage(
                 board.read(USAGE_LOG), window_s=self.window_s, now_s=now_s
             ),
+            answers=count_answers(board.read(ANSWER_LOG), now_s=now_s),
         )
 
     def _hear(self, report: HostReport) -> None:
--- a/snipespring/controllers/host_registrar.py
+++ b/snipespring/controllers/host_registrar.py
@@ -18,8 +18,9 @@
 __all__ = ["HostRegistrar", "Registry"]
 
 MAX_BACKOFF_S = 1.0
-# Hosts start together; later ones report to a hub by themselves.
-FIRST_LISTINGS_S = (0.5, 1.5, 3.0)
+# After a start of all, the store still names the others; at the first start they
+# come within a second. Later ones report to a hub by themselves.
+FIRST_LISTINGS_S = (0.0, 1.0, 3.0)
 LISTING_INTERVAL_S = 10.0
 
 
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -20,6 +20,7 @@
     is_free,
     may_attempt_again,
     near_queue_of,
+    near_risk_of,
     outcome_of,
     retry_delay_s,
 )
@@ -128,12 +129,13 @@
     def _ask_slot(
         self, admitted: AdmittedRequest, tried: list[_Tried], tag: float | None
     ) -> SlotRequest:
-        run = admitted.route.run
+        run, body_bytes = admitted.route.run, len(admitted.request.body)
         placement = Placement(
             domain=self.domain,
             excluded=_excluded(run, tried),
             repeatable=not isinstance(run, RunOnce),
-            near_queue=near_queue_of(admitted.route, len(admitted.request.body)),
+            near_queue=near_queue_of(admitted.route, body_bytes),
+            near_risk=near_risk_of(admitted.route, body_bytes),
         )
         return SlotRequest(
             service=admitted.route.service,
--- a/snipespring/controllers/server_judge.py
+++ b/snipespring/controllers/server_judge.py
@@ -6,7 +6,14 @@
 from immutables import Map
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, EVIDENCE, SERVER_STATES
+from ..blackboard.regions import (
+    ANSWER_LOG,
+    CONFIGURATION,
+    EVIDENCE,
+    FLEET_VIEW,
+    SERVER_STATES,
+)
+from ..decisions.domains import count_answers, log_answers
 from ..decisions.suspicion import (
     FAILURE,
     PATH_FAILURE,
@@ -29,7 +36,7 @@
 
 __all__ = ["ServerJudge"]
 
-TELL_RISK = 0.25  # a success on a server of this risk is worth telling
+TELL_RISK = 0.2  # a success on a server of this risk is worth telling
 FAR_SHARE = 0.5  # of an outcome's weight, if it is of another domain
 
 
@@ -54,6 +61,7 @@
         before, self._tallies = self._tallies, tallies
         for server, new in list_news(before, tallies):
             risk = self._risk(server)
+            self._log_answers(server, new.good)
             for _ in range(new.good):
                 self._note(server, SUCCESS)
             for _ in range(new.unreached):
@@ -80,9 +88,10 @@
 
     def _note(self, server: ServerId, weight: float) -> None:
         now_s = self.clock.monotonic_s()
+        answers = self._count_answers(server, now_s) if weight > 0.0 else 0
 
         def change(states: ServerStates) -> ServerStates:
-            return note_outcome(states, server, weight, now_s=now_s)
+            return note_outcome(states, server, weight, now_s=now_s, answers=answers)
 
         old = self._risk(server)
         self.board.update(SERVER_STATES, change, writer=self.name)
@@ -90,6 +99,22 @@
         if (old < TELL_RISK) != (new < TELL_RISK):
             self._record(server, old, new)
 
+    def _log_answers(self, server: ServerId, count: int) -> None:
+        if not count:
+            return
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            ANSWER_LOG,
+            lambda log: log_answers(log, server.instance, count, now_s),
+            writer=self.name,
+        )
+
+    def _count_answers(self, server: ServerId, now_s: float) -> int:
+        """Return the good answers that the hosts of this domain had lately."""
+        own = count_answers(self.board.read(ANSWER_LOG), now_s=now_s)
+        here = sum(one.good for one in own if one.instance == server.instance)
+        return here + self.board.read(FLEET_VIEW).answers.get(server.instance, 0)
+
     def _tell(self, server: ServerId, *, is_failure: bool) -> None:
         self.tell(
             ServerNews(
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -169,6 +169,17 @@
         assert view.heard_hosts == 9
 
 
+def test_news_reaches_the_domain_before_any_host_was_heard_of() -> None:
+    fleet = SmallFleet()
+    link = fleet.link("b-1")
+    news = ServerNews(
+        sender=link.own.host_id, domain=link.own.domain, instance="i-1", is_failure=True
+    )
+    link.spread(news)
+    heard = {host_id for host_id, news in fleet.news.items() if news}
+    assert {HostId("b-0"), HostId("b-2")} <= heard
+
+
 def test_news_reaches_every_other_host_once_and_crosses_domains_twice() -> None:
     fleet = SmallFleet()
     fleet.run()
--- a/snipespring/decisions/attempts.py
+++ b/snipespring/decisions/attempts.py
@@ -40,6 +40,7 @@
     "is_free",
     "may_attempt_again",
     "near_queue_of",
+    "near_risk_of",
     "outcome_of",
     "retry_delay_s",
 ]
@@ -51,8 +52,11 @@
 MIN_ATTEMPT_S = 0.005
 # Bytes between domains are priced; a wait within the objective costs nothing.
 NEAR_QUEUE = 1
-BULKY_QUEUE = 2
+BULKY_QUEUE = 4
 BULKY_BYTES = 16384
+# A failure of a repeatable request costs a repetition, not the request.
+NEAR_RISK_REPEATABLE = 0.3
+NEAR_RISK_BULKY = 0.15
 ATTEMPT_SHARE = 0.5
 MIN_UPLOAD_ATTEMPT_S = 1.0
 UPLOAD_DELAY_S = 0.1
@@ -192,6 +196,15 @@
     return 0 if route.objective_s == inf else NEAR_QUEUE
 
 
+def near_risk_of(route: RouteRule, body_bytes: int) -> float:
+    """Return the risk of failure that staying in the failure domain is worth."""
+    match route.run:
+        case RunIdempotent() | RunAsUpload():
+            return NEAR_RISK_REPEATABLE
+        case RunOnce():
+            return NEAR_RISK_BULKY if body_bytes >= BULKY_BYTES else 0.0
+
+
 def retry_delay_s(run: RunPolicy, retries: int, rng: Random) -> float:
     """Return the seconds to wait before a retry, `retries` having gone before."""
     match run:
--- a/snipespring/decisions/domains/__init__.py
+++ b/snipespring/decisions/domains/__init__.py
@@ -1,8 +1,9 @@
 """Share usage, outcomes and liveness between hosts through a hub a domain."""
 
 from .addresses import AddressBounds, offer_addresses
+from .answers import count_answers, log_answers, sum_answers
 from .hubs import choose_hubs, is_hub
-from .known import list_known
+from .known import list_known, list_receivers
 from .usage import (
     UsageBounds,
     admit_usage,
@@ -25,11 +26,15 @@
     "UsageBounds",
     "admit_usage",
     "choose_hubs",
+    "count_answers",
     "count_usage",
+    "log_answers",
+    "sum_answers",
     "hear_report",
     "hear_summary",
     "is_hub",
     "list_known",
+    "list_receivers",
     "log_admitted",
     "log_asked",
     "make_digest",
--- /dev/null
+++ b/snipespring/decisions/domains/answers.py
@@ -0,0 +1,38 @@
+"""Count the good answers of servers that hosts tell each other."""
+
+from bisect import bisect_left
+from collections.abc import Iterable
+
+from immutables import Map
+
+from ...records import AnswerLog, HostReport, ReportDigest, ServerAnswers
+
+__all__ = ["ANSWER_WINDOW_S", "count_answers", "log_answers", "sum_answers"]
+
+ANSWER_WINDOW_S = 2.0  # a server that answered within this was sound then
+
+
+def log_answers(log: AnswerLog, instance: str, count: int, now_s: float) -> AnswerLog:
+    """Return the log with more answers of a server and without old ones."""
+    times = (*log.by_instance.get(instance, ()), *(now_s,) * count)
+    times = times[bisect_left(times, now_s - ANSWER_WINDOW_S) :]
+    return AnswerLog(by_instance=log.by_instance.set(instance, times))
+
+
+def count_answers(log: AnswerLog, *, now_s: float) -> tuple[ServerAnswers, ...]:
+    """Return how many good answers of each server the window holds."""
+    start_s = now_s - ANSWER_WINDOW_S
+    counts = (
+        ServerAnswers(instance=name, good=len(times) - bisect_left(times, start_s))
+        for name, times in sorted(log.by_instance.items())
+    )
+    return tuple(one for one in counts if one.good)
+
+
+def sum_answers(messages: Iterable[HostReport | ReportDigest]) -> Map[str, int]:
+    """Return the good answers that messages state, by server instance."""
+    total: dict[str, int] = {}
+    for message in messages:
+        for one in message.answers:
+            total[one.instance] = total.get(one.instance, 0) + one.good
+    return Map(total)
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -17,7 +17,9 @@
     OrganisationName,
     OrganisationUsage,
     ReportDigest,
+    ServerAnswers,
 )
+from .answers import sum_answers
 
 __all__ = [
     "REPORT_LIMIT_S",
@@ -69,6 +71,10 @@
         serving=tuple(sorted(view.serving)),
         heard_hosts=view.heard_hosts,
         usage=_list_usage(view.usage),
+        answers=tuple(
+            ServerAnswers(instance=name, good=good)
+            for name, good in sorted(view.answers.items())
+        ),
     )
 
 
@@ -102,6 +108,7 @@
         serving=frozenset(serving),
         heard_hosts=len(others) + 1 + sum(one.summary.heard_hosts for one in summaries),
         usage=_sum_usage([*others, *(heard.summary for heard in summaries)]),
+        answers=sum_answers(others),
         as_of_s=now_s,
     )
 
@@ -112,6 +119,7 @@
         serving=frozenset(digest.serving),
         heard_hosts=digest.heard_hosts,
         usage=_sum_usage([digest]),
+        answers=sum_answers([digest]),
         as_of_s=now_s,
     )
 
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -1,5 +1,6 @@
 """Choose a backend server for one attempt."""
 
+from collections.abc import Callable
 from math import inf
 from random import Random
 
@@ -19,7 +20,7 @@
     ServerSuspected,
     SubsetMember,
 )
-from ..suspicion import riskiest
+from ..suspicion import risk_of, riskiest
 from .loads import (
     drain_check_at_s,
     estimate_busy,
@@ -35,10 +36,11 @@
 RAMP_START = 0.1
 HEALTHY = ServerHealthy()
 # A failed request that may run again is repeated; one that may not is lost.
-MAX_RISK_ONCE = 0.25
+MAX_RISK_ONCE = 0.2
 MAX_RISK_REPEATABLE = 0.4
-# Of the servers: three in ten may be gray, and the floor leaves as many of the rest.
-MAX_AVOIDED_SHARE = 0.5
+# Of the servers: the gray ones and those that failed once by chance.
+MAX_AVOIDED_SHARE = 0.7
+SPILL_QUEUE = 4  # requests that wait at every trusted server before others are tried
 
 
 @frozen(kw_only=True)
@@ -124,16 +126,16 @@
         return ServersBusy(free_at_s=min(room_at_s))
     servers = [member.rule.server for member in subset.members]
     mean = min(subset.slots, mean_others(loads, servers, now_s))
-    best = _least_busy(
-        ranked[min(ranked)],
-        loads,
-        mean,
-        placement,
-        slots=subset.slots,
-        now_s=now_s,
-        rng=rng,
-    )
-    return Chosen(server=best)
+
+    def busy(member: SubsetMember) -> float:
+        return estimate_busy(load_of(loads, member.rule.server), mean, now_s)
+
+    best = _least_busy(ranked[min(ranked)], placement, busy, subset.slots, rng)
+    avoided = ranked.get(AVOIDED.rank)
+    if avoided and busy(best) >= subset.slots + SPILL_QUEUE:
+        risks = {one: risk_of(states, one, now_s=now_s) for one in servers}
+        best = min(avoided, key=lambda member: risks[member.rule.server])
+    return Chosen(server=best.rule.server)
 
 
 def _room_at_s(load: ServerLoad, cap: int, now_s: float) -> float:
@@ -200,9 +202,13 @@
     subset: ServerSubset, states: ServerStates, placement: Placement, now_s: float
 ) -> frozenset[ServerId]:
     limit = MAX_RISK_REPEATABLE if placement.repeatable else MAX_RISK_ONCE
-    servers = (member.rule.server for member in subset.members)
-    risks = riskiest(servers, states, share=MAX_AVOIDED_SHARE, now_s=now_s)
-    return frozenset(server for server, risk in risks.items() if risk > limit)
+    limits = {
+        member.rule.server: limit
+        + (placement.near_risk if member.rule.domain == placement.domain else 0.0)
+        for member in subset.members
+    }
+    risks = riskiest(limits, states, share=MAX_AVOIDED_SHARE, now_s=now_s)
+    return frozenset(server for server, risk in risks.items() if risk > limits[server])
 
 
 def _ramp_share(from_s: float, now_s: float) -> float:
@@ -217,24 +223,16 @@
 
 def _least_busy(
     members: list[SubsetMember],
-    loads: ServerLoads,
-    mean: float,
     placement: Placement,
-    *,
+    busy: Callable[[SubsetMember], float],
     slots: int,
-    now_s: float,
     rng: Random,
-) -> ServerId:
+) -> SubsetMember:
     """Return the least busy server, a near one if a slot is free there."""
-
-    def busy(member: SubsetMember) -> float:
-        return estimate_busy(load_of(loads, member.rule.server), mean, now_s)
-
     most_busy = slots - 1 + placement.near_queue
     near = [
         member
         for member in members
         if member.rule.domain == placement.domain and busy(member) <= most_busy
     ]
-    best = min(near or members, key=lambda member: (busy(member), rng.random()))
-    return best.rule.server
+    return min(near or members, key=lambda member: (busy(member), rng.random()))
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -44,6 +44,7 @@
 
 NEAR, FAR = DomainName("near"), DomainName("far")
 HERE = Placement(domain=NEAR, repeatable=True)
+ONCE = Placement(domain=NEAR, repeatable=False)
 
 
 def member(number: int, domain: DomainName, since_s: float = 0.0) -> SubsetMember:
@@ -274,16 +275,15 @@
 
 @given(seed=st.integers(0, 1000))
 def test_suspected_servers_are_used_last_by_requests_that_run_once(seed: int) -> None:
-    once = evolve(HERE, repeatable=False)
     suspected = ServerSuspected(risk=0.9, at_s=100.0)
     states: dict[ServerId, ServerState] = {SERVERS[0]: suspected}
-    for placement in (HERE, once):
+    for placement in (HERE, ONCE):
         chosen = choose(ServerLoads(), states, placement, seed=seed)
         assert chosen == Chosen(server=SERVERS[1])
     slight: dict[ServerId, ServerState] = {
         SERVERS[0]: ServerSuspected(risk=0.3, at_s=100.0)
     }
-    assert choose(ServerLoads(), slight, once, seed=seed) == Chosen(server=SERVERS[1])
+    assert choose(ServerLoads(), slight, ONCE, seed=seed) == Chosen(server=SERVERS[1])
 
 
 @given(seed=st.integers(0, 1000))
@@ -296,6 +296,45 @@
     assert chosen in [Chosen(server=server) for server in SERVERS[:2]]
 
 
+@given(seed=st.integers(0, 1000))
+def test_request_that_can_be_repeated_stays_near_at_some_risk(seed: int) -> None:
+    states: dict[ServerId, ServerState] = {
+        server: ServerSuspected(risk=0.6, at_s=100.0) for server in SERVERS[:2]
+    }
+    near = [Chosen(server=server) for server in SERVERS[:2]]
+    assert choose(ServerLoads(), states, seed=seed) not in near
+    bold = evolve(HERE, near_risk=0.3)
+    assert choose(ServerLoads(), states, bold, seed=seed) in near
+
+
+@given(seed=st.integers(0, 1000))
+def test_more_than_half_of_the_servers_may_be_gray(seed: int) -> None:
+    members = tuple(member(number, NEAR) for number in range(7))
+    servers = [one.rule.server for one in members]
+    states: dict[ServerId, ServerState] = {
+        server: ServerSuspected(risk=0.97, at_s=100.0) for server in servers[:4]
+    }
+    chosen = choose(
+        ServerLoads(), states, ONCE, seed=seed, subset=subset_of(members, 3)
+    )
+    assert chosen in [Chosen(server=server) for server in servers[4:]]
+
+
+@given(seed=st.integers(0, 1000))
+def test_least_suspected_server_is_tried_where_the_trusted_ones_are_long_busy(
+    seed: int,
+) -> None:
+    loads = ServerLoads()
+    for number in (1, 3):
+        loads = after(loads, number, answered(busy=7))
+    states: dict[ServerId, ServerState] = {
+        SERVERS[0]: ServerSuspected(risk=0.9, at_s=100.0),
+        SERVERS[2]: ServerSuspected(risk=0.8, at_s=100.0),
+    }
+    chosen = choose(loads, states, ONCE, seed=seed, now_s=100.0)
+    assert chosen == Chosen(server=SERVERS[2])
+
+
 def test_server_whose_address_another_one_has_gets_nothing_more() -> None:
     replaced = ShedByServer(retry_after_s=None, is_replaced=True)
     loads = after(ServerLoads(), 0, replaced)
--- a/snipespring/decisions/tests/test_suspicion.py
+++ b/snipespring/decisions/tests/test_suspicion.py
@@ -56,6 +56,18 @@
         assert risk >= before if is_failure else risk <= before
 
 
+def test_good_answers_of_all_hosts_weigh_against_a_first_failure() -> None:
+    once = note_outcome(ServerStates(), FIRST, FAILURE, now_s=100.0, answers=8)
+    assert risk_of(once, FIRST, now_s=100.0) < 0.3
+    twice = note_outcome(once, FIRST, FAILURE, now_s=100.5, answers=8)
+    assert risk_of(twice, FIRST, now_s=100.5) > 0.8
+
+
+def test_few_good_answers_leave_a_failure_its_weight() -> None:
+    states = note_outcome(ServerStates(), FIRST, FAILURE, now_s=100.0, answers=1)
+    assert risk_of(states, FIRST, now_s=100.0) > 0.6
+
+
 def test_riskiest_names_a_share_of_the_servers() -> None:
     servers = [server(number) for number in range(10)]
     states = ServerStates()
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -15,6 +15,7 @@
     OrganisationUsage,
     PublishedHost,
     ReportDigest,
+    ServerAnswers,
     ServerNews,
 )
 
@@ -32,6 +33,9 @@
     ),
     max_size=4,
 ).map(tuple)
+answers = st.lists(
+    st.builds(ServerAnswers, instance=names, good=counts), max_size=4
+).map(tuple)
 hosts = st.builds(
     PublishedHost,
     host_id=names.map(HostId),
@@ -48,6 +52,7 @@
         sequence=counts,
         is_serving=st.booleans(),
         usage=usage,
+        answers=answers,
     ),
     st.builds(
         ReportDigest,
@@ -56,6 +61,7 @@
         serving=host_ids,
         heard_hosts=counts,
         usage=usage,
+        answers=answers,
         confirmation=st.none()
         | st.builds(
             Confirmation, version=counts, age_s=st.floats(min_value=0.0, max_value=9.0)
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -7,6 +7,7 @@
 from .identity import DomainName, HostId, Incarnation, OrganisationName
 
 __all__ = [
+    "AnswerLog",
     "Confirmation",
     "DomainReports",
     "DomainSummary",
@@ -17,6 +18,7 @@
     "OrganisationTimes",
     "OrganisationUsage",
     "ReportDigest",
+    "ServerAnswers",
     "ServerNews",
     "UsageLog",
     "DomainMessage",
@@ -36,6 +38,14 @@
     asked: int = 0
 
 
+@frozen(kw_only=True)
+class ServerAnswers:
+    """Count the good answers of a server within the last two seconds."""
+
+    instance: str
+    good: int
+
+
 @frozen(kw_only=True)
 class HostReport:
     """State what one host knows of itself; `sequence` rises with each report.
@@ -48,6 +58,7 @@
     sequence: int
     is_serving: bool
     usage: tuple[OrganisationUsage, ...] = ()
+    answers: tuple[ServerAnswers, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -77,6 +88,7 @@
     serving: tuple[HostId, ...]
     heard_hosts: int
     usage: tuple[OrganisationUsage, ...] = ()
+    answers: tuple[ServerAnswers, ...] = ()
     confirmation: Confirmation | None = None
 
 
@@ -140,15 +152,24 @@
     """Hold this host's view of the others.
 
     `as_of_s` is the local time at which the newest part came, None before any.
-    Usage leaves out this host's own part.
+    Usage leaves out this host's own part, and so do the good answers of servers,
+    which are those of the host's own failure domain.
     """
 
     serving: frozenset[HostId] = frozenset()
     heard_hosts: int = 1
     usage: Map[OrganisationName, OrganisationUsage] = Map()
+    answers: Map[str, int] = Map()
     as_of_s: float | None = None
 
 
+@frozen(kw_only=True)
+class AnswerLog:
+    """Hold the local times of good answers by server instance, oldest first."""
+
+    by_instance: Map[str, tuple[float, ...]] = Map()
+
+
 @frozen(kw_only=True)
 class OrganisationTimes:
     """Hold the local times of an organisation's requests here, oldest first."""
--- a/snipespring/records/health.py
+++ b/snipespring/records/health.py
@@ -1,5 +1,7 @@
 """Hold evidence about backend servers and the states decided from it."""
 
+from math import inf
+
 from attrs import frozen
 from immutables import Map
 
@@ -89,10 +91,14 @@
 
 @frozen(kw_only=True)
 class ServerSuspected:
-    """Hold the probability that a server failed grayly at a local time."""
+    """Hold the probability that a server failed grayly at a local time.
+
+    `failed_s` is the local time of the last failure.
+    """
 
     risk: float
     at_s: float
+    failed_s: float = -inf
 
 
 ServerState = (
