Leave one client of the object store and one stand-in

Cause: the product's own interface had a client and a stand-in of its earlier protocol beside those of the published one.

Change: the fleet's contents are objects of the published store (platform/contents.py over platform/store.py); what a write gave has one set of records. The stand-in of the store takes over counts, absence and slowness, and does delayed writes. Revisions of the store are those of all objects, while the roster counts its own changes, so a content keeps its version beside it.

Ruled out: the store's revision as the version: the roster's changes then no longer add up, no share of a limit was in force, and every request was refused (tests/test_whole_path.py, 429 at the first request).

Tests: any bytes come back as written; only the expected version is replaced or removed; removed content that came back outlasts a late removal; gaps, lost answers, absence. Those of the old stand-in's protocol are replaced by the same checks of the published one; the host list with a lag went, nothing asked for it. A segment is at most 700 kB, since base64 takes a third more.

--- a/snipespring/cli/tests/test_rules.py
+++ b/snipespring/cli/tests/test_rules.py
@@ -7,7 +7,7 @@
 
 from snipespring.cli.commands import Snipespring
 from standins.http import start
-from standins.platform import PlatformApplication
+from standins.store import StoreApplication
 
 GOOD = "service ledger  # Aoife\nserver ledger 127.0.0.1:9001 domain=a  # Aoife\n"
 OTHER = GOOD.replace("service ledger", "service ledger slots=5")
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def platform() -> Iterator[str]:
-    server = start(listen="127.0.0.1:0", app=PlatformApplication())
+    server = start(listen="127.0.0.1:0", app=StoreApplication())
     yield f"http://127.0.0.1:{server.server_port}"
     server.server_close()
 
--- a/snipespring/controllers/applier.py
+++ b/snipespring/controllers/applier.py
@@ -11,7 +11,7 @@
     split_into_segments,
     verify_segment,
 )
-from ..frontends.platform import (
+from ..frontends.fleet_objects import (
     CONFIGURATION_OBJECT,
     Platform,
     decode_root,
--- a/snipespring/controllers/configurator.py
+++ b/snipespring/controllers/configurator.py
@@ -20,7 +20,7 @@
     missing_segments,
     parse_segment,
 )
-from ..frontends.platform import decode_root
+from ..frontends.fleet_objects import decode_root
 from ..records import ConfigurationStep, HeldSegments, RefusedConfiguration, Sighting
 from ..utils import Clock
 from .historian import Historian
--- a/snipespring/controllers/roster_keeper.py
+++ b/snipespring/controllers/roster_keeper.py
@@ -23,7 +23,7 @@
     compact_roster,
     list_silent_hosts,
 )
-from ..frontends.platform import (
+from ..frontends.fleet_objects import (
     CONFIGURATION_OBJECT,
     ROSTER_OBJECT,
     Platform,
--- a/snipespring/controllers/segment_keeper.py
+++ b/snipespring/controllers/segment_keeper.py
@@ -14,8 +14,8 @@
 )
 from ..decisions.membership import backoff_s, choose_neighbours
 from ..decisions.rules import RootRecord, Segment, missing_segments, verify_segment
+from ..frontends.fleet_objects import Platform, decode_root, segment_object
 from ..frontends.peers import PeerClient
-from ..frontends.platform import Platform, decode_root, segment_object
 from ..records import (
     Address,
     FetchSegment,
--- a/snipespring/controllers/tests/test_applier.py
+++ b/snipespring/controllers/tests/test_applier.py
@@ -13,7 +13,7 @@
     RulesHeld,
     Unreachable,
 )
-from snipespring.frontends.platform import (
+from snipespring.frontends.fleet_objects import (
     CONFIGURATION_OBJECT,
     decode_root,
     segment_object,
--- a/snipespring/controllers/tests/test_configurator.py
+++ b/snipespring/controllers/tests/test_configurator.py
@@ -20,7 +20,7 @@
     SegmentKeeper,
 )
 from snipespring.decisions.membership.tests.fleet_model import make_host
-from snipespring.frontends.platform import CONFIGURATION_OBJECT
+from snipespring.frontends.fleet_objects import CONFIGURATION_OBJECT
 from snipespring.records import (
     Address,
     FetchSegment,
--- a/snipespring/controllers/tests/test_roster_keeper.py
+++ b/snipespring/controllers/tests/test_roster_keeper.py
@@ -4,7 +4,7 @@
 from snipespring.blackboard.regions import PLATFORM_ROSTER, ROSTER
 from snipespring.controllers import Accountant, Historian, RosterKeeper
 from snipespring.decisions.membership.tests.fleet_model import make_host
-from snipespring.frontends.platform import (
+from snipespring.frontends.fleet_objects import (
     CONFIGURATION_OBJECT,
     ROSTER_OBJECT,
     decode_roster,
--- a/snipespring/controllers/watcher.py
+++ b/snipespring/controllers/watcher.py
@@ -7,7 +7,7 @@
 from ..blackboard import Board, Region
 from ..blackboard.regions import PEER_VIEW, ROSTER
 from ..decisions.membership import Relay, Watch, backoff_s, decide_watch
-from ..frontends.platform import CONFIGURATION_OBJECT, Platform
+from ..frontends.fleet_objects import CONFIGURATION_OBJECT, Platform
 from ..records import (
     Host,
     ObjectAbsent,
--- a/snipespring/daemons/parts.py
+++ b/snipespring/daemons/parts.py
@@ -28,7 +28,7 @@
 )
 from ..decisions.claims import derive_issuing_key
 from ..decisions.limits import peer_of
-from ..frontends.platform import CONFIGURATION_OBJECT, ROSTER_OBJECT
+from ..frontends.fleet_objects import CONFIGURATION_OBJECT, ROSTER_OBJECT
 from ..records import Sighting
 from .shared import Shared
 
--- a/snipespring/daemons/shared.py
+++ b/snipespring/daemons/shared.py
@@ -8,7 +8,7 @@
 from ..blackboard import Board
 from ..controllers import Accountant, Historian
 from ..frontends.peers import PeerLinks
-from ..frontends.platform import HttpPlatform
+from ..platform.contents import StoredContents
 from ..records import Host, Incarnation
 from ..settings import Settings
 from ..utils import Clock
@@ -27,7 +27,7 @@
     core: Core
     settings: Settings
     own: Host
-    platform: HttpPlatform
+    platform: StoredContents
     links: PeerLinks
 
     @property
@@ -63,7 +63,7 @@
         core=core,
         settings=settings,
         own=_describe_host(settings, core.clock),
-        platform=HttpPlatform(
+        platform=StoredContents(
             url=settings.platform.url, timeout_s=settings.platform.timeout_s
         ),
         links=PeerLinks(secret=secret),
--- a/snipespring/decisions/membership/tests/fleet_model.py
+++ b/snipespring/decisions/membership/tests/fleet_model.py
@@ -4,7 +4,7 @@
 from immutables import Map
 
 from snipespring.decisions import membership as mbr
-from snipespring.frontends.platform import decode_roster, encode_roster
+from snipespring.frontends.fleet_objects import decode_roster, encode_roster
 from snipespring.records import (
     Address,
     DomainName,
--- a/snipespring/decisions/rules/segments.py
+++ b/snipespring/decisions/rules/segments.py
@@ -15,7 +15,7 @@
     "verify_segment",
 ]
 
-SEGMENT_LIMIT_BYTES = 900_000
+SEGMENT_LIMIT_BYTES = 700_000  # base64 keeps it below the megabyte of a value
 SEGMENT_MIN_BYTES = 16_384
 LINES_PER_CUT = 4096  # about 256 KiB of lines of 64 bytes
 
--- a/snipespring/frontends/platform/__init__.py
+++ b/snipespring/frontends/fleet_objects/__init__.py
@@ -1,6 +1,6 @@
-"""Call the platform's object API."""
+"""Encode the objects that the fleet keeps in the platform's store."""
 
-from .client import HttpPlatform, Platform
+from .access import Platform
 from .codec import (
     CONFIGURATION_OBJECT,
     ROSTER_OBJECT,
@@ -13,7 +13,6 @@
 
 __all__ = [
     "CONFIGURATION_OBJECT",
-    "HttpPlatform",
     "Platform",
     "ROSTER_OBJECT",
     "decode_root",
--- a/snipespring/frontends/platform/codec.py
+++ b/snipespring/frontends/fleet_objects/codec.py
@@ -19,8 +19,8 @@
     "segment_object",
 ]
 
-CONFIGURATION_OBJECT = "snipespring/configuration"
-ROSTER_OBJECT = "snipespring/roster"
+CONFIGURATION_OBJECT = "snipespring-configuration/main"
+ROSTER_OBJECT = "snipespring-roster/main"
 
 _converter = make_strict_converter()
 
@@ -63,7 +63,7 @@
 
 def segment_object(digest: str) -> str:
     """Return the name of the object that holds a segment."""
-    return f"snipespring/segments/{digest}"
+    return f"snipespring-segments/{digest}"
 
 
 def encode_root(root: RootRecord) -> bytes:
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -13,8 +13,13 @@
     FeedItem,
     FeedListing,
     ForeignItem,
+    ObjectAbsent,
+    ObjectConflict,
+    ObjectWritten,
+    PlatformUnavailable,
     PublishedHost,
     PublishedServer,
+    WriteUncertain,
 )
 from .objects import decode_configuration, decode_host, decode_server, encode_host
 from .store import (
@@ -22,12 +27,8 @@
     ObjectChanges,
     ObjectListing,
     ObjectStore,
-    StoreAway,
-    StoreConflict,
     StoredObject,
     StoreGap,
-    StoreUncertain,
-    StoreWritten,
 )
 
 __all__ = ["HostRegistry", "ObjectFeed", "configuration_feed", "server_feed"]
@@ -50,7 +51,7 @@
     def list_items(self, *, may_be_stale: bool = False) -> FeedListing[T] | FeedAway:
         """Return every item."""
         match self.store.list_objects(self.kind, may_be_stale=may_be_stale):
-            case StoreAway(reason=reason):
+            case PlatformUnavailable(reason=reason):
                 return FeedAway(reason=reason)
             case ObjectListing(objects=objects, revision=revision):
                 items = tuple(self._item(obj) for obj in objects)
@@ -61,7 +62,7 @@
     ) -> FeedChanges[T] | FeedGap | FeedAway:
         """Wait up to `wait_s` seconds for changes after a revision."""
         match self.store.watch(self.kind, after=after, wait_s=wait_s):
-            case StoreAway(reason=reason):
+            case PlatformUnavailable(reason=reason):
                 return FeedAway(reason=reason)
             case StoreGap():
                 return FeedGap()
@@ -88,11 +89,11 @@
         """Write where the host listens; return why it is not known to be done."""
         spec = encode_host(host)
         match self.store.create(HOST_KIND, host.host_id, spec):
-            case StoreWritten():
+            case ObjectWritten():
                 return None
-            case StoreConflict():
+            case ObjectConflict():
                 return self._update(host)
-            case StoreAway(reason=reason) | StoreUncertain(reason=reason):
+            case PlatformUnavailable(reason=reason) | WriteUncertain(reason=reason):
                 return FeedAway(reason=reason)
 
     def feed(self) -> ObjectFeed[PublishedHost]:
@@ -109,15 +110,15 @@
             case StoredObject(content=content):
                 if decode_host(host.host_id, content) == host:
                     return None
-            case StoreConflict():
+            case ObjectAbsent():
                 return FeedAway(reason="the host's object went away")
-            case StoreAway(reason=reason):
+            case PlatformUnavailable(reason=reason):
                 return FeedAway(reason=reason)
         result = self.store.replace(
             HOST_KIND, host.host_id, encode_host(host), expected=held.revision
         )
         match result:
-            case StoreWritten():
+            case ObjectWritten():
                 return None
             case _:
                 return FeedAway(reason=f"{result}")
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -10,18 +10,22 @@
 
 from attrs import define, field, frozen
 
-from ..records import Address
+from ..records import (
+    Address,
+    ObjectAbsent,
+    ObjectConflict,
+    ObjectWritten,
+    PlatformUnavailable,
+    WriteResult,
+    WriteUncertain,
+)
 
 __all__ = [
     "ObjectChange",
     "ObjectChanges",
     "ObjectListing",
     "ObjectStore",
-    "StoreAway",
-    "StoreConflict",
     "StoreGap",
-    "StoreUncertain",
-    "StoreWritten",
     "StoredObject",
 ]
 
@@ -72,35 +76,6 @@
     """State that the history asked for is gone."""
 
 
-@frozen(kw_only=True)
-class StoreAway:
-    """State that the store did nothing, and why."""
-
-    reason: str
-
-
-@frozen(kw_only=True)
-class StoreWritten:
-    """Confirm a write and give the object's new revision."""
-
-    revision: int
-
-
-@frozen(kw_only=True)
-class StoreConflict:
-    """State that the object exists, is absent or has another revision."""
-
-
-@frozen(kw_only=True)
-class StoreUncertain:
-    """State that a write may take effect though no answer came."""
-
-    reason: str
-
-
-WriteResult = StoreWritten | StoreConflict | StoreAway | StoreUncertain
-
-
 @define(kw_only=True, eq=False)
 class ObjectStore:
     """Keep one connection a thread to the store."""
@@ -109,21 +84,23 @@
     timeout_s: float
     _local: threading.local = field(factory=threading.local, init=False)
 
-    def read(self, kind: str, name: str) -> StoredObject | StoreConflict | StoreAway:
-        """Return one object; a conflict stands for its absence."""
+    def read(
+        self, kind: str, name: str
+    ) -> StoredObject | ObjectAbsent | PlatformUnavailable:
+        """Return one object or its absence."""
         answer = self._call("GET", _path(kind, name), None, self.timeout_s)
         match answer:
             case _Answered(status=200, content=content):
                 obj = _read_object(content)
-                return obj or StoreAway(reason="an unreadable object")
+                return obj or PlatformUnavailable(reason="an unreadable object")
             case _Answered(status=404):
-                return StoreConflict()
+                return ObjectAbsent(name=name)
             case _:
                 return _away(answer)
 
     def list_objects(
         self, kind: str, *, may_be_stale: bool = False
-    ) -> ObjectListing | StoreAway:
+    ) -> ObjectListing | PlatformUnavailable:
         """Return every object of a kind; a stale listing may be seconds old."""
         objects: list[StoredObject] = []
         revision: int | None = None
@@ -138,7 +115,7 @@
                 case _:
                     return _away(answer)
             if page is None:
-                return StoreAway(reason="an unreadable listing")
+                return PlatformUnavailable(reason="an unreadable listing")
             objects += page.objects
             # What changes between pages is heard again by the watch.
             revision = page.revision if revision is None else revision
@@ -148,7 +125,7 @@
 
     def watch(
         self, kind: str, *, after: int, wait_s: float
-    ) -> ObjectChanges | StoreGap | StoreAway:
+    ) -> ObjectChanges | StoreGap | PlatformUnavailable:
         """Wait up to `wait_s` seconds for changes after a revision."""
         query = {"Watch": after, "WaitMs": int(wait_s * MS_PER_S)}
         timeout_s = wait_s + WATCH_GRACE_S
@@ -156,7 +133,7 @@
         match answer:
             case _Answered(status=200, content=Mapping() as content):
                 changes = _read_changes(content)
-                return changes or StoreAway(reason="unreadable changes")
+                return changes or PlatformUnavailable(reason="unreadable changes")
             case _Answered(status=410):
                 return StoreGap()
             case _:
@@ -165,29 +142,30 @@
     def create(self, kind: str, name: str, spec: Json) -> WriteResult:
         """Create an object; a conflict means that it exists."""
         body = {"Metadata": {"Name": name}, "Spec": spec}
-        return self._write("POST", _path(kind), body)
+        return self._write("POST", _path(kind), name, body)
 
     def replace(
         self, kind: str, name: str, spec: Json, *, expected: int
     ) -> WriteResult:
         """Replace an object's content if it has the revision expected."""
         body = {"Metadata": {"Name": name, "Revision": expected}, "Spec": spec}
-        return self._write("PUT", _path(kind, name), body)
+        return self._write("PUT", _path(kind, name), name, body)
 
     def delete(self, kind: str, name: str, *, expected: int) -> WriteResult:
         """Remove an object if it has the revision expected."""
-        return self._write("DELETE", _path(kind, name, {"Revision": expected}), None)
+        path = _path(kind, name, {"Revision": expected})
+        return self._write("DELETE", path, name, None)
 
-    def _write(self, method: str, path: str, body: Json) -> WriteResult:
+    def _write(self, method: str, path: str, name: str, body: Json) -> WriteResult:
         answer = self._call(method, path, body, self.timeout_s)
         match answer:
             case _Answered(status=200 | 201, content=content):
                 obj = _read_object(content)
-                return StoreWritten(revision=obj.revision if obj else 0)
+                return ObjectWritten(name=name, version=obj.revision if obj else 0)
             case _Answered(status=404 | 409):
-                return StoreConflict()
+                return ObjectConflict(name=name)
             case _Lost(reason=reason, is_sent=True):
-                return StoreUncertain(reason=reason)
+                return WriteUncertain(reason=reason)
             case _:
                 return _away(answer)
 
@@ -253,14 +231,14 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-def _away(answer: _Answered | _Lost) -> StoreAway:
+def _away(answer: _Answered | _Lost) -> PlatformUnavailable:
     match answer:
         case _Answered(status=200):
-            return StoreAway(reason="an unreadable answer")
+            return PlatformUnavailable(reason="an unreadable answer")
         case _Answered(status=status):
-            return StoreAway(reason=f"status {status}")
+            return PlatformUnavailable(reason=f"status {status}")
         case _Lost(reason=reason):
-            return StoreAway(reason=reason)
+            return PlatformUnavailable(reason=reason)
 
 
 def _path(kind: str, name: str = "", query: Mapping[str, object] | None = None) -> str:
--- a/snipespring/platform/tests/test_store.py
+++ b/snipespring/platform/tests/test_store.py
@@ -11,12 +11,8 @@
     ObjectChanges,
     ObjectListing,
     ObjectStore,
-    StoreAway,
-    StoreConflict,
     StoredObject,
     StoreGap,
-    StoreUncertain,
-    StoreWritten,
 )
 from snipespring.records import (
     Address,
@@ -24,8 +20,13 @@
     FeedListing,
     ForeignItem,
     HostId,
+    ObjectAbsent,
+    ObjectConflict,
+    ObjectWritten,
+    PlatformUnavailable,
     PublishedHost,
     PublishedServer,
+    WriteUncertain,
 )
 from standins.http import Server, start
 from standins.store import Busy, Losing, Silent, StoreApplication, StoreController, Up
@@ -65,22 +66,24 @@
 
 
 def written(result: object) -> int:
-    assert isinstance(result, StoreWritten)
-    return result.revision
+    assert isinstance(result, ObjectWritten)
+    return result.version
 
 
 def test_object_is_created_replaced_and_removed_by_its_revision(place: Place) -> None:
     store = place.store
     first = written(store.create(KIND, "a", {"x": 1}))
-    assert store.create(KIND, "a", {"x": 2}) == StoreConflict()
+    assert store.create(KIND, "a", {"x": 2}) == ObjectConflict(name="a")
     second = written(store.replace(KIND, "a", {"x": 3}, expected=first))
     assert second > first
-    assert store.replace(KIND, "a", {"x": 4}, expected=first) == StoreConflict()
+    assert store.replace(KIND, "a", {"x": 4}, expected=first) == ObjectConflict(
+        name="a"
+    )
     held = store.read(KIND, "a")
     assert isinstance(held, StoredObject)
     assert held.content["Spec"] == {"x": 3}
     written(store.delete(KIND, "a", expected=second))
-    assert store.read(KIND, "a") == StoreConflict()
+    assert store.read(KIND, "a") == ObjectAbsent(name="a")
 
 
 def test_listing_carries_every_page(place: Place) -> None:
@@ -119,22 +122,24 @@
 @pytest.mark.parametrize("status", [429, 503])
 def test_refused_call_did_nothing(place: Place, status: int) -> None:
     place.controller.set_faults(Busy(status=status))
-    assert place.store.create(KIND, "a", {}) == StoreAway(reason=f"status {status}")
-    assert isinstance(place.store.list_objects(KIND), StoreAway)
+    assert place.store.create(KIND, "a", {}) == PlatformUnavailable(
+        reason=f"status {status}"
+    )
+    assert isinstance(place.store.list_objects(KIND), PlatformUnavailable)
     place.controller.set_faults(Up())
     written(place.store.create(KIND, "a", {}))
 
 
 def test_write_whose_answer_is_lost_is_uncertain(place: Place) -> None:
     place.controller.set_faults(Losing(writes=1))
-    assert isinstance(place.store.create(KIND, "a", {}), StoreUncertain)
-    assert place.store.create(KIND, "a", {}) == StoreConflict()
+    assert isinstance(place.store.create(KIND, "a", {}), WriteUncertain)
+    assert place.store.create(KIND, "a", {}) == ObjectConflict(name="a")
 
 
 def test_silent_store_is_away_after_the_timeout(place: Place) -> None:
     place.controller.set_faults(Silent())
     hasty = ObjectStore(address=place.store.address, timeout_s=0.1)
-    assert isinstance(hasty.list_objects(KIND), StoreAway)
+    assert isinstance(hasty.list_objects(KIND), PlatformUnavailable)
     place.controller.set_faults(Up())
     assert isinstance(hasty.list_objects(KIND), ObjectListing)
 
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -234,7 +234,7 @@
     def _start_all(self) -> None:
         self._start(
             "platform",
-            ["-m", "standins.platform", "--listen", self.platform],
+            ["-m", "standins.store", "--listen", self.platform],
             self.folder / "platform.log",
         )
         for index in range(self.plan.backends):
--- a/standins/store/controller.py
+++ b/standins/store/controller.py
@@ -1,12 +1,25 @@
 """Carry calls to the store's blackboard and wait for watches."""
 
+import threading
+import time
 from typing import Any
 
 from attrs import define, field
 
 from ..board import Board, Step
 from . import decisions
-from .records import Busy, Losing, Silent, StoreCall, StoreFaults, StoreState, WatchKind
+from .records import (
+    Away,
+    Busy,
+    Delaying,
+    Losing,
+    Silent,
+    Slow,
+    StoreCall,
+    StoreFaults,
+    StoreState,
+    WatchKind,
+)
 
 __all__ = ["StoreController"]
 
@@ -24,9 +37,18 @@
 
     def call(self, call: StoreCall) -> tuple[int, Any] | None:
         """Return the status and content that answer a call; None is no answer."""
+        self._board.transact(lambda state: decisions.count_call(state, call))
         match self._board.read().faults:
             case Busy(status=status):
                 return (status, None)
+            case Away():
+                return None
+            case Delaying(delay_s=delay_s) if decisions.is_write(call):
+                threading.Timer(delay_s, self._perform, (call,)).start()
+                return None
+            case Slow(delay_s=delay_s):
+                time.sleep(delay_s)
+                return self._perform(call)
             case Silent():
                 self._board.wait_for(
                     FAULTS_TOPIC,
@@ -37,6 +59,10 @@
             case _:
                 return self._perform(call)
 
+    def state(self) -> StoreState:
+        """Return the latest state."""
+        return self._board.read()
+
     def set_faults(self, faults: StoreFaults) -> None:
         """Replace the faults."""
         self._board.transact(lambda state: decisions.set_faults(state, faults))
@@ -51,7 +77,10 @@
             case WatchKind(kind=kind, wait_s=wait_s):
                 self._board.wait_for(
                     kind,
-                    lambda state: decisions.has_changes(state, call),
+                    lambda state: (
+                        decisions.is_broken_off(state)
+                        or decisions.has_changes(state, call)
+                    ),
                     timeout_s=wait_s,
                 )
             case _:
@@ -60,6 +89,8 @@
         def step(
             state: StoreState,
         ) -> Step[StoreState, tuple[int, Any] | None]:
+            if decisions.is_broken_off(state):
+                return Step(state=state, answer=None)
             done = decisions.apply(state, call)
             is_lost = isinstance(state.faults, Losing) and done.topics
             answer = None if is_lost else done.answer
--- a/standins/store/decisions.py
+++ b/standins/store/decisions.py
@@ -1,19 +1,24 @@
 """Decide what each call to the store answers and changes."""
 
+import json
 from typing import Any
 
 from attrs import evolve
 
 from ..board import Step
 from .records import (
+    Away,
+    Busy,
     Change,
     Create,
+    Delaying,
     Delete,
     Key,
     ListKind,
     Losing,
     ReadOne,
     Replace,
+    Silent,
     StoreCall,
     Stored,
     StoreFaults,
@@ -22,10 +27,20 @@
     WatchKind,
 )
 
-__all__ = ["PAGE_OBJECTS", "apply", "compact", "has_changes", "set_faults"]
+__all__ = [
+    "PAGE_OBJECTS",
+    "apply",
+    "compact",
+    "count_call",
+    "has_changes",
+    "is_broken_off",
+    "is_write",
+    "set_faults",
+]
 
 PAGE_OBJECTS = 50
-OK, CREATED, NOT_FOUND, CONFLICT, GONE = 200, 201, 404, 409, 410
+MAX_VALUE_BYTES = 1048576
+OK, CREATED, NOT_FOUND, CONFLICT, GONE, TOO_LARGE = 200, 201, 404, 409, 410, 413
 
 StoreStep = Step[StoreState, tuple[int, Any]]
 
@@ -45,6 +60,8 @@
             return Step(state=state, answer=(OK, _list_changes(state, call)))
         case Create(key=key) if key in state.objects:
             return _conflict(state, key)
+        case Create(spec=spec) | Replace(content=spec) if _is_too_large(spec):
+            return Step(state=state, answer=(TOO_LARGE, None))
         case Create(key=key, spec=spec):
             created = state.revision + 1
             obj = Stored(key=key, revision=created, created=created, spec=spec)
@@ -64,6 +81,31 @@
     return any(_concerns(change, call) for change in state.history)
 
 
+def is_broken_off(state: StoreState) -> bool:
+    """Return whether calls and waiting watches get no answer now."""
+    return isinstance(state.faults, Away)
+
+
+def is_write(call: StoreCall) -> bool:
+    """Return whether the call may change an object."""
+    return isinstance(call, Create | Replace | Delete)
+
+
+def count_call(state: StoreState, call: StoreCall) -> Step[StoreState, None]:
+    """Return the state with one more call counted."""
+    counts = state.counts
+    match state.faults, call:
+        case ((Away() | Busy() | Silent()), _):
+            counts = evolve(counts, refused=counts.refused + 1)
+        case _, WatchKind():
+            counts = evolve(counts, watches=counts.watches + 1)
+        case _, ListKind() | ReadOne():
+            counts = evolve(counts, reads=counts.reads + 1)
+        case _, Create() | Replace() | Delete():
+            counts = evolve(counts, writes=counts.writes + 1)
+    return Step(state=evolve(state, counts=counts), answer=None)
+
+
 def set_faults(state: StoreState, faults: StoreFaults) -> Step[StoreState, None]:
     """Replace the faults."""
     return Step(state=evolve(state, faults=faults), answer=None)
@@ -109,8 +151,8 @@
 ) -> StoreStep:
     faults = state.faults
     match faults:
-        case Losing(writes=writes):
-            faults = Losing(writes=writes - 1) if writes > 1 else Up()
+        case Losing(writes=writes) | Delaying(writes=writes):
+            faults = evolve(faults, writes=writes - 1) if writes > 1 else Up()
         case _:
             pass
     new = evolve(
@@ -123,6 +165,10 @@
     return Step(state=new, answer=answer, topics=frozenset({change.obj.key.kind}))
 
 
+def _is_too_large(spec: Any) -> bool:
+    return len(json.dumps(spec)) > MAX_VALUE_BYTES
+
+
 def _conflict(state: StoreState, key: Key) -> StoreStep:
     return Step(state=state, answer=(CONFLICT, _render(state.objects[key])))
 
--- a/standins/store/records.py
+++ b/standins/store/records.py
@@ -6,9 +6,11 @@
 from immutables import Map
 
 __all__ = [
+    "Away",
     "Busy",
     "Change",
     "Create",
+    "Delaying",
     "Delete",
     "Key",
     "ListKind",
@@ -16,6 +18,8 @@
     "ReadOne",
     "Replace",
     "Silent",
+    "Slow",
+    "StoreCounts",
     "StoreCall",
     "StoreFaults",
     "StoreState",
@@ -130,7 +134,37 @@
     writes: int
 
 
-StoreFaults = Up | Busy | Silent | Losing
+@frozen(kw_only=True)
+class Away:
+    """Break off every call and every watch that waits."""
+
+
+@frozen(kw_only=True)
+class Slow:
+    """Answer every call after a delay."""
+
+    delay_s: float
+
+
+@frozen(kw_only=True)
+class Delaying:
+    """Break off the next writes and do them after a delay, if they still may be."""
+
+    writes: int
+    delay_s: float
+
+
+StoreFaults = Up | Busy | Silent | Losing | Away | Slow | Delaying
+
+
+@frozen(kw_only=True)
+class StoreCounts:
+    """Count the calls that the store took, and those that it refused."""
+
+    reads: int = 0
+    watches: int = 0
+    writes: int = 0
+    refused: int = 0
 
 
 @frozen(kw_only=True)
@@ -142,3 +176,4 @@
     history: tuple[Change, ...] = ()
     oldest: int = 0
     faults: StoreFaults = field(factory=Up)
+    counts: StoreCounts = StoreCounts()
--- a/standins/store/server.py
+++ b/standins/store/server.py
@@ -3,18 +3,23 @@
 import socket
 from typing import Any
 
-from attrs import define, field
+from attrs import asdict, define, field
 
 from ..http import CloseConnection, Reply, Request, Response, json_response
 from .controller import StoreController
 from .records import (
+    Away,
     Create,
     Delete,
     Key,
     ListKind,
+    Losing,
     ReadOne,
     Replace,
+    Slow,
     StoreCall,
+    StoreFaults,
+    Up,
     WatchKind,
 )
 
@@ -43,6 +48,8 @@
 
     def answer(self, req: Request, conn: socket.socket) -> Reply:
         """Return the reply; raise ValueError for a malformed request."""
+        if req.path.startswith("/control/"):
+            return self._control(req)
         call = _decode_call(req)
         if call is None:
             return Response(status=404)
@@ -54,6 +61,30 @@
             return Response(status=status)
         return json_response(content, status=status)
 
+    def _control(self, req: Request) -> Reply:
+        match (req.method, req.path):
+            case ("GET", "/control/counts"):
+                return json_response(asdict(self.controller.state().counts))
+            case ("POST", "/control/faults"):
+                self.controller.set_faults(_decode_faults(req.json_object()))
+                return Response(status=200)
+            case _:
+                return Response(status=404)
+
+
+def _decode_faults(content: dict[str, Any]) -> StoreFaults:
+    match content.get("mode", "up"):
+        case "up":
+            return Up()
+        case "away":
+            return Away()
+        case "slow":
+            return Slow(delay_s=float(content["delay_s"]))
+        case "losing":
+            return Losing(writes=int(content["writes"]))
+        case unknown:
+            raise ValueError(f"unknown mode {unknown!r}")
+
 
 def _decode_call(req: Request) -> StoreCall | None:
     if not req.path.startswith(OBJECTS):
--- a/standins/tests/conftest.py
+++ b/standins/tests/conftest.py
@@ -7,7 +7,7 @@
 
 from standins.backend import BackendApplication, BackendSettings
 from standins.http import Application, Server, start
-from standins.platform import PlatformApplication
+from standins.store import StoreApplication
 
 CLIENT_TIMEOUT_S = 10.0
 POLL_S = 0.01
@@ -64,8 +64,8 @@
 
 
 @pytest.fixture
-def platform(launch: Callable[[Application], Client]) -> Client:
-    return launch(PlatformApplication())
+def store(launch: Callable[[Application], Client]) -> Client:
+    return launch(StoreApplication())
 
 
 @pytest.fixture
--- /dev/null
+++ b/standins/tests/test_store.py
@@ -0,0 +1,90 @@
+import http.client
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import pytest
+
+KIND = "/v1/objects/things"
+
+
+def counts(store: Any) -> Any:
+    return json.loads(store.call("GET", "/control/counts").body)
+
+
+def create(store: Any, name: str, spec: Any) -> Any:
+    body = {"Metadata": {"Name": name}, "Spec": spec}
+    return store.call("POST", KIND, json.dumps(body).encode())
+
+
+def replace(store: Any, name: str, spec: Any, revision: int) -> Any:
+    body = {"Metadata": {"Name": name, "Revision": revision}, "Spec": spec}
+    return store.call("PUT", f"{KIND}/{name}", json.dumps(body).encode())
+
+
+def revision_of(answer: Any) -> int:
+    revision: int = json.loads(answer.body)["Metadata"]["Revision"]
+    return revision
+
+
+def set_faults(store: Any, **faults: Any) -> None:
+    store.call("POST", "/control/faults", json.dumps(faults).encode())
+
+
+def test_stale_revision_conflicts(store: Any) -> None:
+    first = revision_of(create(store, "a", 1))
+    second = revision_of(replace(store, "a", 2, first))
+    assert second > first
+    stale = replace(store, "a", 3, first)
+    assert (stale.status, revision_of(stale)) == (409, second)
+    assert json.loads(store.call("GET", f"{KIND}/a").body)["Spec"] == 2
+
+
+def test_revisions_rise_across_a_deletion(store: Any) -> None:
+    first = revision_of(create(store, "a", 1))
+    assert store.call("DELETE", f"{KIND}/a?Revision={first + 1}").status == 409
+    assert store.call("DELETE", f"{KIND}/a?Revision={first}").status == 200
+    assert store.call("GET", f"{KIND}/a").status == 404
+    assert revision_of(create(store, "a", 2)) > first
+
+
+def test_write_that_changes_nothing_keeps_the_revision(store: Any) -> None:
+    first = revision_of(create(store, "a", 1))
+    assert revision_of(replace(store, "a", 1, first)) == first
+
+
+def test_rejects_malformed_and_large_writes(store: Any) -> None:
+    assert store.call("POST", KIND, b"[]").status == 400
+    assert create(store, "a", "x" * 1048577).status == 413
+    assert create(store, "a", "x" * 1000000).status == 201
+
+
+def test_watch_wakes_on_a_write(store: Any) -> None:
+    with ThreadPoolExecutor() as pool:
+        watch = pool.submit(store.call, "GET", f"{KIND}?Watch=1&WaitMs=30000")
+        store.eventually(lambda: counts(store)["watches"] == 1)
+        create(store, "a", "new")
+        events = json.loads(watch.result().body)["events"]
+    assert [event["Object"]["Spec"] for event in events] == ["new"]
+
+
+def test_away_closes_calls_and_waiting_watches(store: Any) -> None:
+    with ThreadPoolExecutor() as pool:
+        watch = pool.submit(store.call, "GET", f"{KIND}?Watch=1&WaitMs=30000")
+        store.eventually(lambda: counts(store)["watches"] == 1)
+        set_faults(store, mode="away")
+        with pytest.raises(http.client.RemoteDisconnected):
+            watch.result()
+    with pytest.raises(http.client.RemoteDisconnected):
+        store.call("GET", KIND)
+    assert counts(store)["refused"] == 1
+    set_faults(store, mode="up")
+    assert store.call("GET", KIND).status == 200
+
+
+def test_lost_answer_still_writes(store: Any) -> None:
+    set_faults(store, mode="losing", writes=1)
+    with pytest.raises(http.client.RemoteDisconnected):
+        create(store, "a", 1)
+    held = store.call("GET", f"{KIND}/a")
+    assert replace(store, "a", 2, revision_of(held)).status == 200
