Wake nobody where a host keeps its role

Cause: each round of the domain link wrote the role anew, equal but not the same record, and woke the keeper of the configuration four times a second.

Change: a role that is kept leaves the record as it is. Test: it failed before, as there was no such function.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -15,7 +15,7 @@
     STORE_RELAY,
     USAGE_LOG,
 )
-from ..decisions.confirmations import hear_relay, state_confirmation
+from ..decisions.confirmations import hear_relay, state_confirmation, take_role
 from ..decisions.domains import (
     choose_hubs,
     count_answers,
@@ -93,7 +93,7 @@
             if hub.host_id != self.own.host_id:
                 self._ask(hub, report, now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own.host_id
-        self._change_relay(lambda relay: evolve(relay, is_watcher=is_first))
+        self._change_relay(lambda relay: take_role(relay, is_watcher=is_first))
         if is_first:
             self._tell_domains(now_s)
         return REPORT_INTERVAL_S
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -16,6 +16,7 @@
     "follow_relay",
     "hear_relay",
     "state_confirmation",
+    "take_role",
 ]
 
 MIN_STEP_S = 0.3  # a confirmation that is hardly younger wakes nobody
@@ -88,5 +89,12 @@
     return evolve(relay, relayed=relayed)
 
 
+def take_role(relay: StoreRelay, *, is_watcher: bool) -> StoreRelay:
+    """Return the relay in which this host watches the store, or does not."""
+    if relay.is_watcher == is_watcher:
+        return relay
+    return evolve(relay, is_watcher=is_watcher)
+
+
 def _newest_version(view: FeedView[Configuration]) -> int:
     return max((one.version for one in view.items.values()), default=0)
--- a/snipespring/decisions/tests/test_confirmations.py
+++ b/snipespring/decisions/tests/test_confirmations.py
@@ -10,6 +10,7 @@
     follow_relay,
     hear_relay,
     state_confirmation,
+    take_role,
 )
 from snipespring.records import (
     Configuration,
@@ -88,3 +89,9 @@
     assert hear_relay(held, slightly, sent_s=10.5) == relay(4, 10.5)
     newer = Confirmation(version=5, age_s=0.0)
     assert hear_relay(held, newer, sent_s=10.1) == relay(5, 10.1)
+
+
+def test_role_that_is_kept_wakes_nobody() -> None:
+    held = relay(4, 10.0)
+    assert take_role(held, is_watcher=False) is held
+    assert take_role(held, is_watcher=True).is_watcher
