Run the tests on four processes

Cause: make test took 228 s and more: the tests of processes and the state machines ran one after the other, of 274 s beside other work 30 s in one state machine, 21 s and 18 s in two tests of processes.

Change: pytest-xdist, modules kept together; TEST_JOBS sets the number. No check is dropped or shortened.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 PYTHON ?= python3
 VENV := .venv
+TEST_JOBS ?= 4
 BIN := $(VENV)/bin
 
 .PHONY: setup run test lint types check bench
@@ -16,7 +17,7 @@
 	$(BIN)/python -m standins.demo
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/python -m pytest
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n $(TEST_JOBS) --dist loadscope
 
 lint: setup
 	$(BIN)/ruff format --check .
