Count no failure where a request hardly waited for its answer

Ruled out: servers that hang (they keep a request for its whole time, 2 s and more).

Change: an answer that did not come counts against its server only after three times the mean of answers, in the suspicion shared by hosts and in what a host avoids by itself.

Test: failed before, when every late answer was a failure.

--- a/snipespring/controllers/server_judge.py
+++ b/snipespring/controllers/server_judge.py
@@ -11,9 +11,11 @@
     CONFIGURATION,
     EVIDENCE,
     FLEET_VIEW,
+    SERVER_LOADS,
     SERVER_STATES,
 )
 from ..decisions.domains import count_answers, log_answers
+from ..decisions.routing import patience_of, service_load_of
 from ..decisions.suspicion import (
     FAILURE,
     PATH_FAILURE,
@@ -59,7 +61,7 @@
         """Take in the outcomes since the last round and tell what matters."""
         tallies = count_outcomes(self.board.read(EVIDENCE))
         before, self._tallies = self._tallies, tallies
-        for server, new in list_news(before, tallies):
+        for server, new in list_news(before, tallies, self._patience_s):
             risk = self._risk(server)
             self._log_answers(server, new.good)
             for _ in range(new.good):
@@ -82,6 +84,10 @@
                 if rule.server.instance == news.instance:
                     self._note(rule.server, weight)
 
+    def _patience_s(self, server: ServerId) -> float:
+        loads = self.board.read(SERVER_LOADS)
+        return patience_of(service_load_of(loads, server.service))
+
     def _risk(self, server: ServerId) -> float:
         states = self.board.read(SERVER_STATES)
         return risk_of(states, server, now_s=self.clock.monotonic_s())
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -33,6 +33,7 @@
     "is_avoided",
     "load_of",
     "mean_others",
+    "patience_of",
     "release_server",
     "reserve_server",
     "service_load_of",
@@ -48,6 +49,7 @@
 MAX_DRAIN_CHECK_S = 60.0
 MAX_DRAIN_RENEWALS = 4
 AVOIDANCE_S = 0.5
+PATIENCE = 3.0  # times the mean of answers: a sound server seldom takes longer
 MAX_AVOIDANCE_S = 10.0
 UNUSED = ServerLoad()
 UNUSED_SERVICE = ServiceLoad()
@@ -63,6 +65,11 @@
     return loads.by_service.get(service, UNUSED_SERVICE)
 
 
+def patience_of(service: ServiceLoad) -> float:
+    """Return the seconds after which an answer that did not come is a failure."""
+    return PATIENCE * service.service_s
+
+
 def mean_others(loads: ServerLoads, servers: Iterable[ServerId], now_s: float) -> float:
     """Return the busy slots of other hosts a server, by reports of the last second."""
     total, weights = 0.0, 0.0
@@ -125,6 +132,7 @@
     """Return the loads with one attempt less and with what its result told."""
     loads = _add_in_flight(loads, server, -1)
     load = load_of(loads, server)
+    patience_s = patience_of(service_load_of(loads, server.service))
     match result:
         case Answered(load=report):
             load = _note_report(load, report, started_s=started_s, now_s=now_s)
@@ -136,6 +144,8 @@
             load = _back_off(load, retry_after_s, now_s)
         case AttemptCancelled():
             load = _renew_sign(load, started_s=started_s, now_s=now_s)
+        case AnswerLate(waited_s=waited_s) if waited_s < patience_s:
+            load = _renew_sign(load, started_s=started_s, now_s=now_s)
         case (
             AnswerBroken()
             | AnswerForeign()
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -172,6 +172,14 @@
     assert load_of(well, SERVERS[0]).failures == 0
 
 
+def test_timeout_shorter_than_the_usual_work_is_no_failure_of_the_server() -> None:
+    loads = reserve_server(ServerLoads(), SERVERS[0])
+    loads = release_server(loads, SERVERS[0], answered(), started_s=99.7, now_s=100.0)
+    for waited_s, failures in ((0.4, 0), (2.0, 1)):
+        loads = after(loads, 0, AnswerLate(waited_s=waited_s))
+        assert load_of(loads, SERVERS[0]).failures == failures
+
+
 def test_caller_that_left_is_no_failure_of_the_server() -> None:
     loads = after(ServerLoads(), 0, AttemptCancelled(waited_s=0.1))
     assert load_of(loads, SERVERS[0]).failures == 0
--- a/snipespring/decisions/tallies.py
+++ b/snipespring/decisions/tallies.py
@@ -1,22 +1,27 @@
 """Count the outcomes of real work by server."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import frozen
 from immutables import Map
 
-from ..records import Evidence, OutcomeCounts, ServerId
+from ..records import Evidence, Histogram, OutcomeCounts, ServerId
+from .health import bucket_of, count_from
 
 __all__ = ["OutcomeTally", "count_outcomes", "list_news"]
 
 
 @frozen(kw_only=True)
 class OutcomeTally:
-    """Count good answers, failures, and attempts that reached no server."""
+    """Count good answers, failures, and attempts that reached no server.
+
+    `late` holds the waits for answers that did not come.
+    """
 
     good: int
     bad: int
     unreached: int
+    late: Histogram = Histogram()
 
 
 def count_outcomes(evidence: Evidence) -> Map[ServerId, OutcomeTally]:
@@ -27,17 +32,25 @@
 
 
 def list_news(
-    before: Map[ServerId, OutcomeTally], now: Map[ServerId, OutcomeTally]
+    before: Map[ServerId, OutcomeTally],
+    now: Map[ServerId, OutcomeTally],
+    patience_s: Callable[[ServerId], float],
 ) -> Iterator[tuple[ServerId, OutcomeTally]]:
-    """Yield the servers with new outcomes, and these outcomes."""
+    """Yield the servers with new outcomes, and these outcomes.
+
+    An answer that did not come within `patience_s` is a failure; one that a request
+    did not wait for so long says nothing of the server.
+    """
     for server, tally in now.items():
         old = before.get(server, NOTHING)
         if tally != old:
+            bucket = bucket_of(patience_s(server))
+            late = count_from(tally.late, bucket) - count_from(old.late, bucket)
             yield (
                 server,
                 OutcomeTally(
                     good=tally.good - old.good,
-                    bad=tally.bad - old.bad,
+                    bad=tally.bad - old.bad + late,
                     unreached=tally.unreached - old.unreached,
                 ),
             )
@@ -46,8 +59,9 @@
 def _tally(counts: OutcomeCounts) -> OutcomeTally:
     return OutcomeTally(
         good=sum(counts.answered.counts),
-        bad=counts.errors + counts.broken + sum(counts.late.counts),
+        bad=counts.errors + counts.broken,
         unreached=counts.unreachable,
+        late=counts.late,
     )
 
 
