Answer a report for its incarnation; say the demand in refusals; split the choice

Cause: a digest named only the number of the report that it answers. One for the process before a restart, held up on the way, could have been taken for the answer to a new report of the same number, and its confirmation for younger than it is. Found by reading.

Change: digests name the incarnation; refusals name the demand; ranking, spilling and the least busy server are functions of their own, with the same results.

Tests: a digest for another incarnation confirms nothing; the tests of the choice are unchanged.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -196,6 +196,8 @@
         self.links.send(sender, digest)
 
     def _see(self, digest: ReportDigest, sender: Address) -> None:
+        if digest.incarnation != self.incarnation:
+            return
         with self._lock:
             self._asked_s.pop(digest.sender, None)
             self._silent_s.pop(digest.sender, None)
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -252,16 +252,23 @@
     assert not fleet.link("a-2").board.read(STORE_RELAY).is_watcher
 
 
-def test_digest_from_a_foreign_address_confirms_nothing() -> None:
-    fleet = SmallFleet()
-    fleet.run()
-    link = fleet.link("a-2")
-    digest = ReportDigest(
+def digest_for(incarnation: str) -> ReportDigest:
+    return ReportDigest(
         sender=HostId("a-0"),
+        incarnation=Incarnation(incarnation),
         sequence=ROUNDS,
         serving=(),
         heard_hosts=1,
         confirmation=Confirmation(version=9, age_s=0.0),
     )
-    link.receive(digest, Address(ip="10.9.9.9", port=7100))
+
+
+def test_digest_counts_from_the_hub_for_this_incarnation_only() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    link, hub = fleet.link("a-2"), fleet.link("a-0").own.peers
+    link.receive(digest_for("first"), Address(ip="10.9.9.9", port=7100))
+    link.receive(digest_for("the one before"), hub)
     assert link.board.read(STORE_RELAY).relayed is None
+    link.receive(digest_for("first"), hub)
+    assert link.board.read(STORE_RELAY).relayed is not None
--- a/snipespring/decisions/domains/usage.py
+++ b/snipespring/decisions/domains/usage.py
@@ -73,19 +73,19 @@
     known_hosts = max(known_hosts, view.heard_hosts)
     even = allowed / known_hosts
     elsewhere = view.usage.get(rule.name, OrganisationUsage(organisation=rule.name))
+    demand_per_s = _estimate_demand(own, elsewhere, view.heard_hosts, now_s)
     if view.as_of_s is None or now_s - view.as_of_s > VIEW_LIMIT_S:
         chance = 1.0 if admitted + 1.0 <= SILENT_SHARE * even else 0.0
     else:
         silent = known_hosts - view.heard_hosts
         used = admitted + elsewhere.admitted
         left = allowed - used - SILENT_SHARE * even * silent
-        demand_per_s = _estimate_demand(own, elsewhere, view.heard_hosts, now_s)
         chance = left / (UNSEEN_FACTOR * max(MIN_UNSEEN, demand_per_s * VIEW_LAG_S))
     if rng.random() < chance:
         return Admitted()
     reason = (
         f"{admitted} admitted here, {elsewhere.admitted} elsewhere in "
-        f"{bounds.window_s:g} s, {allowed:.0f} allowed"
+        f"{bounds.window_s:g} s, {allowed:.0f} allowed, {demand_per_s:.0f}/s asked"
     )
     return OverLimit(
         reason=reason, retry_after_s=_retry_after_s(own.admitted_s, now_s, bounds)
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -67,6 +67,7 @@
     view = make_view(reports, report.host.host_id, now_s=now_s)
     return ReportDigest(
         sender=own,
+        incarnation=report.incarnation,
         sequence=report.sequence,
         serving=tuple(sorted(view.serving)),
         heard_hosts=view.heard_hosts,
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -93,6 +93,15 @@
 BEYOND_TRIAL = _Spare(rank=3)
 
 
+@frozen(kw_only=True)
+class _Candidate:
+    """Hold a server's rank, lower goes first, and when it has room."""
+
+    member: SubsetMember
+    rank: int
+    room_at_s: float
+
+
 def choose_server(
     subset: ServerSubset,
     loads: ServerLoads,
@@ -106,9 +115,37 @@
     service = service_load_of(loads, subset.service)
     if service.in_flight + 1 > service.limit:
         return ServersBusy(free_at_s=inf)
+    candidates = _rank_members(subset, loads, states, placement, now_s, rng)
+    if not candidates:
+        return NoServer(reason="every server is ejected, on trial or was tried")
+    free = [one for one in candidates if one.room_at_s <= now_s]
+    if not free:
+        return ServersBusy(free_at_s=min(one.room_at_s for one in candidates))
+    mean = min(subset.slots, mean_others(loads, _list_servers(subset), now_s))
+
+    def busy(member: SubsetMember) -> float:
+        return estimate_busy(load_of(loads, member.rule.server), mean, now_s)
+
+    first = min(one.rank for one in free)
+    members = [one.member for one in free if one.rank == first]
+    best = _least_busy(members, placement, busy, subset.slots, rng)
+    if busy(best) >= subset.slots + SPILL_QUEUE:
+        avoided = [one.member for one in free if one.rank == AVOIDED.rank]
+        best = _least_risky(avoided, states, now_s) or best
+    return Chosen(server=best.rule.server)
+
+
+def _rank_members(
+    subset: ServerSubset,
+    loads: ServerLoads,
+    states: ServerStates,
+    placement: Placement,
+    now_s: float,
+    rng: Random,
+) -> list[_Candidate]:
+    """Return the servers that an attempt may use, now or once they have room."""
     risky = _list_risky(subset, states, placement, now_s)
-    ranked: dict[int, list[SubsetMember]] = {}
-    room_at_s: list[float] = []
+    candidates = []
     for member in subset.members:
         if member.rule.server in placement.excluded:
             continue
@@ -116,26 +153,13 @@
         if rank is None:
             continue
         load = load_of(loads, member.rule.server)
-        member_room_at_s = _room_at_s(load, subset.in_flight_cap, now_s)
-        room_at_s.append(member_room_at_s)
-        if member_room_at_s <= now_s:
-            ranked.setdefault(rank, []).append(member)
-    if not room_at_s:
-        return NoServer(reason="every server is ejected, on trial or was tried")
-    if not ranked:
-        return ServersBusy(free_at_s=min(room_at_s))
-    servers = [member.rule.server for member in subset.members]
-    mean = min(subset.slots, mean_others(loads, servers, now_s))
+        room_at_s = _room_at_s(load, subset.in_flight_cap, now_s)
+        candidates.append(_Candidate(member=member, rank=rank, room_at_s=room_at_s))
+    return candidates
 
-    def busy(member: SubsetMember) -> float:
-        return estimate_busy(load_of(loads, member.rule.server), mean, now_s)
 
-    best = _least_busy(ranked[min(ranked)], placement, busy, subset.slots, rng)
-    avoided = ranked.get(AVOIDED.rank)
-    if avoided and busy(best) >= subset.slots + SPILL_QUEUE:
-        risks = {one: risk_of(states, one, now_s=now_s) for one in servers}
-        best = min(avoided, key=lambda member: risks[member.rule.server])
-    return Chosen(server=best.rule.server)
+def _list_servers(subset: ServerSubset) -> list[ServerId]:
+    return [member.rule.server for member in subset.members]
 
 
 def _room_at_s(load: ServerLoad, cap: int, now_s: float) -> float:
@@ -236,3 +260,13 @@
         if member.rule.domain == placement.domain and busy(member) <= most_busy
     ]
     return min(near or members, key=lambda member: (busy(member), rng.random()))
+
+
+def _least_risky(
+    members: list[SubsetMember], states: ServerStates, now_s: float
+) -> SubsetMember | None:
+    return min(
+        members,
+        key=lambda member: risk_of(states, member.rule.server, now_s=now_s),
+        default=None,
+    )
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -57,6 +57,7 @@
     st.builds(
         ReportDigest,
         sender=names.map(HostId),
+        incarnation=names.map(Incarnation),
         sequence=counts,
         serving=host_ids,
         heard_hosts=counts,
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -76,7 +76,7 @@
 class ReportDigest:
     """Answer a report with what the others in the failure domain reported.
 
-    `sequence` is the report's.
+    `incarnation` and `sequence` are the report's.
 
     `serving` lists the hosts of the whole fleet that serve, `usage` leaves out
     the receiver's own part. `heard_hosts` counts the hosts heard, the receiver
@@ -84,6 +84,7 @@
     """
 
     sender: HostId
+    incarnation: Incarnation
     sequence: int
     serving: tuple[HostId, ...]
     heard_hosts: int
