--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -57,7 +57,7 @@
 
 @define(kw_only=True, eq=False)
 class DomainLink:
-    """Write the domain reports and the fleet view."""
+    """Write the domain reports, the fleet view and the store relay."""
 
     board: Board
     clock: Clock
--- a/snipespring/controllers/feed_keeper.py
+++ b/snipespring/controllers/feed_keeper.py
@@ -1,4 +1,4 @@
-"""Follow one feed of the platform's store."""
+"""Follow the feeds of the platform's store, the configuration also by relays."""
 
 from random import Random
 from typing import Any, Generic, Protocol, TypeVar
