Let requests wait for the first choice of a service's servers

The choice follows each configuration on a controller of its own; on a busy machine a request came between.

Ruled out: a host without servers (the next requests were served), the new client of the store (it was away in that test).

Change: a request for a service of the configuration waits in the queue for the choice; one for no service is refused as before.

Test: a request waits until the servers are chosen; failed before.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -11,6 +11,7 @@
 
 from ..blackboard import Board, Region
 from ..blackboard.regions import (
+    CONFIGURATION,
     REQUEST_QUEUES,
     SERVER_LOADS,
     SERVER_STATES,
@@ -51,6 +52,7 @@
 
 MIN_WAKE_S = 0.001
 RETRY_AFTER_S = 0.2
+CHOICE_S = 0.1  # the servers of a new service are chosen within this
 
 
 @frozen(kw_only=True)
@@ -229,7 +231,7 @@
         service = wanted.service
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
         if subset is None:
-            return NoServer(reason=f"the servers of {service} are not chosen yet")
+            return self._await_choice(service)
         chosen = choose_server(
             subset,
             self.board.read(SERVER_LOADS),
@@ -245,6 +247,12 @@
                 pass
         return chosen
 
+    def _await_choice(self, service: ServiceName) -> NoServer | ServersBusy:
+        """Let requests wait for the choice that follows each new service."""
+        if service in self.board.read(CONFIGURATION).services:
+            return ServersBusy(free_at_s=self.clock.monotonic_s() + CHOICE_S)
+        return NoServer(reason=f"there is no service {service}")
+
     def _change_loads(self, change: Callable[[ServerLoads], ServerLoads]) -> None:
         self.board.update(SERVER_LOADS, change, writer=self.name)
 
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -2,14 +2,21 @@
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
-from snipespring.blackboard.regions import REQUEST_QUEUES, SERVER_LOADS
+from immutables import Map
+
+from snipespring.blackboard.regions import (
+    CONFIGURATION,
+    REQUEST_QUEUES,
+    SERVER_LOADS,
+    SERVER_SUBSETS,
+)
 from snipespring.controllers.dispatcher import Dispatcher, NotPlaced, Placed
 from snipespring.decisions.queueing import count_waiters
 from snipespring.decisions.routing import load_of
-from snipespring.records import ShedByServer
+from snipespring.records import Configuration, ServerSubsets, ShedByServer
 from snipespring.utils import ManualClock
 
-from .routing_fakes import OK, board_with_servers, server, slot_request
+from .routing_fakes import OK, SERVICE, board_with_servers, server, slot_request
 
 LIMIT_S = 30.0
 
@@ -115,3 +122,26 @@
     assert highest[0] <= 2
     loads = dispatcher.board.read(SERVER_LOADS)
     assert all(load_of(loads, server(n)).in_flight == 0 for n in range(2))
+
+
+def test_request_waits_until_the_servers_of_a_new_service_are_chosen() -> None:
+    chosen = board_with_servers(1).read(SERVER_SUBSETS)
+    dispatcher = make_dispatcher(1)
+    board = dispatcher.board
+    board.write(SERVER_SUBSETS, ServerSubsets(), writer="subset_keeper")
+    services = Map({SERVICE.name: SERVICE})
+    cfg = Configuration(version=1, services=services)
+    board.write(CONFIGURATION, cfg, writer="configurator")
+    with ThreadPoolExecutor(1) as pool:
+        fut = pool.submit(dispatcher.place, slot_request(1e4))
+        wait_for_waiters(dispatcher, 1)
+        board.write(SERVER_SUBSETS, chosen, writer="subset_keeper")
+        dispatcher.step()
+        assert fut.result(LIMIT_S) == Placed(server=server(0), tag=0.0)
+
+
+def test_request_for_no_service_is_refused_at_once() -> None:
+    dispatcher = make_dispatcher(1)
+    board = dispatcher.board
+    board.write(SERVER_SUBSETS, ServerSubsets(), writer="subset_keeper")
+    assert isinstance(dispatcher.place(slot_request(1e4)), NotPlaced)
