--- a/snipespring/controllers/server_judge.py
+++ b/snipespring/controllers/server_judge.py
@@ -14,7 +14,7 @@
     SERVER_LOADS,
     SERVER_STATES,
 )
-from ..decisions.domains import count_answers, log_answers
+from ..decisions.domains import answers_of, log_answers
 from ..decisions.routing import patience_of, service_load_of
 from ..decisions.suspicion import (
     FAILURE,
@@ -117,8 +117,8 @@
 
     def _count_answers(self, server: ServerId, now_s: float) -> int:
         """Return the good answers that the hosts of this domain had lately."""
-        own = count_answers(self.board.read(ANSWER_LOG), now_s=now_s)
-        here = sum(one.good for one in own if one.instance == server.instance)
+        log = self.board.read(ANSWER_LOG)
+        here = answers_of(log, server.instance, now_s=now_s)
         return here + self.board.read(FLEET_VIEW).answers.get(server.instance, 0)
 
     def _tell(self, server: ServerId, *, is_failure: bool) -> None:
--- a/snipespring/decisions/domains/__init__.py
+++ b/snipespring/decisions/domains/__init__.py
@@ -1,7 +1,7 @@
 """Share usage, outcomes and liveness between hosts through a hub a domain."""
 
 from .addresses import AddressBounds, offer_addresses
-from .answers import count_answers, log_answers, sum_answers
+from .answers import answers_of, count_answers, log_answers, sum_answers
 from .hubs import choose_hubs, is_hub
 from .known import list_known, list_receivers
 from .usage import (
@@ -25,6 +25,7 @@
     "AddressBounds",
     "UsageBounds",
     "admit_usage",
+    "answers_of",
     "choose_hubs",
     "count_answers",
     "count_usage",
--- a/snipespring/decisions/domains/answers.py
+++ b/snipespring/decisions/domains/answers.py
@@ -7,24 +7,40 @@
 
 from ...records import AnswerLog, HostReport, ReportDigest, ServerAnswers
 
-__all__ = ["ANSWER_WINDOW_S", "count_answers", "log_answers", "sum_answers"]
+__all__ = [
+    "ANSWER_WINDOW_S",
+    "answers_of",
+    "count_answers",
+    "log_answers",
+    "sum_answers",
+]
 
 ANSWER_WINDOW_S = 2.0  # a server that answered within this was sound then
 
 
 def log_answers(log: AnswerLog, instance: str, count: int, now_s: float) -> AnswerLog:
     """Return the log with more answers of a server and without old ones."""
-    times = (*log.by_instance.get(instance, ()), *(now_s,) * count)
-    times = times[bisect_left(times, now_s - ANSWER_WINDOW_S) :]
-    return AnswerLog(by_instance=log.by_instance.set(instance, times))
+    start_s = now_s - ANSWER_WINDOW_S
+    kept = {
+        name: times[bisect_left(times, start_s) :]
+        for name, times in log.by_instance.items()
+        if times[-1] >= start_s
+    }
+    kept[instance] = (*kept.get(instance, ()), *(now_s,) * count)
+    return AnswerLog(by_instance=Map(kept))
+
+
+def answers_of(log: AnswerLog, instance: str, *, now_s: float) -> int:
+    """Return how many good answers of one server the window holds."""
+    times = log.by_instance.get(instance, ())
+    return len(times) - bisect_left(times, now_s - ANSWER_WINDOW_S)
 
 
 def count_answers(log: AnswerLog, *, now_s: float) -> tuple[ServerAnswers, ...]:
     """Return how many good answers of each server the window holds."""
-    start_s = now_s - ANSWER_WINDOW_S
     counts = (
-        ServerAnswers(instance=name, good=len(times) - bisect_left(times, start_s))
-        for name, times in sorted(log.by_instance.items())
+        ServerAnswers(instance=name, good=answers_of(log, name, now_s=now_s))
+        for name in sorted(log.by_instance)
     )
     return tuple(one for one in counts if one.good)
 
