Accept bounds that are fractions or missing

A bound of a contract that is not in force leaves its field empty, which was an error too. Change: slacks are amounts, sizes may be fractions, a field without a value takes its default.

--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -14,6 +14,7 @@
 from .document import Document, FieldPath, read_document
 from .records import (
     AddressList,
+    Amount,
     ByteCount,
     Count,
     GatewaySettings,
@@ -31,6 +32,7 @@
     SecretFields,
     read_address,
     read_address_list,
+    read_amount,
     read_byte_count,
     read_count,
     read_log_level,
@@ -53,6 +55,7 @@
     (AddressList, read_address_list),
     (Seconds, read_seconds),
     (Share, read_share),
+    (Amount, read_amount),
     (ByteCount, read_byte_count),
     (Count, read_count),
     (HttpUrl, read_url),
@@ -128,7 +131,9 @@
     def read_section(raw: object, _: Any) -> Any:
         if not isinstance(raw, Mapping):
             raise SettingsError(f"expected a section of fields, got {raw!r}")
-        prepared = _merge_secret_fields(raw) if kind is PeerSettings else raw
+        # A template leaves a field empty when the platform has no value for it.
+        given = {name: value for name, value in raw.items() if value is not None}
+        prepared = _merge_secret_fields(given) if kind is PeerSettings else given
         return structure(prepared, kind)
 
     return read_section
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -8,6 +8,7 @@
 
 __all__ = [
     "AddressList",
+    "Amount",
     "ByteCount",
     "CallerSettings",
     "Count",
@@ -38,6 +39,7 @@
 Seconds = NewType("Seconds", float)
 ByteCount = NewType("ByteCount", int)
 Count = NewType("Count", int)
+Amount = NewType("Amount", float)
 Share = NewType("Share", float)
 HttpUrl = NewType("HttpUrl", str)
 LogLevel = NewType("LogLevel", str)
@@ -193,7 +195,7 @@
 
     window_s: Seconds = Seconds(5.0)
     overshoot: Share = Share(0.1)
-    slack: Count = Count(20)
+    slack: Amount = Amount(20.0)
 
 
 @frozen(kw_only=True)
@@ -205,7 +207,7 @@
     """
 
     share: Share = Share(0.2)
-    slack: Count = Count(56)
+    slack: Amount = Amount(56.0)
     window_s: Seconds = Seconds(10.0)
 
 
--- a/snipespring/settings/values.py
+++ b/snipespring/settings/values.py
@@ -1,6 +1,7 @@
 """Convert the raw value of one field, or raise `SettingsError`."""
 
 import re
+from decimal import Decimal
 from urllib.parse import urlsplit
 
 from attrs import frozen
@@ -15,6 +16,7 @@
 from ..records import Address
 from .records import (
     AddressList,
+    Amount,
     ByteCount,
     Count,
     HttpUrl,
@@ -30,6 +32,7 @@
     "SecretFields",
     "read_address",
     "read_address_list",
+    "read_amount",
     "read_byte_count",
     "read_count",
     "read_log_level",
@@ -40,8 +43,10 @@
     "read_url",
 ]
 
-_SIZE = re.compile(r"([0-9]{1,9})(B|KiB|MiB|GiB)")
+_SIZE = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(B|KiB|MiB|GiB)")
 _BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3}
+MAX_SHARE = 1e6
+MAX_AMOUNT = 1e12
 _LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -69,9 +74,22 @@
 
 def read_share(raw: object) -> Share:
     """Read a ratio, a number from 0 to below 1,000,000."""
-    if not isinstance(raw, int | float) or isinstance(raw, bool) or not 0 <= raw < 1e6:
-        raise SettingsError(f"expected a number from 0, got {raw!r}")
-    return Share(float(raw))
+    return Share(_read_number(raw, below=MAX_SHARE))
+
+
+def read_amount(raw: object) -> Amount:
+    """Read an amount that need not be whole, a number from 0 to below 1e12."""
+    return Amount(_read_number(raw, below=MAX_AMOUNT))
+
+
+def _read_number(raw: object, *, below: float) -> float:
+    if (
+        not isinstance(raw, int | float)
+        or isinstance(raw, bool)
+        or not 0 <= raw < below
+    ):
+        raise SettingsError(f"expected a number from 0 to below {below:g}, got {raw!r}")
+    return float(raw)
 
 
 def read_seconds(raw: object) -> Seconds:
@@ -93,7 +111,7 @@
     size = _SIZE.fullmatch(raw) if isinstance(raw, str) else None
     if size is None:
         raise SettingsError(f"expected a size such as 64KiB or 8MiB, got {raw!r}")
-    return ByteCount(int(size[1]) * _BYTES_BY_UNIT[size[2]])
+    return ByteCount(int(Decimal(size[1]) * _BYTES_BY_UNIT[size[2]]))
 
 
 def read_address(raw: object) -> Address:
