Let download requests run again as safe ones do

Cause: the kind download of Al-Wifak's routes was unknown and taken as one that may run once, so a failed or shed download got no second attempt. Change: download routes are idempotent. The test of kinds failed for it first.

--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -191,7 +191,7 @@
 
 def _make_run_policy(kind: str) -> RunPolicy:
     match kind:
-        case "safe":
+        case "safe" | "download":
             # Let an attempt take all of the remaining time. With a shorter limit, this
             # host could cut off an attempt that a server is working on. During a
             # graceful stop there may be no retry left, and the caller would get an
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -25,6 +25,7 @@
     PublishedServer,
     RunIdempotent,
     RunOnce,
+    RunPolicy,
 )
 
 SERVER: dict[str, Any] = {
@@ -146,6 +147,23 @@
     assert cfg.organisations[OrganisationName("free")].rate_per_s == inf
 
 
+@pytest.mark.parametrize(
+    ("kind", "run"),
+    [
+        ("safe", RunIdempotent(attempt_share=1.0)),
+        ("download", RunIdempotent(attempt_share=1.0)),
+        ("unsafe", RunOnce()),
+        ("upload", RunOnce()),
+        ("a kind of later", RunOnce()),
+    ],
+)
+def test_kind_of_a_route_decides_what_may_run_again(kind: str, run: RunPolicy) -> None:
+    routes = {"r-1": {**ROUTE, "Kind": kind}}
+    cfg = decode_configuration(spec({**CONFIGURATION, "Routes": routes}))
+    assert isinstance(cfg, Configuration)
+    assert [rule.run for rule in cfg.host_routes["hulo84.example"]] == [run]
+
+
 def test_without_tenants_every_route_is_open() -> None:
     cfg = decode_configuration(spec({**CONFIGURATION, "Tenants": {}}))
     assert isinstance(cfg, Configuration)
