--- a/snipespring/settings/values.py
+++ b/snipespring/settings/values.py
@@ -44,6 +44,7 @@
 ]
 
 _SIZE = re.compile(r"([0-9]{1,9}(?:\.[0-9]{1,9})?)(B|KiB|MiB|GiB)")
+_EXPONENT_NUMBER = re.compile(r"[0-9]+(?:\.[0-9]+)?[eE][+-]?[0-9]{1,3}")
 _BYTES_BY_UNIT = {"B": 1, "KiB": 1024, "MiB": 1024**2, "GiB": 1024**3}
 MAX_SHARE = 1e6
 MAX_AMOUNT = 1e12
@@ -83,6 +84,9 @@
 
 
 def _read_number(raw: object, *, below: float) -> float:
+    if isinstance(raw, str) and _EXPONENT_NUMBER.fullmatch(raw):
+        # YAML 1.1 reads a JSON number such as 1e-05 as text.
+        raw = float(raw)
     if (
         not isinstance(raw, int | float)
         or isinstance(raw, bool)
