Load only what a host uses

Change: the packages resolve their names when they are first used (lazy_loader, the stubs state them for the type checker), outer names are keyed by class name, and the role starts a module of its own without the other commands.

--- a/snipespring/__main__.py
+++ b/snipespring/__main__.py
@@ -1,5 +1,5 @@
 """Run the command line as a module."""
 
-from .cli import main
+from .cli.main import main
 
 main()
--- a/snipespring/cli/__init__.py
+++ b/snipespring/cli/__init__.py
@@ -1,5 +1,1 @@
 """Provide the command line interface."""
-
-from .main import main
-
-__all__ = ["main"]
--- /dev/null
+++ b/snipespring/controllers/__init__.pyi
@@ -0,0 +1,114 @@
+from .address_lister import AddressLister
+from .admission import AdmissionControl, ClaimControl, NoClaimControl
+from .body_memory_limiter import BodyMemoryLimiter
+from .canceller import Canceller
+from .catalog_builder import CatalogBuilder
+from .claim_handover_sender import ClaimHandoverSender
+from .claim_owner import ClaimOwner
+from .claimant import Claimant
+from .configurator import Configurator
+from .dispatcher import Dispatcher, NotPlaced, Placed
+from .domain_address_lister import DomainAddressLister
+from .domain_link import DomainLink
+from .feed_follower import (
+    ConfigurationFollower,
+    Feed,
+    FeedFollower,
+)
+from .fence_tracker import FenceTracker
+from .forwarder import Forwarder
+from .health_evaluator import HealthEvaluator
+from .health_reporter import HealthReporter
+from .historian import EventRecorder
+from .host_registrar import HostRegistrar
+from .lease_manager import LeaseManager
+from .limiter import Limiter
+from .metrics_recorder import MetricsRecorder
+from .observations import read_newest_configuration, read_newest_roster
+from .puller import Puller
+from .responder import Responder
+from .roster_manager import RosterManager
+from .rules_editor import (
+    Accepted,
+    Conflicted,
+    DamagedRules,
+    NoRules,
+    RulesEditor,
+    StoredRules,
+    Unreachable,
+)
+from .runner import Controller, Runner
+from .segment_fetcher import SegmentFetcher
+from .sender import Delivery, Sender
+from .server_state_updater import ServerStateUpdater
+from .settings_keeper import SettingsReloader
+from .share_borrower import ShareBorrower
+from .share_handover_sender import ShareHandoverSender
+from .share_manager import ShareManager
+from .status_reporter import StatusReporter
+from .store_lease_manager import StoreLeaseManager
+from .subset_selector import SubsetSelector
+from .suspicion_tracker import SuspicionTracker
+from .tenure_tracker import TenureTracker
+from .usage_limiter import UsageLimiter
+from .watcher import Watcher
+
+__all__ = [
+    "Accepted",
+    "MetricsRecorder",
+    "DomainAddressLister",
+    "AddressLister",
+    "RulesEditor",
+    "BodyMemoryLimiter",
+    "Canceller",
+    "CatalogBuilder",
+    "ClaimHandoverSender",
+    "ClaimOwner",
+    "Claimant",
+    "ClaimControl",
+    "ConfigurationFollower",
+    "Configurator",
+    "StoreLeaseManager",
+    "Conflicted",
+    "Controller",
+    "DamagedRules",
+    "Delivery",
+    "Dispatcher",
+    "Feed",
+    "FeedFollower",
+    "FenceTracker",
+    "Forwarder",
+    "HealthEvaluator",
+    "ServerStateUpdater",
+    "HealthReporter",
+    "EventRecorder",
+    "HostRegistrar",
+    "LeaseManager",
+    "Limiter",
+    "AdmissionControl",
+    "NoClaimControl",
+    "NotPlaced",
+    "NoRules",
+    "Placed",
+    "Puller",
+    "Responder",
+    "RosterManager",
+    "StoredRules",
+    "Runner",
+    "SegmentFetcher",
+    "Sender",
+    "SuspicionTracker",
+    "SettingsReloader",
+    "ShareManager",
+    "ShareBorrower",
+    "ShareHandoverSender",
+    "StatusReporter",
+    "SubsetSelector",
+    "TenureTracker",
+    "Unreachable",
+    "UsageLimiter",
+    "Watcher",
+    "DomainLink",
+    "read_newest_configuration",
+    "read_newest_roster",
+]
--- a/snipespring/daemons/__init__.py
+++ b/snipespring/daemons/__init__.py
@@ -1,6 +1,5 @@
 """Assemble a host process from the blackboard, controllers and front ends."""
 
-from .logs import configure_logs
-from .proxy import Proxy, build_proxy, run_proxy
+import lazy_loader
 
-__all__ = ["Proxy", "build_proxy", "configure_logs", "run_proxy"]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/snipespring/decisions/domains/__init__.py
+++ b/snipespring/decisions/domains/__init__.py
@@ -1,52 +1,5 @@
 """Share usage, outcomes and liveness between hosts through hubs in each domain."""
 
-from .addresses import AddressListLimits, offer_addresses
-from .answers import (
-    count_answers_by_server,
-    count_server_answers,
-    record_answers,
-    sum_answers,
-)
-from .hubs import choose_hubs, is_hub
-from .known_hosts import list_known_hosts, list_outcome_recipients
-from .usage import (
-    RateTolerance,
-    admit_request,
-    count_usage,
-    prune_usage,
-    record_admission,
-    record_request,
-)
-from .views import (
-    make_digest,
-    make_summary,
-    make_view,
-    receive_report,
-    receive_summary,
-    view_from_digest,
-)
+import lazy_loader
 
-__all__ = [
-    "AddressListLimits",
-    "RateTolerance",
-    "admit_request",
-    "choose_hubs",
-    "count_answers_by_server",
-    "count_server_answers",
-    "count_usage",
-    "is_hub",
-    "list_known_hosts",
-    "list_outcome_recipients",
-    "make_digest",
-    "make_summary",
-    "make_view",
-    "offer_addresses",
-    "prune_usage",
-    "receive_report",
-    "receive_summary",
-    "record_admission",
-    "record_answers",
-    "record_request",
-    "sum_answers",
-    "view_from_digest",
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/snipespring/decisions/routing/__init__.py
+++ b/snipespring/decisions/routing/__init__.py
@@ -1,37 +1,5 @@
 """Choose backend servers by load, failure domain and health."""
 
-from .choice import Chosen, NoServer, ServersBusy, choose_server
-from .loads import (
-    cancel_reservation,
-    drain_check_at_s,
-    estimate_busy_slots,
-    failure_timeout_of,
-    load_of,
-    mean_busy_of_others,
-    release_server,
-    remove_unused_servers,
-    reserve_server,
-    service_load_of,
-)
-from .shares import draw_service
-from .subsets import choose_subset, order_hosts
+import lazy_loader
 
-__all__ = [
-    "Chosen",
-    "NoServer",
-    "ServersBusy",
-    "cancel_reservation",
-    "choose_server",
-    "choose_subset",
-    "drain_check_at_s",
-    "draw_service",
-    "estimate_busy_slots",
-    "failure_timeout_of",
-    "load_of",
-    "mean_busy_of_others",
-    "order_hosts",
-    "release_server",
-    "remove_unused_servers",
-    "reserve_server",
-    "service_load_of",
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- /dev/null
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -0,0 +1,35 @@
+from .choice import Chosen, NoServer, ServersBusy, choose_server
+from .loads import (
+    cancel_reservation,
+    drain_check_at_s,
+    estimate_busy_slots,
+    failure_timeout_of,
+    load_of,
+    mean_busy_of_others,
+    release_server,
+    remove_unused_servers,
+    reserve_server,
+    service_load_of,
+)
+from .shares import draw_service
+from .subsets import choose_subset, order_hosts
+
+__all__ = [
+    "Chosen",
+    "NoServer",
+    "ServersBusy",
+    "cancel_reservation",
+    "choose_server",
+    "choose_subset",
+    "drain_check_at_s",
+    "draw_service",
+    "estimate_busy_slots",
+    "failure_timeout_of",
+    "load_of",
+    "mean_busy_of_others",
+    "order_hosts",
+    "release_server",
+    "remove_unused_servers",
+    "reserve_server",
+    "service_load_of",
+]
--- a/snipespring/frontends/cbor.py
+++ b/snipespring/frontends/cbor.py
@@ -52,11 +52,14 @@
 
 
 def _has_outer_names(kind: Any) -> bool:
-    return isinstance(kind, type) and kind in FIELD_NAMES
+    return isinstance(kind, type) and kind.__name__ in FIELD_NAMES
 
 
 def _make_overrides(kind: type[Any]) -> Any:
-    return {name: override(rename=outer) for name, outer in FIELD_NAMES[kind].items()}
+    return {
+        name: override(rename=outer)
+        for name, outer in FIELD_NAMES[kind.__name__].items()
+    }
 
 
 def _read_exact_type(raw: Any, kind: type[Any]) -> Any:
--- a/snipespring/frontends/fleet_objects/__init__.py
+++ b/snipespring/frontends/fleet_objects/__init__.py
@@ -1,23 +1,5 @@
 """Encode the objects that the fleet stores in the platform's store."""
 
-from .codec import (
-    CONFIGURATION_OBJECT,
-    ROSTER_OBJECT,
-    decode_root,
-    decode_roster,
-    encode_root,
-    encode_roster,
-    make_segment_name,
-)
-from .store import FleetObjectStore
+import lazy_loader
 
-__all__ = [
-    "CONFIGURATION_OBJECT",
-    "FleetObjectStore",
-    "ROSTER_OBJECT",
-    "decode_root",
-    "decode_roster",
-    "encode_root",
-    "encode_roster",
-    "make_segment_name",
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/snipespring/frontends/operators/__init__.py
+++ b/snipespring/frontends/operators/__init__.py
@@ -1,5 +1,5 @@
 """Serve operators: metrics, state dump, status and events."""
 
-from .app import OperatorsApp
+import lazy_loader
 
-__all__ = ["OperatorsApp"]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- /dev/null
+++ b/snipespring/frontends/operators/__init__.pyi
@@ -0,0 +1,3 @@
+from .app import OperatorsApp
+
+__all__ = ["OperatorsApp"]
--- a/snipespring/frontends/operators/app.py
+++ b/snipespring/frontends/operators/app.py
@@ -17,7 +17,6 @@
 )
 from ..http_server import Environ, StartResponse
 from .dump import dump_board, dump_record
-from .metrics import render_metrics
 
 __all__ = ["OperatorsApp"]
 
@@ -44,6 +43,9 @@
     def _answer(self, path: str) -> tuple[str, str, bytes]:
         match path:
             case "/metrics":
+                # Not at the top, since its import would delay each start of a host.
+                from .metrics import render_metrics
+
                 content = render_metrics(self.board.read(COUNTERS), ())
                 return "200 OK", TEXT_TYPE, content
             case "/dump":
--- a/snipespring/frontends/peers/__init__.py
+++ b/snipespring/frontends/peers/__init__.py
@@ -1,13 +1,5 @@
 """Exchange authenticated messages with other hosts over websockets and CBOR."""
 
-from .client import PeerClient, PooledPeerClient
-from .codec import decode_message, encode_message
-from .server import PeerServer
+import lazy_loader
 
-__all__ = [
-    "PeerClient",
-    "PooledPeerClient",
-    "PeerServer",
-    "decode_message",
-    "encode_message",
-]
+__getattr__, __dir__, __all__ = lazy_loader.attach_stub(__name__, __file__)
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -282,8 +282,8 @@
 
 
 def test_a_renamed_field_keeps_its_outer_name(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(outer_names.FIELD_NAMES, Renamed, {"inner": "outer"})
-    monkeypatch.setitem(outer_names.KIND_NAMES, Renamed, "Outer")
+    monkeypatch.setitem(outer_names.FIELD_NAMES, "Renamed", {"inner": "outer"})
+    monkeypatch.setitem(outer_names.KIND_NAMES, "Renamed", "Outer")
     converter = cbor.make_strict_converter()
     raw = converter.unstructure(Renamed(inner=7))
     assert loads(dumps(raw)) == {"outer": 7}
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -75,7 +75,7 @@
     assert (settings.platform.revoke_s, settings.stop.grace_s) == (5.0, 6.0)
     assert settings.callers.memory_bytes == 300 * 1024 * 1024
     assert settings.retries.share == 0.2
-    assert settings.retries.slack == 56
+    assert settings.retries.slack == 56.0
 
 
 @pytest.mark.parametrize(
