Relay changes to servers within a failure domain

Change: digests state the revision up to which a hub knows the servers; a host that is behind asks the hub for the changes and applies them if they follow what it knows. It queries the store itself at its start, while no hub has shown for the notice time that it reaches the store, and when it stays behind for 0.6 s. A listing or answer that is older than what is known only confirms that the store answers.

--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -14,6 +14,7 @@
     ConfigurationFollower,
     Feed,
     FeedFollower,
+    ServerFollower,
 )
 from .fence_tracker import FenceTracker
 from .forwarder import Forwarder
@@ -76,6 +77,7 @@
     "Dispatcher",
     "Feed",
     "FeedFollower",
+    "ServerFollower",
     "FenceTracker",
     "Forwarder",
     "HealthEvaluator",
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -17,6 +17,7 @@
     DOMAIN_REPORTS,
     FLEET_VIEW,
     HOST_FEED,
+    SERVER_FEED,
     STORE_RELAY,
     USAGE_LOG,
 )
@@ -39,6 +40,12 @@
     receive_summary,
     view_from_digest,
 )
+from ..decisions.server_relay import (
+    answer_server_query,
+    make_server_mark,
+    make_server_query,
+    record_server_mark,
+)
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
@@ -50,6 +57,8 @@
     OutcomeNotification,
     PublishedHost,
     ReportDigest,
+    ServerChanges,
+    ServerQuery,
     StoreRelay,
 )
 from ..utils import Clock
@@ -72,7 +81,8 @@
     """Write the domain reports, the fleet view and the store relay.
 
     Usage is counted over the last `window_s` seconds. `on_outcome` is called with each
-    outcome notification from another host.
+    outcome notification from another host, and `on_server_changes` with each reply to
+    a query for changes to servers.
     """
 
     board: Board
@@ -82,6 +92,7 @@
     incarnation: Incarnation
     window_s: float
     on_outcome: Callable[[OutcomeNotification], None]
+    on_server_changes: Callable[[ServerChanges], None]
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -135,6 +146,11 @@
                 )
             case DomainSummary():
                 return
+            case ServerQuery():
+                self._answer_server_query(message, sender)
+            case ServerChanges():
+                if self._is_sent_by(message.sender, sender):
+                    self.on_server_changes(message)
 
     def broadcast_outcome(self, outcome: OutcomeNotification) -> None:
         """Send an outcome to this domain's hosts and one hub of each other domain."""
@@ -219,7 +235,8 @@
         )
         feed = self.board.read(CONFIGURATION_FEED)
         confirmation = make_confirmation(feed, now_s=now_s)
-        digest = evolve(digest, confirmation=confirmation)
+        mark = make_server_mark(self.board.read(SERVER_FEED))
+        digest = evolve(digest, confirmation=confirmation, servers=mark)
         self.datagrams.send(sender, digest)
 
     def _receive_digest(self, digest: ReportDigest, sender: Address) -> None:
@@ -235,9 +252,31 @@
                     relay, digest.confirmation, sent_s=sent_s
                 )
             )
+            self._catch_up_on_servers(digest, sender)
         view = view_from_digest(digest, now_s=self.clock.monotonic_s())
         self.board.write(FLEET_VIEW, view, writer=self.name)
 
+    def _catch_up_on_servers(self, digest: ReportDigest, sender: Address) -> None:
+        """Ask the sender of a digest for changes to servers that it knows."""
+        servers, now_s = self.board.read(SERVER_FEED), self.clock.monotonic_s()
+        mark = digest.servers
+        self._update_relay(
+            lambda relay: record_server_mark(relay, servers, mark, now_s=now_s)
+        )
+        query = make_server_query(servers, mark, self.own_host.host_id)
+        if query is not None:
+            self.datagrams.send(sender, query)
+
+    def _answer_server_query(self, query: ServerQuery, sender: Address) -> None:
+        changes = answer_server_query(
+            self.board.read(SERVER_FEED),
+            query,
+            self.own_host.host_id,
+            now_s=self.clock.monotonic_s(),
+        )
+        if changes is not None:
+            self.datagrams.send(sender, changes)
+
     def _update_own_view(self, now_s: float) -> None:
         reports = self.board.read(DOMAIN_REPORTS)
         view = make_view(
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -4,6 +4,7 @@
 confirmations that the version in use is still the newest.
 """
 
+from collections.abc import Callable
 from random import Random
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -14,6 +15,11 @@
 from ..decisions.confirmations import QueryStore, UseRelayedConfirmation, check_relay
 from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
 from ..decisions.membership import draw_backoff_s
+from ..decisions.server_relay import (
+    AwaitRelay,
+    apply_server_changes,
+    check_server_relay,
+)
 from ..records import (
     Configuration,
     FeedChanges,
@@ -21,13 +27,15 @@
     FeedListing,
     FeedUnavailable,
     FeedView,
+    PublishedServer,
+    ServerChanges,
     StoreStep,
 )
 from ..utils import Clock
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
 
-__all__ = ["ConfigurationFollower", "Feed", "FeedFollower"]
+__all__ = ["ConfigurationFollower", "Feed", "FeedFollower", "ServerFollower"]
 
 T = TypeVar("T")
 
@@ -82,43 +90,53 @@
             listed = self.feed.list_items()
             match listed:
                 case FeedListing():
-                    view, skipped = apply_listing(
-                        known, listed, sent_s=sent_s, now_s=self.clock.monotonic_s()
+                    now_s = self.clock.monotonic_s()
+                    return self._update_view(
+                        lambda view: apply_listing(
+                            view, listed, sent_s=sent_s, now_s=now_s
+                        )
                     )
-                    return self._store_view(view, skipped)
                 case FeedUnavailable():
-                    return self._handle_failure(known, listed, sent_s)
+                    return self._handle_failure(listed, sent_s)
         self.metrics.count("store_calls", f"{self.name}_watch")
         answer = self.feed.watch(after=known.revision, wait_s=self.wait_s)
         match answer:
             case FeedUnavailable():
-                return self._handle_failure(known, answer, sent_s)
+                return self._handle_failure(answer, sent_s)
             case FeedChanges() | FeedGap():
-                view, skipped = apply_watch_answer(
-                    known, answer, sent_s=sent_s, now_s=self.clock.monotonic_s()
+                now_s = self.clock.monotonic_s()
+                pause_s = self._update_view(
+                    lambda view: apply_watch_answer(
+                        view, answer, sent_s=sent_s, now_s=now_s
+                    )
                 )
-                pause_s = self._store_view(view, skipped)
                 return CHANGE_BATCH_PAUSE_S if _has_changes(answer) else pause_s
 
-    def _store_view(self, view: FeedView[T], skipped: tuple[SkippedItem, ...]) -> float:
+    def _update_view(
+        self,
+        change: Callable[[FeedView[T]], tuple[FeedView[T], tuple[SkippedItem, ...]]],
+    ) -> float:
+        skipped = self.board.transact(self.region, change, writer=self.name)
         if self._failures:
             self._record(f"store recovered after {self._failures} failed calls")
         self._failures = 0
         for item in skipped:
             self._record(f"skipped item {item.name}: {item.reason}")
-        self.board.write(self.region, view, writer=self.name)
         return 0.0
 
-    def _handle_failure(
-        self, known: FeedView[T], failure: FeedUnavailable, sent_s: float
-    ) -> float:
+    def _handle_failure(self, failure: FeedUnavailable, sent_s: float) -> float:
         now_s = self.clock.monotonic_s()
         if self._failures == 0:
             self._record(f"store unavailable: {failure.reason}")
         self._failures += 1
         self.metrics.count("store_failures", self.name)
-        view, _ = apply_watch_answer(known, failure, sent_s=sent_s, now_s=now_s)
-        self.board.write(self.region, view, writer=self.name)
+        self.board.update(
+            self.region,
+            lambda view: apply_watch_answer(view, failure, sent_s=sent_s, now_s=now_s)[
+                0
+            ],
+            writer=self.name,
+        )
         return draw_backoff_s(self._failures, max_s=MAX_BACKOFF_S, rng=self.rng)
 
     def _record(self, evidence: str) -> None:
@@ -170,3 +188,47 @@
                 if view != known:
                     board.write(follower.region, view, writer=self.name)
                 return next_query_s - now_s
+
+
+@define(kw_only=True, eq=False)
+class ServerFollower:
+    """Follow the registered servers by relayed changes or by the store.
+
+    The store is queried while no other host of the failure domain has shown within
+    `limit_s` seconds that it reaches the store.
+    """
+
+    feed_follower: FeedFollower[PublishedServer]
+    limit_s: float
+    watches: tuple[Region[Any], ...] = field(default=(STORE_RELAY,), init=False)
+    _next_query_s: float = field(default=0.0, init=False)
+
+    @property
+    def name(self) -> str:
+        """Return the name under which this controller writes to the blackboard."""
+        return self.feed_follower.name
+
+    def step(self) -> float:
+        """Wait for relayed changes or query the store; return seconds to wait."""
+        follower, board = self.feed_follower, self.feed_follower.board
+        now_s = follower.clock.monotonic_s()
+        known, relay = board.read(follower.region), board.read(STORE_RELAY)
+        match check_server_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
+            case QueryStore() if now_s < self._next_query_s:
+                return self._next_query_s - now_s
+            case QueryStore():
+                pause_s = follower.step()
+                self._next_query_s = follower.clock.monotonic_s() + pause_s
+                return pause_s
+            case AwaitRelay(next_check_s=next_check_s):
+                return next_check_s - now_s
+
+    def receive_changes(self, changes: ServerChanges) -> None:
+        """Apply changes to servers that another host has relayed."""
+        follower = self.feed_follower
+        now_s = follower.clock.monotonic_s()
+        follower.board.update(
+            follower.region,
+            lambda view: apply_server_changes(view, changes, now_s=now_s),
+            writer=self.name,
+        )
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -37,6 +37,7 @@
     PublishedHost,
     RelayedVersion,
     ReportDigest,
+    ServerChanges,
     UsageLog,
 )
 from snipespring.utils import ManualClock
@@ -75,6 +76,7 @@
     dead: set[HostId] = field(factory=set)
     links: dict[Address, DomainLink] = field(factory=dict)
     outcomes: dict[HostId, list[str]] = field(factory=dict)
+    changes: dict[HostId, list[ServerChanges]] = field(factory=dict)
     cross_domain_datagrams: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -100,6 +102,7 @@
             incarnation=Incarnation("first"),
             window_s=5.0,
             on_outcome=lambda outcome: instances.append(outcome.instance),
+            on_server_changes=self.changes.setdefault(own_host.host_id, []).append,
         )
 
     def deliver(
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -28,6 +28,7 @@
     GatewayContext,
     build_auxiliary_servers,
     build_callers_server,
+    build_server_follower,
     build_store_followers,
     compute_thread_count,
     make_gateway_context,
@@ -96,6 +97,7 @@
         address=settings.listen.peers,
         on_message=lambda message, sender: domain_link.receive(message, sender),
     )
+    server_follower = build_server_follower(context)
     domain_link = DomainLink(
         board=process.board,
         clock=process.clock,
@@ -104,6 +106,7 @@
         incarnation=context.incarnation,
         window_s=settings.limits.window_s,
         on_outcome=lambda outcome: suspicion_tracker.receive_outcome(outcome),
+        on_server_changes=server_follower.receive_changes,
     )
     suspicion_tracker = SuspicionTracker(
         board=process.board,
@@ -136,6 +139,7 @@
     store_followers = build_store_followers(context)
     controllers = (
         *store_followers,
+        server_follower,
         domain_link,
         suspicion_tracker,
         *requests.controllers,
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -17,6 +17,7 @@
     FeedFollower,
     Forwarder,
     HostRegistrar,
+    ServerFollower,
     StoreLeaseManager,
 )
 from ..decisions.catalog import RetryBounds
@@ -38,6 +39,7 @@
     "WATCH_FRACTION",
     "GatewayContext",
     "build_callers_server",
+    "build_server_follower",
     "build_store_followers",
     "build_auxiliary_servers",
     "compute_thread_count",
@@ -123,16 +125,13 @@
     """Build the controllers that follow the platform's store."""
     process, platform = context.process, context.settings.platform
     configurations = configuration_feed(context.store)
-    notice_s = min(platform.apply_s, NOTICE_FRACTION * platform.revoke_s)
-    watch_s, limit_s = WATCH_FRACTION * notice_s, RELAY_FRACTION * notice_s
+    watch_s = WATCH_FRACTION * _compute_notice_s(context)
+    limit_s = RELAY_FRACTION * _compute_notice_s(context)
     follower = _build_feed_follower(
         process, configurations, CONFIGURATION_FEED, watch_s
     )
     return (
         ConfigurationFollower(feed_follower=follower, limit_s=limit_s),
-        _build_feed_follower(
-            process, server_feed(context.store), SERVER_FEED, SERVER_WATCH_TIMEOUT_S
-        ),
         _build_registrar(context),
         CatalogBuilder(
             board=process.board,
@@ -153,6 +152,25 @@
     )
 
 
+def build_server_follower(context: GatewayContext) -> ServerFollower:
+    """Build the controller that follows the registered servers."""
+    follower = _build_feed_follower(
+        context.process,
+        server_feed(context.store),
+        SERVER_FEED,
+        SERVER_WATCH_TIMEOUT_S,
+    )
+    return ServerFollower(
+        feed_follower=follower, limit_s=RELAY_FRACTION * _compute_notice_s(context)
+    )
+
+
+def _compute_notice_s(context: GatewayContext) -> float:
+    """Return the time within which a host notices a change in the store."""
+    platform = context.settings.platform
+    return min(platform.apply_s, platform.drain_s, NOTICE_FRACTION * platform.revoke_s)
+
+
 def _build_feed_follower(
     process: ProcessContext, feed: Feed[T], region: Region[FeedView[T]], wait_s: float
 ) -> FeedFollower[T]:
--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -41,16 +41,22 @@
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
     """Return the feed after a complete listing, and the items skipped as invalid.
 
-    Items that are missing from the listing count as removed at `now_s`.
+    Items that are missing from the listing count as removed at `now_s`. A listing
+    that is older than the feed only confirms that the store answers.
     """
+    if view.revision is not None and listing.revision < view.revision:
+        return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), ()
     items = view.items
     listed = {item.name for item in listing.items}
-    removed = view.removed_s
-    for name in items:
-        if name not in listed and name not in removed:
-            removed = removed.set(name, now_s)
-    view = evolve(view, removed_s=removed, revision=listing.revision)
-    view, skipped = _apply_items(view, listing.items, now_s)
+    missing = tuple(
+        FeedItem[T | None](name=name, revision=listing.revision, content=None)
+        for name in items
+        if name not in listed
+    )
+    view = evolve(view, revision=listing.revision)
+    view, skipped = _apply_items(
+        view, (*missing, *listing.items), listing.revision, now_s
+    )
     return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), skipped
 
 
@@ -63,9 +69,12 @@
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
     """Return the feed after the answer to a watch, and the items skipped as invalid."""
     match answer:
+        case FeedChanges(revision=revision) if revision < (view.revision or 0):
+            # Another host has relayed these changes and later ones meanwhile.
+            return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), ()
         case FeedChanges(changes=changes, revision=revision):
-            view, skipped = _apply_items(view, changes, now_s)
-            view = evolve(view, revision=max(revision, view.revision or 0))
+            view, skipped = _apply_items(view, changes, revision, now_s)
+            view = evolve(view, revision=revision)
             return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), skipped
         case FeedGap():
             return evolve(view, revision=None), ()
@@ -111,25 +120,30 @@
 def _apply_items(
     view: FeedView[T],
     changes: Iterable[FeedItem[T] | FeedItem[T | None]],
+    revision: int,
     now_s: float,
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
-    items, removed = view.items, view.removed_s
+    items, removed, changed = view.items, view.removed_s, view.changed
     skipped: list[SkippedItem] = []
     for change in changes:
+        name = change.name
         match change.content:
             case InvalidItem(reason=reason):
-                skipped.append(SkippedItem(name=change.name, reason=reason))
-                if change.name in items:
-                    removed = removed.set(change.name, now_s)
+                skipped.append(SkippedItem(name=name, reason=reason))
+                is_removed = name in items and name not in removed
             case None:
-                if change.name in items:
-                    removed = removed.set(change.name, now_s)
+                is_removed = name in items and name not in removed
             case content:
-                items = items.set(change.name, content)
-                removed = (
-                    removed.delete(change.name) if change.name in removed else removed
-                )
-    return evolve(view, items=items, removed_s=removed), tuple(skipped)
+                if items.get(name) != content or name in removed:
+                    changed = changed.set(name, revision)
+                items = items.set(name, content)
+                removed = removed.delete(name) if name in removed else removed
+                continue
+        if is_removed:
+            removed = removed.set(name, now_s)
+            changed = changed.set(name, revision)
+    view = evolve(view, items=items, removed_s=removed, changed=changed)
+    return view, tuple(skipped)
 
 
 def _mark_confirmed(view: FeedView[T], *, sent_s: float, now_s: float) -> FeedView[T]:
--- /dev/null
+++ b/snipespring/decisions/server_relay.py
@@ -0,0 +1,143 @@
+"""Pass changes to the registered servers on from one host of a failure domain.
+
+Revisions are those of the store, so that changes from several hosts can be combined.
+"""
+
+from attrs import evolve, frozen
+
+from ..records import (
+    AwaitedServers,
+    FeedView,
+    HostId,
+    PublishedServer,
+    ServerChange,
+    ServerChanges,
+    ServerMark,
+    ServerQuery,
+    StoreRelay,
+)
+from .confirmations import QueryStore
+
+__all__ = [
+    "AwaitRelay",
+    "answer_server_query",
+    "apply_server_changes",
+    "check_server_relay",
+    "make_server_mark",
+    "make_server_query",
+    "record_server_mark",
+]
+
+# A reply with more changes might not fit into one datagram.
+MAX_CHANGES = 256
+# A host that is behind for longer queries the store itself.
+MAX_BEHIND_S = 0.6
+
+
+@frozen(kw_only=True)
+class AwaitRelay:
+    """Use the relayed changes; check again at `next_check_s` at the latest."""
+
+    next_check_s: float
+
+
+def check_server_relay(
+    view: FeedView[PublishedServer], relay: StoreRelay, *, limit_s: float, now_s: float
+) -> QueryStore | AwaitRelay:
+    """Return whether relayed changes replace a query to the store.
+
+    They do while the watching host has confirmed the configuration within `limit_s`
+    seconds, which shows that it reaches the store.
+    """
+    if relay.is_watcher or relay.relayed is None or view.revision is None:
+        return QueryStore()
+    until_s = relay.relayed.confirmed_s + limit_s
+    if relay.awaited is not None:
+        until_s = min(until_s, relay.awaited.since_s + MAX_BEHIND_S)
+    return QueryStore() if now_s >= until_s else AwaitRelay(next_check_s=until_s)
+
+
+def make_server_mark(view: FeedView[PublishedServer]) -> ServerMark | None:
+    """Return up to which revision the servers are known, None before a listing."""
+    return None if view.revision is None else ServerMark(revision=view.revision)
+
+
+def make_server_query(
+    view: FeedView[PublishedServer], mark: ServerMark | None, own_id: HostId
+) -> ServerQuery | None:
+    """Return the query for changes that another host knows, None if there are none."""
+    if mark is None or view.revision is None or mark.revision <= view.revision:
+        return None
+    return ServerQuery(sender=own_id, after=view.revision)
+
+
+def record_server_mark(
+    relay: StoreRelay,
+    view: FeedView[PublishedServer],
+    mark: ServerMark | None,
+    *,
+    now_s: float,
+) -> StoreRelay:
+    """Return the relay state after a digest; the same object if nothing changes."""
+    awaited, known = relay.awaited, view.revision or 0
+    if awaited is not None and awaited.revision > known:
+        return relay
+    if mark is not None and mark.revision > known:
+        awaited = AwaitedServers(revision=mark.revision, since_s=now_s)
+    else:
+        awaited = None
+    return relay if awaited == relay.awaited else evolve(relay, awaited=awaited)
+
+
+def answer_server_query(
+    view: FeedView[PublishedServer], query: ServerQuery, own_id: HostId, *, now_s: float
+) -> ServerChanges | None:
+    """Return the changes after a revision, None if there are none or too many."""
+    if view.revision is None or view.revision <= query.after:
+        return None
+    changes = tuple(
+        ServerChange(
+            name=name, server=None if name in view.removed_s else view.items[name]
+        )
+        for name, revision in view.changed.items()
+        if revision > query.after
+    )
+    if len(changes) > MAX_CHANGES:
+        return None
+    recovered_s = view.recovered_s
+    return ServerChanges(
+        sender=own_id,
+        after=query.after,
+        until=view.revision,
+        recovered_age_s=None if recovered_s is None else now_s - recovered_s,
+        changes=changes,
+    )
+
+
+def apply_server_changes(
+    view: FeedView[PublishedServer], received: ServerChanges, *, now_s: float
+) -> FeedView[PublishedServer]:
+    """Return the feed after relayed changes; the same object if they do not apply."""
+    if view.revision is None or not received.after <= view.revision < received.until:
+        return view
+    items, removed, changed = view.items, view.removed_s, view.changed
+    for change in received.changes:
+        name = change.name
+        match change.server:
+            case None if name in items:
+                removed = removed if name in removed else removed.set(name, now_s)
+            case None:
+                continue
+            case server:
+                items = items.set(name, server)
+                removed = removed.delete(name) if name in removed else removed
+        changed = changed.set(name, received.until)
+    age_s = received.recovered_age_s
+    return evolve(
+        view,
+        items=items,
+        removed_s=removed,
+        changed=changed,
+        revision=received.until,
+        recovered_s=None if age_s is None else now_s - age_s,
+    )
--- /dev/null
+++ b/snipespring/decisions/tests/test_server_relay.py
@@ -0,0 +1,187 @@
+"""Test that relayed changes give the same servers as the store."""
+
+from typing import Any
+
+import pytest
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snipespring.decisions.confirmations import QueryStore
+from snipespring.decisions.feeds import apply_listing, apply_watch_answer
+from snipespring.decisions.server_relay import (
+    MAX_CHANGES,
+    AwaitRelay,
+    answer_server_query,
+    apply_server_changes,
+    check_server_relay,
+    make_server_mark,
+    make_server_query,
+    record_server_mark,
+)
+from snipespring.records import (
+    Address,
+    DomainName,
+    FeedChanges,
+    FeedItem,
+    FeedListing,
+    FeedView,
+    HostId,
+    PublishedServer,
+    RelayedVersion,
+    ServerMark,
+    ServerQuery,
+    ServiceName,
+    StoreRelay,
+)
+
+HUB, OWN = HostId("hub"), HostId("own")
+View = FeedView[PublishedServer]
+
+
+def server(name: str, born_ms: int = 0) -> PublishedServer:
+    return PublishedServer(
+        instance=name,
+        born_ms=born_ms,
+        service=ServiceName("ledger"),
+        address=Address(ip="10.0.0.1", port=80),
+        domain=DomainName("a"),
+        slots=3,
+        is_draining=False,
+        warmup_s=0.0,
+    )
+
+
+def item(name: str, revision: int, content: Any) -> FeedItem[Any]:
+    return FeedItem(name=name, revision=revision, content=content)
+
+
+def list_all(names: list[str], revision: int) -> View:
+    listing = FeedListing(
+        items=tuple(item(name, revision, server(name)) for name in names),
+        revision=revision,
+    )
+    return apply_listing(FeedView(), listing, sent_s=0.0, now_s=0.0)[0]
+
+
+def watch(view: View, revision: int, *changes: FeedItem[Any]) -> View:
+    answer = FeedChanges(changes=changes, revision=revision)
+    return apply_watch_answer(view, answer, sent_s=1.0, now_s=1.0)[0]
+
+
+def catch_up(view: View, hub: View) -> View:
+    query = make_server_query(view, make_server_mark(hub), OWN)
+    if query is None:
+        return view
+    changes = answer_server_query(hub, query, HUB, now_s=2.0)
+    return view if changes is None else apply_server_changes(view, changes, now_s=2.0)
+
+
+def active(view: View) -> dict[str, PublishedServer]:
+    return {
+        name: content
+        for name, content in view.items.items()
+        if name not in view.removed_s
+    }
+
+
+events = st.lists(
+    st.tuples(
+        st.sampled_from("abcdef"),
+        st.one_of(st.none(), st.integers(1, 3)),
+        st.sampled_from(("hub", "own", "both", "relay")),
+    ),
+    max_size=30,
+)
+
+
+@given(events=events)
+def test_store_and_relay_in_any_order_give_the_servers_of_the_store(
+    events: list[tuple[str, int | None, str]],
+) -> None:
+    truth: dict[str, PublishedServer] = {name: server(name) for name in "abc"}
+    hub = own = list_all(list(truth), 1)
+    log: list[FeedItem[Any]] = []
+    for revision, (name, born_ms, step) in enumerate(events, start=2):
+        content = None if born_ms is None else server(name, born_ms)
+        log.append(item(name, revision, content))
+        truth = {key: val for key, val in truth.items() if key != name}
+        if content is not None:
+            truth[name] = content
+        if step in ("hub", "both"):
+            hub = watch(hub, revision, *changes_after(log, hub))
+        if step in ("own", "both"):
+            own = watch(own, revision, *changes_after(log, own))
+        if step == "relay":
+            own = catch_up(own, hub)
+            assert own.revision is not None
+            assert hub.revision is not None
+            assert own.revision >= hub.revision
+    hub = watch(hub, len(events) + 1, *changes_after(log, hub))
+    own = catch_up(own, hub)
+    assert active(own) == active(hub) == truth
+
+
+def changes_after(log: list[FeedItem[Any]], view: View) -> list[FeedItem[Any]]:
+    return [change for change in log if change.revision > (view.revision or 0)]
+
+
+def test_answer_of_the_store_older_than_the_relayed_changes_is_not_applied() -> None:
+    hub = watch(list_all(["a"], 1), 3, item("a", 2, None), item("b", 3, server("b")))
+    own = catch_up(list_all(["a"], 1), hub)
+    own = watch(own, 2, item("a", 2, server("a", born_ms=1)))
+    assert set(active(own)) == {"b"}
+    assert own.revision == 3
+
+
+def test_changes_after_a_later_revision_leave_a_gap_and_are_not_applied() -> None:
+    hub = watch(list_all(["a"], 5), 6, item("a", 6, None))
+    changes = answer_server_query(hub, ServerQuery(sender=OWN, after=5), HUB, now_s=1.0)
+    assert changes is not None
+    behind = list_all(["a"], 4)
+    assert apply_server_changes(behind, changes, now_s=1.0) is behind
+
+
+def test_too_many_changes_are_left_to_the_store() -> None:
+    names = [f"s{number}" for number in range(MAX_CHANGES + 1)]
+    changes = [item(name, 2, server(name)) for name in names]
+    hub = watch(list_all([], 1), 2, *changes)
+    query = ServerQuery(sender=OWN, after=1)
+    assert answer_server_query(hub, query, HUB, now_s=1.0) is None
+
+
+def test_outage_at_the_hub_is_relayed_with_its_age() -> None:
+    hub = evolve(watch(list_all(["a"], 1), 2, item("a", 2, None)), recovered_s=0.5)
+    assert catch_up(list_all(["a"], 1), hub).recovered_s == pytest.approx(0.5)
+    hub = evolve(hub, recovered_s=None)
+    assert catch_up(list_all(["a"], 1), hub).recovered_s is None
+
+
+def test_relay_is_awaited_only_while_the_hub_reaches_the_store() -> None:
+    view = list_all(["a"], 1)
+    relay = StoreRelay(
+        is_watcher=False, relayed=RelayedVersion(version=1, confirmed_s=10.0)
+    )
+    at_s = {"limit_s": 1.4, "now_s": 11.0}
+    assert check_server_relay(view, relay, **at_s) == AwaitRelay(next_check_s=11.4)
+    assert check_server_relay(view, relay, limit_s=1.4, now_s=11.4) == QueryStore()
+    watcher = evolve(relay, is_watcher=True)
+    assert check_server_relay(view, watcher, **at_s) == QueryStore()
+    assert check_server_relay(FeedView(), relay, **at_s) == QueryStore()
+
+
+def test_host_that_stays_behind_queries_the_store() -> None:
+    view, mark = list_all(["a"], 1), ServerMark(revision=3)
+    relay = StoreRelay(
+        is_watcher=False, relayed=RelayedVersion(version=1, confirmed_s=10.0)
+    )
+    relay = record_server_mark(relay, view, mark, now_s=10.0)
+    relay = record_server_mark(relay, view, ServerMark(revision=4), now_s=10.5)
+    assert check_server_relay(view, relay, limit_s=1.4, now_s=10.7) == QueryStore()
+    caught_up = evolve(view, revision=3)
+    relay = record_server_mark(relay, caught_up, ServerMark(revision=4), now_s=10.8)
+    match check_server_relay(caught_up, relay, limit_s=1.4, now_s=10.9):
+        case AwaitRelay(next_check_s=next_check_s):
+            assert next_check_s == pytest.approx(11.4)
+        case QueryStore():
+            raise AssertionError("the host has caught up with what it awaited")
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from attrs import define, field, fields, has
+from attrs import NOTHING, define, field, fields, has
 from cbor2 import dumps, loads
 
 from ..records import (
@@ -17,6 +17,8 @@
     HostReport,
     OutcomeNotification,
     ReportDigest,
+    ServerChanges,
+    ServerQuery,
 )
 from .cbor import DECODING_ERRORS, make_strict_converter
 
@@ -28,6 +30,8 @@
     ReportDigest,
     DomainSummary,
     OutcomeNotification,
+    ServerQuery,
+    ServerChanges,
 )
 
 log = logging.getLogger(__name__)
@@ -45,9 +49,13 @@
 
 def _make_decode(kind: type[Any]) -> Callable[[Any, Any], Any]:
     attributes = [(attribute.name, attribute.type) for attribute in fields(kind)]
+    # An older build sends records without the optional fields added since.
+    required = [item for item in fields(kind) if item.default is NOTHING]
 
     def decode(raw: Any, _: Any) -> Any:
-        pairs = zip(attributes, raw, strict=True)
+        if not len(required) <= len(raw) <= len(attributes):
+            raise ValueError(f"{len(raw)} values for {kind.__name__}")
+        pairs = zip(attributes, raw, strict=False)
         return kind(
             **{
                 name: _converter.structure(value, type_)
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -15,8 +15,14 @@
     OrganisationUsage,
     OutcomeNotification,
     PublishedHost,
+    PublishedServer,
     ReportDigest,
     ServerAnswers,
+    ServerChange,
+    ServerChanges,
+    ServerMark,
+    ServerQuery,
+    ServiceName,
 )
 
 names = st.text(min_size=1, max_size=12)
@@ -43,6 +49,17 @@
     callers=addresses,
     peers=addresses,
 )
+servers = st.builds(
+    PublishedServer,
+    instance=names,
+    born_ms=counts,
+    service=names.map(ServiceName),
+    address=addresses,
+    domain=names.map(DomainName),
+    slots=counts,
+    is_draining=st.booleans(),
+    warmup_s=st.floats(0.0, 9.0),
+)
 host_ids = st.lists(names.map(HostId), max_size=4).map(tuple)
 messages = st.one_of(
     st.builds(
@@ -67,6 +84,7 @@
         | st.builds(
             Confirmation, version=counts, age_s=st.floats(min_value=0.0, max_value=9.0)
         ),
+        servers=st.none() | st.builds(ServerMark, revision=counts),
     ),
     st.builds(
         DomainSummary,
@@ -83,6 +101,17 @@
         instance=names,
         is_failure=st.booleans(),
     ),
+    st.builds(ServerQuery, sender=names.map(HostId), after=counts),
+    st.builds(
+        ServerChanges,
+        sender=names.map(HostId),
+        after=counts,
+        until=counts,
+        recovered_age_s=st.none() | st.floats(0.0, 9.0),
+        changes=st.lists(
+            st.builds(ServerChange, name=names, server=st.none() | servers), max_size=3
+        ).map(tuple),
+    ),
 )
 
 
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -43,6 +43,7 @@
     ObservedObject,
     PublishedHost,
     PublishedServer,
+    ReportDigest,
     Roster,
     RosterChange,
     StopState,
@@ -212,13 +213,29 @@
     assert [content.hex() for content in encode_datagrams()] == read_golden("datagrams")
 
 
-def test_datagrams_of_an_older_build_are_decoded() -> None:
+def test_datagrams_of_this_build_are_decoded() -> None:
     for line in read_golden("datagrams"):
         message = decode_datagram(bytes.fromhex(line))
         assert message is not None
         assert encode_datagram(message).hex() == line
 
 
+def test_datagrams_of_an_older_build_are_decoded() -> None:
+    """Digests gained the field `servers`; all other bytes stay the same."""
+    for line in read_golden("datagrams_without_servers"):
+        message = decode_datagram(bytes.fromhex(line))
+        match message:
+            case None:
+                raise AssertionError(f"not decoded: {line}")
+            case ReportDigest(servers=servers):
+                assert servers is None
+                array_head, last_field = encode_datagram(message), "f6"
+                assert array_head.hex().endswith(last_field)
+                assert array_head.hex()[6:-2] == line[6:]
+            case _:
+                assert encode_datagram(message).hex() == line
+
+
 def test_fleet_objects_are_encoded_as_before() -> None:
     assert [content.hex() for content in encode_objects()] == read_golden(
         "fleet_objects"
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 from immutables import Map
 
-from .feeds import PublishedHost
+from .feeds import PublishedHost, ServerChanges, ServerMark, ServerQuery
 from .identity import DomainName, HostId, Incarnation, OrganisationName
 
 __all__ = [
@@ -91,6 +91,7 @@
     usage: tuple[OrganisationUsage, ...] = ()
     answers: tuple[ServerAnswers, ...] = ()
     confirmation: Confirmation | None = None
+    servers: ServerMark | None = None
 
 
 @frozen(kw_only=True)
@@ -121,7 +122,14 @@
     usage: tuple[OrganisationUsage, ...] = ()
 
 
-DomainMessage = HostReport | ReportDigest | DomainSummary | OutcomeNotification
+DomainMessage = (
+    HostReport
+    | ReportDigest
+    | DomainSummary
+    | OutcomeNotification
+    | ServerQuery
+    | ServerChanges
+)
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -8,6 +8,7 @@
 from .identity import Address, DomainName, HostId, ServiceName
 
 __all__ = [
+    "AwaitedServers",
     "FeedUnavailable",
     "FeedChanges",
     "FeedGap",
@@ -19,6 +20,10 @@
     "PublishedServer",
     "StoreRelay",
     "RelayedVersion",
+    "ServerChange",
+    "ServerChanges",
+    "ServerMark",
+    "ServerQuery",
 ]
 
 T = TypeVar("T")
@@ -100,6 +105,7 @@
 class FeedView(Generic[T]):
     """Represent the items of a feed as last received.
 
+    `changed` maps each item to the revision of the answer with its latest change.
     Times are local monotonic ones. `confirmed_s` is the time at which the latest
     answered request was sent, `removed_s` the time at which an item was found missing,
     and `recovered_s` the time at which the store answered again after an outage.
@@ -107,6 +113,7 @@
 
     items: Map[str, T] = field(default=Map(), repr=False)
     removed_s: Map[str, float] = field(default=Map(), repr=False)
+    changed: Map[str, int] = field(default=Map(), repr=False)
     revision: int | None = None
     confirmed_s: float | None = None
     recovered_s: float | None = None
@@ -123,12 +130,60 @@
     confirmed_s: float
 
 
+@frozen(kw_only=True)
+class ServerMark:
+    """State the revision up to which a host knows the registered servers."""
+
+    revision: int
+
+
+@frozen(kw_only=True)
+class AwaitedServers:
+    """Record since when this host awaits the changes up to a revision."""
+
+    revision: int
+    since_s: float
+
+
+@frozen(kw_only=True)
+class ServerQuery:
+    """Ask a host for the changes to servers after a revision of the store."""
+
+    sender: HostId
+    after: int
+
+
+@frozen(kw_only=True)
+class ServerChange:
+    """Represent the latest state of one registered server; None if it has left."""
+
+    name: str
+    server: PublishedServer | None
+
+
+@frozen(kw_only=True)
+class ServerChanges:
+    """List the servers that changed after one revision and up to another.
+
+    `recovered_age_s` is the time in seconds since the store answered the sender again
+    after an outage, None while it does not.
+    """
+
+    sender: HostId
+    after: int
+    until: int
+    recovered_age_s: float | None
+    changes: tuple[ServerChange, ...] = ()
+
+
 @frozen(kw_only=True)
 class StoreRelay:
     """Indicate whether this host queries the store for its failure domain.
 
     A host that does not query the store uses what a watching host relays to it.
+    `awaited` is None while this host knows all changes to servers that it heard of.
     """
 
     is_watcher: bool = True
     relayed: RelayedVersion | None = None
+    awaited: AwaitedServers | None = None
