Bound the reading of answers and check where they end

Cause, each shown by a test with a scripted server on a socket: a server that trickles its bytes held an attempt beyond its end, since each read had the whole time left; interim answers and trailers were read without end; bodies being read counted in no limit, so that a few endless ones filled a host of 200 MB. A length such as 5x, +5, 0_5 or one behind a damaged field was not read as a length, so that a body that broke off was a complete success; the same for an unknown transfer coding, chunk sizes in other notations and a last chunk without its end. A refusal that a server repeated while a body was still being sent ended the sending: the request was lost. Two requests with one id: the later end failed with KeyError, and its caller got a 500.

Change: each read ends with the attempt and counts in a limit (64 KiB for a head, 16 MiB for a body, 4 KiB for a chunk's line, 16 KiB for a trailer); bodies of answers count in the budget of bodies in memory; the framing of a body is a data class, and one that is not certain is refused; sending goes on after an answer to another request; attempts have ids of their own.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -1,7 +1,8 @@
 """Send admitted requests to backend servers, with retries."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import count
 from random import Random
 
 from attrs import define, evolve, field, frozen
@@ -100,6 +101,8 @@
     domain: DomainName
     pause: Callable[[float], None] = field(default=_pause)
     name: str = "sender"
+    # Callers may choose the ids of their requests, and may use one twice.
+    _attempt_ids: Iterator[int] = field(factory=count, init=False)
 
     def deliver(
         self,
@@ -198,7 +201,7 @@
         request = admitted.request
         run = admitted.route.run
         return BackendRequest(
-            request_id=f"{request.request_id}-{attempt_number}",
+            request_id=f"{request.request_id}-{next(self._attempt_ids)}",
             caller_request_id=request.request_id,
             attempt=attempt_number,
             method=request.method,
--- a/snipespring/controllers/tests/test_sender.py
+++ b/snipespring/controllers/tests/test_sender.py
@@ -1,3 +1,4 @@
+import threading
 from random import Random
 
 from attrs import evolve
@@ -16,6 +17,7 @@
     AnswerBroken,
     Answered,
     AnswerLate,
+    BackendRequest,
     BackendResult,
     ConnectFailed,
     FeedView,
@@ -23,11 +25,13 @@
     NotRun,
     PublishedHost,
     Ran,
+    Reply,
     RunAsUpload,
     RunIdempotent,
     RunOnce,
     RunPolicy,
     SendBroken,
+    ServerId,
     ShedByServer,
     Unknown,
 )
@@ -199,3 +203,27 @@
             service, make_admitted_request(RunIdempotent(), 1010.0), lambda: False
         )
     assert len(transport.sent) - 100 <= 100 * 0.16 + 44.0 / 40 + 1
+
+
+def test_two_requests_with_one_id_are_both_answered() -> None:
+    both_sent = threading.Barrier(2)
+    replies: list[Reply] = []
+
+    class WaitingTransport(ScriptedTransport):
+        def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
+            both_sent.wait(10.0)
+            return super().send(server, attempt)
+
+    sender = make_sender([])
+    sender.transport = WaitingTransport(results=[OK, OK])
+
+    def deliver() -> None:
+        admitted = make_admitted_request(RunOnce(), 1010.0)
+        replies.append(sender.deliver(SERVICE, admitted, lambda: False).reply)
+
+    threads = [threading.Thread(target=deliver) for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(20.0)
+    assert [reply.status for reply in replies] == [200, 200]
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -27,6 +27,7 @@
 from .gateway_parts import (
     GatewayContext,
     build_auxiliary_servers,
+    build_body_limiter,
     build_callers_server,
     build_server_follower,
     build_store_followers,
@@ -118,12 +119,14 @@
         broadcast_outcome=domain_link.broadcast_outcome,
     )
     threads = compute_thread_count(settings)
+    body_limiter = build_body_limiter(context)
     requests = build_requests(
         process,
         own_host=context.describe_host(),
         transport=HttpTransport(
             clock=process.clock,
             encoding=PlatformEncoding(),
+            body_budget=body_limiter,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         ),
         limiter=UsageLimiter(
@@ -149,7 +152,9 @@
         runner=Runner(board=process.board, controllers=controllers),
         domain_link=domain_link,
         links=links,
-        callers=build_callers_server(context, requests.forwarder, threads),
+        callers=build_callers_server(
+            context, requests.forwarder, body_limiter, threads
+        ),
         auxiliary_servers=build_auxiliary_servers(context),
     )
 
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -38,6 +38,7 @@
     "RELAY_FRACTION",
     "WATCH_FRACTION",
     "GatewayContext",
+    "build_body_limiter",
     "build_callers_server",
     "build_server_follower",
     "build_store_followers",
@@ -71,7 +72,7 @@
 MAX_AUXILIARY_BODY_BYTES = 65536
 MEMORY_PER_THREAD_BYTES = 2 * 1024 * 1024  # reserved for each thread
 MAX_THREADS = 256
-BODY_MEMORY_FRACTION = 0.25  # of the setting memory_bytes, for buffered request bodies
+BODY_MEMORY_FRACTION = 0.25  # of the setting memory_bytes, for bodies in memory
 CONNECTION_FRACTION = 0.6  # of the setting descriptors, for callers' connections
 # Waitress refuses a body of exactly this size; the platform's largest is 64 MiB.
 MAX_BODY_BYTES = 64 * 1024 * 1024 + 1
@@ -200,8 +201,20 @@
     )
 
 
+def build_body_limiter(context: GatewayContext) -> BodyMemoryLimiter:
+    """Build the limiter of the bodies of requests and answers in memory."""
+    memory_bytes = context.settings.callers.memory_bytes
+    return BodyMemoryLimiter(
+        board=context.process.board,
+        max_bytes=int(memory_bytes * BODY_MEMORY_FRACTION),
+    )
+
+
 def build_callers_server(
-    context: GatewayContext, forwarder: Forwarder, threads: int
+    context: GatewayContext,
+    forwarder: Forwarder,
+    body_limiter: BodyMemoryLimiter,
+    threads: int,
 ) -> HttpServer:
     """Build the HTTP server for callers."""
     options = context.settings.callers
@@ -211,10 +224,7 @@
         threads=threads,
         max_body_bytes=MAX_BODY_BYTES,
         connections=int(options.descriptors * CONNECTION_FRACTION),
-        body_budget=BodyMemoryLimiter(
-            board=context.process.board,
-            max_bytes=int(options.memory_bytes * BODY_MEMORY_FRACTION),
-        ),
+        body_budget=body_limiter,
     )
 
 
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -109,10 +109,13 @@
     limits = build_limits(context)
     health = build_health(context)
     claims = build_claims(context, secret)
+    body_limiter = BodyMemoryLimiter(
+        board=context.board, max_bytes=MAX_BUFFERED_BODY_BYTES
+    )
     requests = build_requests(
         context.process,
         own_host=context.own_host,
-        transport=HttpTransport(clock=context.clock),
+        transport=HttpTransport(clock=context.clock, body_budget=body_limiter),
         limiter=limits.limiter,
         claimant=claims.claimant,
         max_queued=settings.callers.queue,
@@ -131,7 +134,7 @@
         limits=limits,
         claims=claims,
         runner=Runner(board=context.board, controllers=controllers),
-        callers=_build_callers_server(context, requests, claims),
+        callers=_build_callers_server(context, requests, claims, body_limiter),
         operators=HttpServer(
             address=context.own_host.operators,
             app=OperatorsApp(board=context.board),
@@ -182,7 +185,10 @@
 
 
 def _build_callers_server(
-    context: ProxyContext, requests: RequestPart, claims: ClaimPart
+    context: ProxyContext,
+    requests: RequestPart,
+    claims: ClaimPart,
+    body_limiter: BodyMemoryLimiter,
 ) -> HttpServer:
     options = context.settings.callers
     address_lister = AddressLister(
@@ -200,7 +206,5 @@
         threads=options.threads + options.queue,
         max_body_bytes=options.max_body_bytes,
         connections=options.connections,
-        body_budget=BodyMemoryLimiter(
-            board=context.board, max_bytes=MAX_BUFFERED_BODY_BYTES
-        ),
+        body_budget=body_limiter,
     )
--- /dev/null
+++ b/snipespring/frontends/backends/bodies.py
@@ -0,0 +1,164 @@
+"""Read the bodies of backend servers' answers."""
+
+import re
+from http.client import HTTPException, HTTPResponse
+from io import BufferedReader
+
+from attrs import define, field, frozen
+
+from ..http_bodies import BodyBudget
+
+__all__ = [
+    "BodyBuffer",
+    "ChunkedBody",
+    "CloseDelimitedBody",
+    "Framing",
+    "MalformedAnswerError",
+    "NoBody",
+    "SizedBody",
+    "find_framing",
+    "read_body",
+]
+
+READ_BYTES = 65536
+MAX_CHUNK_LINE_BYTES = 4096
+MAX_TRAILER_BYTES = 16384
+BODILESS_STATUSES = frozenset({204, 304})
+# Content up to this size is not counted in the budget for bodies in memory.
+UNCOUNTED_BYTES = 65536
+RESERVATION_BYTES = 262144
+DECIMAL = re.compile(r"[0-9]{1,18}")
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+
+
+class MalformedAnswerError(HTTPException):
+    """Report that an answer is not valid HTTP or ends early."""
+
+
+@frozen(kw_only=True)
+class NoBody:
+    """Represent an answer that has no body by its status or method."""
+
+
+@frozen(kw_only=True)
+class SizedBody:
+    """Represent a body whose size the answer states."""
+
+    size_bytes: int
+
+
+@frozen(kw_only=True)
+class ChunkedBody:
+    """Represent a body in chunks, the last of which is empty."""
+
+
+@frozen(kw_only=True)
+class CloseDelimitedBody:
+    """Represent a body that ends with the connection."""
+
+
+Framing = NoBody | SizedBody | ChunkedBody | CloseDelimitedBody
+
+
+@define(kw_only=True, eq=False)
+class BodyBuffer:
+    """Collect a body within the budget for bodies in memory."""
+
+    budget: BodyBudget
+    content: bytearray = field(factory=bytearray, init=False)
+    _reserved_bytes: int = field(default=0, init=False)
+
+    def append(self, piece: bytes) -> None:
+        """Append a piece; raise MalformedAnswerError if the budget is exhausted."""
+        counted_bytes = len(self.content) + len(piece) - UNCOUNTED_BYTES
+        while self._reserved_bytes < counted_bytes:
+            if not self.budget.reserve(RESERVATION_BYTES):
+                raise MalformedAnswerError(
+                    f"this host holds too many bodies to read more than "
+                    f"{len(self.content)} bytes of this one"
+                )
+            self._reserved_bytes += RESERVATION_BYTES
+        self.content += piece
+
+    def close(self) -> None:
+        """Return the reserved bytes to the budget."""
+        if self._reserved_bytes:
+            self.budget.release(self._reserved_bytes)
+            self._reserved_bytes = 0
+
+
+def find_framing(resp: HTTPResponse, method: str) -> Framing:
+    """Return how the body ends; raise MalformedAnswerError if that is not certain."""
+    if resp.headers.defects:
+        raise MalformedAnswerError("the answer has a malformed header field")
+    if method == "HEAD" or resp.status in BODILESS_STATUSES:
+        return NoBody()
+    lengths = set(resp.headers.get_all("Content-Length", ()))
+    codings = resp.headers.get_all("Transfer-Encoding", ())
+    match [coding.strip().lower() for coding in codings], sorted(lengths):
+        case ["chunked"], []:
+            return ChunkedBody()
+        case [], [length] if DECIMAL.fullmatch(length.strip()):
+            return SizedBody(size_bytes=int(length))
+        case [], []:
+            return CloseDelimitedBody()
+    raise MalformedAnswerError(
+        f"the end of the body is uncertain: Transfer-Encoding {codings}, "
+        f"Content-Length {sorted(lengths)}"
+    )
+
+
+def read_body(
+    reader: BufferedReader, framing: Framing, body: BodyBuffer, *, max_bytes: int
+) -> None:
+    """Read a complete body; raise OSError or HTTPException."""
+    match framing:
+        case NoBody():
+            return
+        case SizedBody(size_bytes=size_bytes) if size_bytes > max_bytes:
+            raise MalformedAnswerError(
+                f"the body has {size_bytes} bytes, {max_bytes} are allowed"
+            )
+        case SizedBody(size_bytes=size_bytes):
+            _read_exactly(reader, size_bytes, body)
+        case ChunkedBody():
+            while (size_bytes := _read_chunk_size(reader)) > 0:
+                _read_exactly(reader, size_bytes, body)
+                if reader.read(2) != b"\r\n":
+                    raise MalformedAnswerError("a chunk is longer than it states")
+            _skip_trailer(reader)
+        case CloseDelimitedBody():
+            while piece := reader.read1(READ_BYTES):
+                body.append(piece)
+
+
+def _read_exactly(reader: BufferedReader, size_bytes: int, body: BodyBuffer) -> None:
+    left_bytes = size_bytes
+    while left_bytes > 0:
+        piece = reader.read(min(left_bytes, READ_BYTES))
+        if not piece:
+            raise MalformedAnswerError(
+                f"the body ends {left_bytes} bytes early, {size_bytes} were stated"
+            )
+        body.append(piece)
+        left_bytes -= len(piece)
+
+
+def _read_chunk_size(reader: BufferedReader) -> int:
+    line = reader.readline(MAX_CHUNK_LINE_BYTES)
+    found = CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise MalformedAnswerError(f"not a chunk size: {line[:40]!r}")
+    return int(found[1], 16)
+
+
+def _skip_trailer(reader: BufferedReader) -> None:
+    left_bytes = MAX_TRAILER_BYTES
+    while left_bytes > 0:
+        line = reader.readline(left_bytes)
+        if line == b"\r\n":
+            return
+        if not line.endswith(b"\n"):
+            break
+        left_bytes -= len(line)
+    raise MalformedAnswerError("the trailer of the last chunk has no end")
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -5,8 +5,9 @@
 import select
 import socket
 import threading
+from collections.abc import Callable
 from functools import partial
-from http.client import HTTPConnection, HTTPResponse
+from http.client import HTTPConnection, HTTPException, HTTPResponse
 from typing import Any
 
 from attrs import define, field
@@ -14,11 +15,52 @@
 from ...records import Address
 from ...utils import Clock, SystemClock
 
-__all__ = ["ConnectionPool", "PooledConnection"]
+__all__ = ["AnswerTooLongError", "ConnectionPool", "PooledConnection"]
 
 MAX_IDLE_S = 8.0  # below the 10 s after which servers close idle connections
 
 
+class AnswerTooLongError(HTTPException):
+    """Report that a server sent more bytes than an answer may have."""
+
+
+class _BoundedReader(io.RawIOBase):
+    """Read from a socket until an attempt ends, and only as many bytes as allowed."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__()
+        self._sock = sock
+        self._raw: Any = sock.makefile("rb", buffering=0)
+        self._remaining_s: Callable[[], float] | None = None
+        self._bytes_left = 0
+
+    def set_limits(
+        self, remaining_s: Callable[[], float] | None, max_bytes: int
+    ) -> None:
+        """Allow that many more bytes; without `remaining_s`, read nothing."""
+        self._remaining_s, self._bytes_left = remaining_s, max_bytes
+
+    def readable(self) -> bool:
+        """Return that this stream can be read."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read what has arrived; raise TimeoutError or AnswerTooLongError."""
+        if self._remaining_s is None:
+            return None
+        if self._bytes_left <= 0:
+            raise AnswerTooLongError("the server sent more than an answer may have")
+        self._sock.settimeout(self._remaining_s())
+        size: int = self._raw.readinto(memoryview(buffer)[: self._bytes_left])
+        self._bytes_left -= size
+        return size
+
+    def close(self) -> None:
+        """Close the socket."""
+        super().close()
+        self._raw.close()
+
+
 class _PersistentReader(io.BufferedReader):
     """Keep bytes that were read past the end of an answer for the next answer."""
 
@@ -48,20 +90,30 @@
 class PooledConnection:
     """Represent one connection, owned by the thread that acquired it.
 
-    `is_used` is true if an earlier attempt was answered over this connection, and
-    `idle_since_s` is the time of its last release by the monotonic clock.
+    `is_used` is true if an earlier attempt was answered over this connection,
+    `is_head_due` if no answer to the last request has been read, and `idle_since_s` is
+    the time of its last release by the monotonic clock.
     """
 
     address: Address
     conn: HTTPConnection
     sock: socket.socket
+    raw: _BoundedReader
     reader: _PersistentReader
     is_used: bool = False
     is_aborted: bool = False
+    is_head_due: bool = False
     idle_since_s: float = 0.0
 
-    def next_response(self, method: str) -> HTTPResponse:
+    def limit_reading(self, remaining_s: Callable[[], float], max_bytes: int) -> None:
+        """Allow that many more bytes until `remaining_s` raises TimeoutError."""
+        self.raw.set_limits(remaining_s, max_bytes)
+
+    def read_head(self, method: str) -> HTTPResponse:
         """Read the head of the next answer; raise OSError or HTTPException."""
+        if self.is_head_due:
+            self.is_head_due = False
+            return self.conn.getresponse()
         resp = _open_response(self.reader, None, method=method)
         resp.begin()
         return resp
@@ -70,7 +122,7 @@
         """Return whether the server sent more after the last answer, or closed."""
         if _is_readable(self.sock):
             return True
-        self.sock.settimeout(0.0)
+        self.raw.set_limits(None, 0)
         return bool(self.reader.peek(1))
 
     def abort(self) -> None:
@@ -84,7 +136,7 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.conn.close()
-        self.reader.raw.close()
+        self.raw.close()
 
 
 @define(kw_only=True, eq=False)
@@ -162,10 +214,12 @@
     conn = HTTPConnection(address.ip, address.port, timeout=timeout_s)
     conn.connect()
     conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw: Any = conn.sock.makefile("rb", buffering=0)
+    raw = _BoundedReader(conn.sock)
     reader = _PersistentReader(raw)
     conn.response_class = partial(_open_response, reader)  # type: ignore[assignment]
-    return PooledConnection(address=address, conn=conn, sock=conn.sock, reader=reader)
+    return PooledConnection(
+        address=address, conn=conn, sock=conn.sock, raw=raw, reader=reader
+    )
 
 
 def _is_readable(sock: socket.socket) -> bool:
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -21,19 +21,19 @@
     ServerId,
 )
 from ...utils import Clock
+from ..http_bodies import BodyBudget, UnlimitedBodies
+from .bodies import BodyBuffer, CloseDelimitedBody, Framing, find_framing, read_body
 from .encoding import BackendEncoding, NativeEncoding, ServerAnswer, find_header
 from .pool import ConnectionPool, PooledConnection
 
 __all__ = ["HttpTransport", "Transport"]
 
 CONNECT_TIMEOUT_S = 0.5  # a lost SYN is only retransmitted after 1 s
-READ_CHUNK_BYTES = 65536
 SEND_CHUNK_BYTES = 16384
+MAX_HEAD_BYTES = 65536  # of an answer, with the interim answers before it
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 MAX_MISMATCHED_ANSWERS = 3  # late answers to other requests, read before giving up
 MS_PER_S = 1000.0
-MIN_WAIT_S = 0.001
-BODILESS_STATUSES = frozenset({204, 304})
 BODILESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -52,11 +52,15 @@
 
 @define(kw_only=True, eq=False)
 class HttpTransport:
-    """Send attempts over HTTP/1.1; never reuse a connection after a failure."""
+    """Send attempts over HTTP/1.1; never reuse a connection after a failure.
+
+    The bodies of answers that are being read count in `body_budget`.
+    """
 
     clock: Clock
     encoding: BackendEncoding = field(factory=NativeEncoding)
     pool: ConnectionPool = field(factory=ConnectionPool)
+    body_budget: BodyBudget = field(factory=UnlimitedBodies)
     connect_timeout_s: float = CONNECT_TIMEOUT_S
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _running: dict[str, PooledConnection] = field(factory=dict, init=False)
@@ -102,11 +106,17 @@
         started_s: float,
     ) -> tuple[BackendResult, bool]:
         def remaining_s() -> float:
-            elapsed_s = self.clock.monotonic_s() - started_s
-            return max(MIN_WAIT_S, attempt.timeout_s - elapsed_s)
+            left_s = attempt.timeout_s - (self.clock.monotonic_s() - started_s)
+            if left_s <= 0.0:
+                raise TimeoutError(f"the attempt exceeds {attempt.timeout_s:.3f} s")
+            return left_s
 
         exchange = _Exchange(
-            conn=conn, attempt=attempt, encoding=self.encoding, remaining_s=remaining_s
+            conn=conn,
+            attempt=attempt,
+            encoding=self.encoding,
+            body_budget=self.body_budget,
+            remaining_s=remaining_s,
         )
         result, is_reusable = exchange.run(server)
         match result:
@@ -124,6 +134,7 @@
     conn: PooledConnection
     attempt: BackendRequest
     encoding: BackendEncoding
+    body_budget: BodyBudget
     remaining_s: Callable[[], float]
 
     def run(self, server: ServerId) -> tuple[BackendResult, bool]:
@@ -133,21 +144,34 @@
         except (HTTPException, ValueError) as exc:
             reason = f"the request cannot be encoded: {exc}"
             return ConnectFailed(reason=reason), False
-        try:
-            self.conn.sock.settimeout(self.remaining_s())
-            self.conn.conn.endheaders()
-            is_sent = self._send_body()
-        except TimeoutError:
-            return AnswerLate(waited_s=self.attempt.timeout_s), False
-        except (OSError, HTTPException) as exc:
-            return SendBroken(reason=str(exc)), False
-        try:
-            result, is_reusable = self._read_answer()
-        except TimeoutError:
-            return AnswerLate(waited_s=self.attempt.timeout_s), False
-        except (OSError, HTTPException, ValueError) as exc:
-            return AnswerBroken(reason=f"{type(exc).__name__}: {exc}"), False
-        return result, is_reusable and is_sent
+        sent_bytes = 0
+        for number in range(MAX_MISMATCHED_ANSWERS):
+            try:
+                if number == 0:
+                    self._send_head()
+                sent_bytes = self._send_body(sent_bytes)
+            except TimeoutError:
+                return AnswerLate(waited_s=self.attempt.timeout_s), False
+            except (OSError, HTTPException) as exc:
+                return SendBroken(reason=str(exc)), False
+            try:
+                result, is_reusable = self._read_answer()
+            except TimeoutError:
+                return AnswerLate(waited_s=self.attempt.timeout_s), False
+            except (OSError, HTTPException, ValueError) as exc:
+                return AnswerBroken(reason=f"{type(exc).__name__}: {exc}"), False
+            match result:
+                case AnswerForeign() if self.conn.is_used and is_reusable:
+                    # A server that answered a request twice sends the second answer
+                    # late, ahead of the answer to this attempt, which may not even
+                    # have been sent completely.
+                    continue
+                case AnswerForeign():
+                    return result, False
+                case _:
+                    is_sent = sent_bytes == len(self.attempt.body)
+                    return result, is_reusable and is_sent
+        return AnswerBroken(reason="too many answers to other requests"), False
 
     def _write_head(self, server: ServerId) -> None:
         http, attempt = self.conn.conn, self.attempt
@@ -162,46 +186,55 @@
         if attempt.body or attempt.method not in BODILESS_METHODS:
             http.putheader("Content-Length", str(len(attempt.body)))
 
-    def _send_body(self) -> bool:
-        """Send the body; return False if the server answers or closes early."""
+    def _send_head(self) -> None:
+        self.conn.sock.settimeout(self.remaining_s())
+        self.conn.conn.endheaders()
+        self.conn.is_head_due = True
+
+    def _send_body(self, sent_bytes: int) -> int:
+        """Send what is left of the body until the server answers or closes.
+
+        Return how many bytes of the body have been sent.
+        """
         body, sock = memoryview(self.attempt.body), self.conn.sock
         if len(body) <= SEND_CHUNK_BYTES:
-            if body:
+            if sent_bytes < len(body):
                 sock.sendall(body)
-            return True
+            return len(body)
         poller = select.poll()
         poller.register(sock, select.POLLIN | select.POLLOUT)
-        sent_bytes = 0
         while sent_bytes < len(body):
             ready = poller.poll(self.remaining_s() * MS_PER_S)
             if not ready:
                 raise TimeoutError("the server did not read the body in time")
             if ready[0][1] & ~select.POLLOUT:
-                return False
+                return sent_bytes
             sent_bytes += sock.send(body[sent_bytes : sent_bytes + SEND_CHUNK_BYTES])
-        return True
+        return sent_bytes
 
     def _read_answer(self) -> tuple[BackendResult, bool]:
-        self.conn.sock.settimeout(self.remaining_s())
-        resp = self.conn.conn.getresponse()
-        for _ in range(MAX_MISMATCHED_ANSWERS):
-            answer = self._read_complete_answer(resp)
-            if answer is None:
-                reason = "the answer's length could not be verified"
-                return AnswerBroken(reason=reason), False
-            result = self._check_request_id(answer)
-            match result:
-                case AnswerForeign() if self.conn.is_used and not resp.will_close:
-                    # A server that answered a request twice sends the second answer
-                    # late, ahead of the answer to this attempt.
-                    resp = self.conn.next_response(self.attempt.method)
-                case AnswerForeign() | AnswerBroken():
-                    return result, False
-                case _:
-                    is_identified = self._find_echoed_id(answer) is not None
-                    self.conn.is_used = is_identified
-                    return result, is_identified and not resp.will_close
-        return AnswerBroken(reason="too many answers to other requests"), False
+        """Return what the next answer states and whether another may follow it."""
+        resp, framing = self._read_head()
+        answer = self._read_complete_answer(resp, framing)
+        result = self._check_request_id(answer)
+        stays_open = not resp.will_close and not answer.is_close_delimited
+        match result:
+            case AnswerForeign() | AnswerBroken():
+                return result, stays_open and isinstance(result, AnswerForeign)
+            case _:
+                is_identified = self._find_echoed_id(answer) is not None
+                self.conn.is_used = is_identified
+                return result, is_identified and stays_open
+
+    def _read_head(self) -> tuple[HTTPResponse, Framing]:
+        """Read the head of the next answer that is not an interim one."""
+        self.conn.limit_reading(self.remaining_s, MAX_HEAD_BYTES)
+        while True:
+            resp = self.conn.read_head(self.attempt.method)
+            # The body is read from the connection itself.
+            resp.close()
+            if not 100 < resp.status < 200:
+                return resp, find_framing(resp, self.attempt.method)
 
     def _find_echoed_id(self, answer: ServerAnswer) -> str | None:
         return find_header(answer.headers, self.encoding.id_header)
@@ -217,35 +250,21 @@
             case _:
                 return self.encoding.decode_answer(answer, self.attempt)
 
-    def _read_complete_answer(self, resp: HTTPResponse) -> ServerAnswer | None:
-        """Return the complete answer, or None if its length cannot be verified."""
-        headers = tuple(Header(name=name, value=val) for name, val in resp.getheaders())
-        if resp.status in BODILESS_STATUSES:
-            resp.read()
-            return ServerAnswer(status=resp.status, headers=headers, body=b"")
-        expected_bytes = resp.length
-        lengths = set(resp.headers.get_all("Content-Length", ()))
-        if len(lengths) > 1:
-            return None
-        body = self._read_body(resp)
-        if body is None or (expected_bytes is not None and len(body) != expected_bytes):
-            return None
-        return ServerAnswer(
-            status=resp.status,
-            headers=headers,
-            body=body,
-            is_close_delimited=expected_bytes is None and not resp.chunked,
-        )
-
-    def _read_body(self, resp: HTTPResponse) -> bytes | None:
-        chunks: list[bytes] = []
-        size_bytes = 0
-        while True:
-            self.conn.sock.settimeout(self.remaining_s())
-            chunk = resp.read(READ_CHUNK_BYTES)
-            if not chunk:
-                return b"".join(chunks)
-            chunks.append(chunk)
-            size_bytes += len(chunk)
-            if size_bytes > MAX_ANSWER_BYTES:
-                return None
+    def _read_complete_answer(
+        self, resp: HTTPResponse, framing: Framing
+    ) -> ServerAnswer:
+        """Read the body; raise OSError or HTTPException if it is not complete."""
+        self.conn.limit_reading(self.remaining_s, MAX_ANSWER_BYTES)
+        body = BodyBuffer(budget=self.body_budget)
+        try:
+            read_body(self.conn.reader, framing, body, max_bytes=MAX_ANSWER_BYTES)
+            return ServerAnswer(
+                status=resp.status,
+                headers=tuple(
+                    Header(name=name, value=value) for name, value in resp.getheaders()
+                ),
+                body=bytes(body.content),
+                is_close_delimited=isinstance(framing, CloseDelimitedBody),
+            )
+        finally:
+            body.close()
--- /dev/null
+++ b/snipespring/platform/tests/test_faulty_servers.py
@@ -0,0 +1,354 @@
+"""Send requests to servers whose answers are repeated, endless or cut."""
+
+import socket
+import threading
+import time
+from collections.abc import Callable, Iterator
+from itertools import chain, repeat
+
+import pytest
+from attrs import define, evolve, field
+
+from snipespring.frontends.backends import HttpTransport
+from snipespring.frontends.backends.tests.scripted_server import (
+    Script,
+    make_attempt,
+    make_script,
+    run_server,
+)
+from snipespring.frontends.backends.transport import (
+    MAX_ANSWER_BYTES,
+    MAX_HEAD_BYTES,
+)
+from snipespring.platform.backends import PlatformEncoding
+from snipespring.records import (
+    AnswerBroken,
+    Answered,
+    AnswerLate,
+    BackendRequest,
+    BackendResult,
+    ShedByServer,
+)
+from snipespring.utils import SystemClock
+
+# Both buffers of a loopback connection together hold less than this.
+SOCKET_BUFFERS_BYTES = 12 * 1024 * 1024
+ATTEMPT_TIMEOUT_S = 1.0
+LATENESS_S = 1.0
+SERVER_TIMEOUT_S = 6.0
+SEAL = "Snipespring-Server-Seal: 3e1b\r\n"
+LARGE_BODY = bytes(8 * 1024 * 1024)
+
+
+@define(kw_only=True, eq=False)
+class LimitedBodies:
+    """Count the bytes of bodies in memory up to a limit."""
+
+    limit_bytes: int
+    size_bytes: int = 0
+    peak_bytes: int = 0
+    lock: threading.Lock = field(factory=threading.Lock)
+
+    def reserve(self, size_bytes: int) -> bool:
+        with self.lock:
+            if self.size_bytes + size_bytes > self.limit_bytes:
+                return False
+            self.size_bytes += size_bytes
+            self.peak_bytes = max(self.peak_bytes, self.size_bytes)
+            return True
+
+    def release(self, size_bytes: int) -> None:
+        with self.lock:
+            self.size_bytes -= size_bytes
+
+
+def make_transport() -> HttpTransport:
+    return HttpTransport(clock=SystemClock(), encoding=PlatformEncoding())
+
+
+def make_request(number: int, body: bytes = b"") -> BackendRequest:
+    attempt = make_attempt(number, timeout_s=ATTEMPT_TIMEOUT_S)
+    return evolve(
+        attempt,
+        caller_request_id=f"caller-{number}",
+        method="POST" if body else "GET",
+        body=body,
+    )
+
+
+def make_success(request_id: str, fields: str = "", body: bytes = b"whole") -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nSnipespring-Request-Id: {request_id}\r\n{SEAL}{fields}"
+    return head.encode() + b"\r\n" + body
+
+
+def make_whole_success(request_id: str) -> bytes:
+    return make_success(request_id, "Content-Length: 5\r\n")
+
+
+def make_refusal(request_id: str | None, status: int = 503) -> bytes:
+    echo = "" if request_id is None else f"Snipespring-Request-Id: {request_id}\r\n"
+    return (
+        f"HTTP/1.1 {status} No\r\n{echo}Snipespring-Not-Executed: 1\r\n"
+        "Snipespring-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+LENGTH = "Content-Length: 5\r\n"
+ENDLESS: dict[str, tuple[Callable[[str], bytes], bytes, int]] = {
+    "status line": (lambda _: b"HTTP/1.1 200 ", b"a", MAX_HEAD_BYTES),
+    "no answer": (lambda _: b"", b"\0\xff", MAX_HEAD_BYTES),
+    "header line": (lambda _: b"HTTP/1.1 200 OK\r\nA: ", b"a", MAX_HEAD_BYTES),
+    "header lines": (lambda _: b"HTTP/1.1 200 OK\r\n", b"A: b\r\n", MAX_HEAD_BYTES),
+    "interim answers": (
+        lambda _: b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        MAX_HEAD_BYTES,
+    ),
+    "chunk size": (lambda i: make_success(i, CHUNKED, b""), b"0", MAX_HEAD_BYTES),
+    "chunk extension": (
+        lambda i: make_success(i, CHUNKED, b"5;"),
+        b"a=b;",
+        MAX_HEAD_BYTES,
+    ),
+    "chunks": (
+        lambda i: make_success(i, CHUNKED, b""),
+        b"1\r\nx\r\n",
+        MAX_ANSWER_BYTES,
+    ),
+    "trailer": (
+        lambda i: make_success(i, CHUNKED, b"5\r\nwhole\r\n0\r\n"),
+        b"A: b\r\n",
+        MAX_HEAD_BYTES,
+    ),
+    "body without a length": (
+        lambda i: make_success(i, "", b""),
+        b"x",
+        MAX_ANSWER_BYTES,
+    ),
+}
+
+
+@define(kw_only=True, eq=False)
+class EndlessServer:
+    """Write the same bytes until the connection ends, fast or byte by byte."""
+
+    start: Callable[[str], bytes]
+    repeated: bytes
+    pause_s: float
+    sent_bytes: int = 0
+    ended: threading.Event = field(factory=threading.Event)
+
+    def serve(self, conn: socket.socket, request_id: str) -> bool:
+        until_s = time.monotonic() + SERVER_TIMEOUT_S
+        block = self.repeated if self.pause_s else self.repeated * 4096
+        parts: Iterator[bytes] = chain([self.start(request_id)], repeat(block))
+        conn.settimeout(SERVER_TIMEOUT_S)
+        try:
+            while time.monotonic() < until_s:
+                self.sent_bytes += conn.send(next(parts))
+                if self.pause_s:
+                    time.sleep(self.pause_s)
+        except OSError:
+            self.ended.set()
+        return False
+
+
+@pytest.mark.parametrize("place", sorted(ENDLESS))
+@pytest.mark.parametrize("pause_s", [0.0, 0.02])
+def test_bytes_without_end_are_bounded_in_time_and_memory(
+    place: str, pause_s: float
+) -> None:
+    start, repeated, limit_bytes = ENDLESS[place]
+    endless = EndlessServer(start=start, repeated=repeated, pause_s=pause_s)
+    with run_server(endless.serve, make_script(make_whole_success)) as server:
+        transport = make_transport()
+        started_s = time.monotonic()
+        result = transport.send(server.server_id, make_request(1))
+        took_s = time.monotonic() - started_s
+        assert isinstance(result, AnswerBroken | AnswerLate)
+        assert took_s < ATTEMPT_TIMEOUT_S + LATENESS_S
+        assert endless.ended.wait(SERVER_TIMEOUT_S)
+        assert endless.sent_bytes < limit_bytes + SOCKET_BUFFERS_BYTES
+        assert isinstance(transport.send(server.server_id, make_request(2)), Answered)
+
+
+def test_answers_of_several_servers_share_one_limit_of_memory() -> None:
+    bodies = LimitedBodies(limit_bytes=4 * 1024 * 1024)
+    transport = HttpTransport(
+        clock=SystemClock(), encoding=PlatformEncoding(), body_budget=bodies
+    )
+    start, repeated, _ = ENDLESS["body without a length"]
+    results: list[BackendResult] = []
+
+    def send(number: int) -> None:
+        endless = EndlessServer(start=start, repeated=repeated, pause_s=0.0)
+        with run_server(endless.serve) as server:
+            results.append(transport.send(server.server_id, make_request(number)))
+
+    threads = [threading.Thread(target=send, args=(number,)) for number in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(SERVER_TIMEOUT_S)
+    assert len(results) == len(threads)
+    assert all(isinstance(result, AnswerBroken | AnswerLate) for result in results)
+    assert 0 < bodies.peak_bytes <= bodies.limit_bytes
+    assert bodies.size_bytes == 0
+
+
+def test_a_body_that_is_stated_to_be_too_long_is_not_read() -> None:
+    fields = f"Content-Length: {MAX_ANSWER_BYTES + 1}\r\n"
+    answer = make_script(lambda i: make_success(i, fields, b"x"))
+    with run_server(answer) as server:
+        started_s = time.monotonic()
+        result = make_transport().send(server.server_id, make_request(1))
+        assert isinstance(result, AnswerBroken)
+        assert time.monotonic() - started_s < ATTEMPT_TIMEOUT_S / 2
+
+
+INCOMPLETE: dict[str, Callable[[str], bytes]] = {
+    "length in other digits": lambda i: make_success(i, "Content-Length: 0_5\r\n"),
+    "signed length": lambda i: make_success(i, "Content-Length: +5\r\n"),
+    "negative length": lambda i: make_success(i, "Content-Length: -5\r\n"),
+    "length that is no number": lambda i: make_success(i, "Content-Length: 5x\r\n"),
+    "two lengths": lambda i: make_success(i, LENGTH + "Content-Length: 4\r\n"),
+    "lengths in one field": lambda i: make_success(i, "Content-Length: 5, 5\r\n"),
+    "damaged field before the length": lambda i: make_success(
+        i, "no field\r\nContent-Length: 9\r\n"
+    ),
+    "unknown transfer coding": lambda i: make_success(
+        i, "Transfer-Encoding: gzip, chunked\r\n", b"5\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "length beside chunks": lambda i: make_success(
+        i, LENGTH + CHUNKED, b"5\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "no last chunk": lambda i: make_success(i, CHUNKED, b"5\r\nwhole\r\n"),
+    "last chunk without an end": lambda i: make_success(
+        i, CHUNKED, b"5\r\nwhole\r\n0\r\n"
+    ),
+    "cut in a trailer": lambda i: make_success(
+        i, CHUNKED, b"5\r\nwhole\r\n0\r\nA: b\r\n"
+    ),
+    "chunk longer than stated": lambda i: make_success(
+        i, CHUNKED, b"3\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "signed chunk size": lambda i: make_success(
+        i, CHUNKED, b"+5\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "prefixed chunk size": lambda i: make_success(
+        i, CHUNKED, b"0x5\r\nwhole\r\n0\r\n\r\n"
+    ),
+    "cut body": lambda i: make_success(i, "Content-Length: 9\r\n"),
+    "cut and compressed": lambda i: make_success(
+        i, "Content-Encoding: gzip\r\nContent-Length: 5\r\n", b"\x1f\x8b\x08"
+    ),
+}
+
+
+@pytest.mark.parametrize("fault", sorted(INCOMPLETE))
+def test_an_incomplete_answer_is_never_a_success(fault: str) -> None:
+    with run_server(make_script(INCOMPLETE[fault], stays_open=False)) as server:
+        result = make_transport().send(server.server_id, make_request(1))
+        assert isinstance(result, AnswerBroken)
+
+
+def test_a_body_without_a_length_ends_with_an_orderly_close_only() -> None:
+    def reset(conn: socket.socket, request_id: str) -> bool:
+        conn.sendall(make_success(request_id))
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        return False
+
+    with run_server(make_script(make_success, stays_open=False), reset) as server:
+        transport = make_transport()
+        result = transport.send(server.server_id, make_request(1))
+        assert isinstance(result, Answered)
+        assert result.body == b"whole"
+        result = transport.send(server.server_id, make_request(2))
+        assert isinstance(result, AnswerBroken)
+
+
+def write_later(content: bytes, written: threading.Event) -> Script:
+    """Refuse the first request; write `content` when the second has been read."""
+
+    def script(conn: socket.socket, request_id: str) -> bool:
+        for part in (content[:7], content[7:]):
+            conn.sendall(part)
+            time.sleep(0.05)
+        conn.sendall(make_whole_success(request_id))
+        written.set()
+        return True
+
+    return script
+
+
+REPEATED: dict[str, bytes] = {
+    "refusal": make_refusal("caller-1"),
+    "misdirected": make_refusal("caller-1", 421),
+    "success": make_whole_success("caller-1"),
+    "interim answer": b"HTTP/1.1 100 Continue\r\n\r\n" + make_refusal("caller-1"),
+    "early hints": b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n",
+    "chunks": make_success("caller-1", CHUNKED, b"5\r\nwhole\r\n0\r\n\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", sorted(REPEATED))
+def test_a_repeated_answer_is_not_taken_for_the_next_one(kind: str) -> None:
+    written = threading.Event()
+    with run_server(
+        make_script(lambda i: make_refusal(i)), write_later(REPEATED[kind], written)
+    ) as server:
+        transport = make_transport()
+        first = transport.send(server.server_id, make_request(1))
+        assert isinstance(first, ShedByServer)
+        result = transport.send(server.server_id, make_request(2))
+        assert written.wait(SERVER_TIMEOUT_S)
+        assert isinstance(result, Answered)
+        assert server.connections == 1
+
+
+def test_a_refusal_without_an_id_on_a_used_connection_promises_nothing() -> None:
+    with run_server(
+        make_script(lambda i: make_refusal(i)),
+        make_script(lambda _: make_refusal(None)),
+    ) as server:
+        transport = make_transport()
+        transport.send(server.server_id, make_request(1))
+        result = transport.send(server.server_id, make_request(2))
+        assert isinstance(result, AnswerBroken)
+
+
+def test_a_refusal_repeated_within_a_body_does_not_end_the_sending() -> None:
+    received: list[int] = []
+
+    def repeat_refusal(conn: socket.socket, request_id: str) -> bool:
+        conn.sendall(make_refusal("caller-1"))
+        time.sleep(0.1)
+        size = 0
+        while size < len(LARGE_BODY):
+            size += len(conn.recv(65536))
+        received.append(size)
+        conn.sendall(make_whole_success(request_id))
+        return True
+
+    with run_server(make_script(lambda i: make_refusal(i)), repeat_refusal) as server:
+        transport = make_transport()
+        transport.send(server.server_id, make_request(1))
+        result = transport.send(server.server_id, make_request(2, LARGE_BODY))
+        assert isinstance(result, Answered)
+        assert received == [len(LARGE_BODY)]
+
+
+def test_an_early_refusal_of_the_same_request_ends_the_sending() -> None:
+    def refuse_early(conn: socket.socket, request_id: str) -> bool:
+        conn.sendall(make_refusal(request_id))
+        time.sleep(ATTEMPT_TIMEOUT_S)
+        return False
+
+    with run_server(refuse_early) as server:
+        transport = make_transport()
+        started_s = time.monotonic()
+        result = transport.send(server.server_id, make_request(1, LARGE_BODY))
+        assert isinstance(result, ShedByServer)
+        assert time.monotonic() - started_s < ATTEMPT_TIMEOUT_S
+        assert transport.pool.count_idle() == 0
