Answer what has been accepted when a server stops

Cause, shown on sockets: at the end of a stop the listener was closed with connections still waiting to be accepted, and the process ended while a request lay unread or a new connection had not sent its first one; a channel that was closed with unread bytes behind the last request was reset, and the end of the last answer was lost.

Change: the listener accepts what waits before it closes; a server is idle once no connection has unread bytes, an unfinished request or was opened within 0.25 s; after the last answer only the own side is closed, and the caller's bytes are discarded for 0.5 s or until it closes.

--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -1,7 +1,10 @@
 """Serve a WSGI application on one address, and drain it without aborting requests."""
 
 import logging
+import select
+import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
@@ -27,6 +30,11 @@
 POLL_TIMEOUT_S = (
     30  # longest time between checks for idle connections; traffic wakes the loop
 )
+LISTENER_TIMEOUT_S = 1.0
+# A new connection is kept for this time, since its first request may be on its way.
+FIRST_REQUEST_S = 0.25
+# After the last answer, this long is waited for the caller to close the connection.
+LINGER_S = 0.5
 LOOKAHEAD_REQUESTS = 16  # reading ahead detects that a caller has disconnected
 
 log = logging.getLogger(__name__)
@@ -79,15 +87,79 @@
     task_class = _DrainingTask
     parser_class = RawFieldsParser
     request: Any = None
+    linger_until_s: float | None = None
+    _is_writing = False
+
+    def readable(self) -> bool:
+        """Return whether to read, also to discard what follows the last answer."""
+        return self.linger_until_s is not None or bool(super().readable())
+
+    def writable(self) -> bool:
+        """Return whether there is an answer to send or the channel is to be closed."""
+        match self.linger_until_s:
+            case None:
+                return bool(super().writable())
+            case until_s:
+                return time.time() >= until_s
+
+    def handle_read(self) -> None:
+        """Read requests, or discard what follows the last answer."""
+        if self.linger_until_s is None:
+            super().handle_read()
+        else:
+            self.recv(self.adj.recv_bytes)
+
+    def handle_write(self) -> None:
+        """Send what is buffered; close the channel after the last answer."""
+        self._is_writing = True
+        try:
+            super().handle_write()
+        finally:
+            self._is_writing = False
 
     def handle_close(self) -> None:
-        """Close the channel and release the memory of a partly received body."""
+        """Close the channel and release the memory of a partly received body.
+
+        While the caller may still send, only this side of the connection is closed:
+        bytes that arrive at a closed connection reset it, and the end of the last
+        answer would be lost.
+        """
+        if self._is_writing and self.linger_until_s is None and self._begin_linger():
+            return
         super().handle_close()
         with self.requests_lock:
             request, self.request = self.request, None
         if request is not None:
             request.close()
 
+    def is_idle(self, now_s: float) -> bool:
+        """Return whether the connection can be closed without losing a request."""
+        if self.requests or self.request or self.total_outbufs_len:
+            return False
+        if self.linger_until_s is not None:
+            return now_s >= self.linger_until_s
+        is_new = now_s - self.creation_time < FIRST_REQUEST_S
+        return not is_new and not _is_readable(self.socket)
+
+    def _begin_linger(self) -> bool:
+        """Close this side of the connection; return whether to wait for the caller."""
+        is_draining = self.server.adj.draining.is_set()
+        if not (is_draining or _is_readable(self.socket)):
+            return False
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return False
+        self.linger_until_s = time.time() + LINGER_S
+        return True
+
+
+def _is_readable(sock: socket.socket) -> bool:
+    """Return whether bytes have arrived that are not read, or the end of the stream."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
 
 @define(kw_only=True, eq=False)
 class HttpServer:
@@ -102,6 +174,7 @@
     _server: TcpWSGIServer = field(init=False, default=None)
     _thread: threading.Thread | None = field(init=False, default=None)
     _draining: threading.Event = field(factory=threading.Event, init=False)
+    _is_listener_closed: threading.Event = field(factory=threading.Event, init=False)
 
     def start(self) -> None:
         """Start to listen; raise OSError if the address is in use."""
@@ -131,9 +204,10 @@
         self._draining.set()
 
     def stop_listening(self) -> None:
-        """Accept no new connections and drain the open ones."""
+        """Accept the connections that wait, then no more, and drain the open ones."""
         self.drain()
         self._server.trigger.pull_trigger(self._close_listener)
+        self._is_listener_closed.wait(LISTENER_TIMEOUT_S)
 
     def wait_until_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in progress; return False on a timeout."""
@@ -153,14 +227,17 @@
         self._server.trigger.close()
 
     def _is_busy(self) -> bool:
+        now_s = time.time()
         channels = list(self._server.active_channels.values())
-        return any(
-            channel.requests or channel.request or channel.total_outbufs_len
-            for channel in channels
-        )
+        return not all(channel.is_idle(now_s) for channel in channels)
 
     def _close_listener(self) -> None:
+        for _ in range(self._server.adj.backlog):
+            if not _is_readable(self._server.socket):
+                break
+            self._server.handle_accept()
         dispatcher.close(self._server)
+        self._is_listener_closed.set()
 
     def _close_all(self) -> None:
         for channel in list(self._server.active_channels.values()):
