--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -3,8 +3,8 @@
     PENDING_REPORTS,
     ROSTER_TENURE,
 )
-from .domains import ANSWER_LOG, DOMAIN_REPORTS, FLEET_VIEW, USAGE_LOG
-from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_RELAY
+from .domains import ANSWER_LOG, DOMAIN_REPORTS, FLEET_VIEW, HUB_STATE, USAGE_LOG
+from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_REACH, STORE_RELAY
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -61,6 +61,7 @@
     "EVIDENCE",
     "FENCE",
     "FLEET_VIEW",
+    "HUB_STATE",
     "HEALTH_POOLS",
     "HOST_CONTACTS",
     "BUFFERED_BODIES",
@@ -85,6 +86,7 @@
     "SETTINGS",
     "SHARE_LEDGER",
     "STOP_STATE",
+    "STORE_REACH",
     "STORE_RELAY",
     "ROSTER_TENURE",
     "USAGE_LOG",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -1,9 +1,9 @@
 """Define the regions of reports that hosts exchange by datagrams."""
 
-from ...records import AnswerLog, DomainReports, FleetView, UsageLog
+from ...records import AnswerLog, DomainReports, FleetView, HubState, UsageLog
 from ..region import Region
 
-__all__ = ["ANSWER_LOG", "DOMAIN_REPORTS", "FLEET_VIEW", "USAGE_LOG"]
+__all__ = ["ANSWER_LOG", "DOMAIN_REPORTS", "FLEET_VIEW", "HUB_STATE", "USAGE_LOG"]
 
 ANSWER_LOG = Region[AnswerLog](
     name="answer_log", writer="health_keeper", initial=AnswerLog()
@@ -14,6 +14,7 @@
 FLEET_VIEW = Region[FleetView](
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
+HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
 USAGE_LOG = Region[UsageLog](
     name="usage_log", writer="usage_limiter", initial=UsageLog()
 )
--- a/snipespring/blackboard/regions/feeds.py
+++ b/snipespring/blackboard/regions/feeds.py
@@ -5,11 +5,18 @@
     FeedView,
     PublishedHost,
     PublishedServer,
+    StoreReach,
     StoreRelay,
 )
 from ..region import Region
 
-__all__ = ["CONFIGURATION_FEED", "HOST_FEED", "SERVER_FEED", "STORE_RELAY"]
+__all__ = [
+    "CONFIGURATION_FEED",
+    "HOST_FEED",
+    "SERVER_FEED",
+    "STORE_REACH",
+    "STORE_RELAY",
+]
 
 CONFIGURATION_FEED = Region[FeedView[Configuration]](
     name="configuration_feed", writer="configuration_feed", initial=FeedView()
@@ -20,6 +27,9 @@
 HOST_FEED = Region[FeedView[PublishedHost]](
     name="host_feed", writer="host_feed", initial=FeedView()
 )
+STORE_REACH = Region[StoreReach](
+    name="store_reach", writer="store_probe", initial=StoreReach()
+)
 STORE_RELAY = Region[StoreRelay](
     name="store_relay", writer="domain_link", initial=StoreRelay()
 )
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -48,6 +48,7 @@
 from .share_manager import ShareManager
 from .status_reporter import StatusReporter
 from .store_lease_manager import StoreLeaseManager
+from .store_probe import StoreProbe
 from .subset_selector import SubsetSelector
 from .suspicion_tracker import SuspicionTracker
 from .tenure_tracker import TenureTracker
@@ -70,6 +71,7 @@
     "ConfigurationFollower",
     "Configurator",
     "StoreLeaseManager",
+    "StoreProbe",
     "Conflicted",
     "Controller",
     "DamagedRules",
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -17,7 +17,9 @@
     DOMAIN_REPORTS,
     FLEET_VIEW,
     HOST_FEED,
+    HUB_STATE,
     SERVER_FEED,
+    STORE_REACH,
     STORE_RELAY,
     USAGE_LOG,
 )
@@ -30,15 +32,17 @@
     choose_hubs,
     count_answers_by_server,
     count_usage,
+    find_known_host,
     is_hub,
     list_known_hosts,
     list_outcome_recipients,
     make_digest,
+    make_hub_state,
+    make_request,
     make_summary,
     make_view,
     receive_report,
     receive_summary,
-    view_from_digest,
 )
 from ..decisions.server_relay import (
     answer_server_query,
@@ -50,9 +54,11 @@
 from ..records import (
     Address,
     DomainMessage,
+    DomainState,
     DomainSummary,
     HostId,
     HostReport,
+    HubState,
     Incarnation,
     OutcomeNotification,
     PublishedHost,
@@ -67,9 +73,13 @@
 __all__ = ["DomainLink"]
 
 REPORT_INTERVAL_S = 0.25
+STATE_INTERVAL_S = 0.05  # a hub sums up the reports at most this often
 # A summary lists the serving hosts only if they have changed or the number of the round
 # is a multiple of this.
 FULL_SUMMARY_ROUNDS = 8
+# While the first hub answers, the second one gets every third report, which is often
+# enough to count as heard and to be known as serving when it replaces the first one.
+BACKUP_REPORT_ROUNDS = 3
 HUB_TIMEOUT_S = 1.0  # a hub that answers no report for this long is silent
 # Latest reports whose send times are kept, since their digests may still arrive.
 MAX_PENDING_REPORTS = 8
@@ -78,7 +88,7 @@
 
 @define(kw_only=True, eq=False)
 class DomainLink:
-    """Write the domain reports, the fleet view and the store relay.
+    """Write the domain reports, the hub state, the fleet view and the store relay.
 
     Usage is counted over the last `window_s` seconds. `on_outcome` is called with each
     outcome notification from another host, and `on_server_changes` with each reply to
@@ -100,6 +110,7 @@
     _unanswered_since_s: dict[HostId, float] = field(factory=dict, init=False)
     _silent_since_s: dict[HostId, float] = field(factory=dict, init=False)
     _reports_sent_s: dict[int, float] = field(factory=dict, init=False)
+    _reports_sent: dict[int | None, HostReport] = field(factory=dict, init=False)
     _last_sent_serving: tuple[HostId, ...] | None = field(default=None, init=False)
 
     def step(self) -> float:
@@ -107,18 +118,27 @@
         now_s = self.clock.monotonic_s()
         self._sequence += 1
         report = self._make_report(now_s)
+        hosts = self._list_known_hosts()
         with self._lock:
             hubs = choose_hubs(
-                self._list_known_hosts(),
+                hosts,
                 self.own_host.domain,
                 silent=self._list_silent_hubs(now_s),
             )
         if is_hub(hubs, self.own_host.host_id):
             self._receive_report(report)
             self._update_own_view(now_s)
+        domain_hosts = sum(host.domain == self.own_host.domain for host in hosts)
         for hub in hubs:
             if hub.host_id != self.own_host.host_id:
-                self._send_report(hub, report, now_s)
+                request = make_request(
+                    self.board.read(FLEET_VIEW),
+                    is_first_hub=hub is hubs[0],
+                    domain_hosts=domain_hosts,
+                    now_s=now_s,
+                )
+                if request is not None or self._sequence % BACKUP_REPORT_ROUNDS == 0:
+                    self._send_report(hub, evolve(report, request=request), now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own_host.host_id
         self._update_relay(lambda relay: set_watcher(relay, is_watcher=is_first))
         if is_first:
@@ -168,8 +188,10 @@
 
     def _is_sent_by(self, host_id: HostId, sender: Address) -> bool:
         """Return whether `sender` is the peer address of the host `host_id`."""
-        known = self._list_known_hosts()
-        return any(host.host_id == host_id and host.peers == sender for host in known)
+        host = find_known_host(
+            self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), host_id
+        )
+        return host is not None and host.peers == sender
 
     def _update_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
         self.board.update(STORE_RELAY, change, writer=self.name)
@@ -200,8 +222,7 @@
         recipients = list_outcome_recipients(
             hosts, self.board.read(FLEET_VIEW), self.own_host
         )
-        for host in recipients:
-            self.datagrams.send(host.peers, outcome)
+        self.datagrams.send_all(tuple(host.peers for host in recipients), outcome)
 
     def _make_report(self, now_s: float) -> HostReport:
         board = self.board
@@ -226,15 +247,14 @@
 
     def _send_digest(self, report: HostReport, sender: Address) -> None:
         now_s = self.clock.monotonic_s()
-        digest = make_digest(
-            self.board.read(DOMAIN_REPORTS),
-            self.own_host.host_id,
-            report,
-            window_s=self.window_s,
+        digest = make_digest(self._get_state(now_s), self.own_host.host_id, report)
+        feed = self.board.read(CONFIGURATION_FEED)
+        confirmation = make_confirmation(
+            feed,
+            self.board.read(STORE_RELAY),
+            self.board.read(STORE_REACH),
             now_s=now_s,
         )
-        feed = self.board.read(CONFIGURATION_FEED)
-        confirmation = make_confirmation(feed, now_s=now_s)
         mark = make_server_mark(self.board.read(SERVER_FEED))
         digest = evolve(digest, confirmation=confirmation, servers=mark)
         self.datagrams.send(sender, digest)
@@ -246,6 +266,7 @@
             self._unanswered_since_s.pop(digest.sender, None)
             self._silent_since_s.pop(digest.sender, None)
             sent_s = self._reports_sent_s.get(digest.sequence)
+            own = self._reports_sent.get(digest.included_sequence)
         if sent_s is not None and self._is_sent_by(digest.sender, sender):
             self._update_relay(
                 lambda relay: record_confirmation(
@@ -253,8 +274,8 @@
                 )
             )
             self._catch_up_on_servers(digest, sender)
-        view = view_from_digest(digest, now_s=self.clock.monotonic_s())
-        self.board.write(FLEET_VIEW, view, writer=self.name)
+        if digest.state is not None:
+            self._update_view(digest.state, own)
 
     def _catch_up_on_servers(self, digest: ReportDigest, sender: Address) -> None:
         """Ask the sender of a digest for changes to servers that it knows."""
@@ -277,12 +298,29 @@
         if changes is not None:
             self.datagrams.send(sender, changes)
 
+    def _get_state(self, now_s: float) -> HubState:
+        """Return the state for the hosts of this domain, summed up lately."""
+        hub_state = self.board.read(HUB_STATE)
+        if hub_state.as_of_s is None or now_s - hub_state.as_of_s >= STATE_INTERVAL_S:
+            hub_state = make_hub_state(
+                self.board.read(DOMAIN_REPORTS), window_s=self.window_s, now_s=now_s
+            )
+            self.board.write(HUB_STATE, hub_state, writer=self.name)
+        return hub_state
+
     def _update_own_view(self, now_s: float) -> None:
-        reports = self.board.read(DOMAIN_REPORTS)
-        view = make_view(
-            reports, self.own_host.host_id, window_s=self.window_s, now_s=now_s
+        hub_state = self._get_state(now_s)
+        if hub_state.state is not None:
+            own = hub_state.included.get(self.own_host.host_id)
+            self._update_view(hub_state.state, own)
+
+    def _update_view(self, state: DomainState, own: HostReport | None) -> None:
+        now_s = self.clock.monotonic_s()
+        self.board.update(
+            FLEET_VIEW,
+            lambda view: make_view(state, own, view, now_s=now_s),
+            writer=self.name,
         )
-        self.board.write(FLEET_VIEW, view, writer=self.name)
 
     def _send_report(
         self, hub: PublishedHost, report: HostReport, now_s: float
@@ -291,6 +329,8 @@
             self._unanswered_since_s.setdefault(hub.host_id, now_s)
             self._reports_sent_s[report.sequence] = now_s
             self._reports_sent_s.pop(report.sequence - MAX_PENDING_REPORTS, None)
+            self._reports_sent[report.sequence] = report
+            self._reports_sent.pop(report.sequence - MAX_PENDING_REPORTS, None)
         self.datagrams.send(hub.peers, report)
 
     def _list_silent_hubs(self, now_s: float) -> frozenset[HostId]:
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -12,7 +12,12 @@
 
 from ..blackboard import Board, Region
 from ..blackboard.regions import STORE_RELAY
-from ..decisions.confirmations import QueryStore, UseRelayedConfirmation, check_relay
+from ..decisions.confirmations import (
+    QueryStore,
+    RelayLimits,
+    UseRelayedConfirmation,
+    check_relay,
+)
 from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
 from ..decisions.membership import draw_backoff_s
 from ..decisions.server_relay import (
@@ -158,11 +163,11 @@
 class ConfigurationFollower:
     """Follow the configuration by relayed confirmations or by the store.
 
-    The store is queried once no confirmation is younger than `limit_s` seconds.
+    The store is queried once the relayed confirmations exceed the limits.
     """
 
     feed_follower: FeedFollower[Configuration]
-    limit_s: float
+    limits: RelayLimits
     watches: tuple[Region[Any], ...] = field(default=(STORE_RELAY,), init=False)
     _next_query_s: float = field(default=0.0, init=False)
 
@@ -177,7 +182,7 @@
         now_s = follower.clock.monotonic_s()
         known = board.read(follower.region)
         relay = board.read(STORE_RELAY)
-        match check_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
+        match check_relay(known, relay, self.limits, now_s=now_s):
             case QueryStore() if now_s < self._next_query_s:
                 return self._next_query_s - now_s
             case QueryStore():
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -19,8 +19,10 @@
     HostRegistrar,
     ServerFollower,
     StoreLeaseManager,
+    StoreProbe,
 )
 from ..decisions.catalog import RetryBounds
+from ..decisions.confirmations import RelayLimits
 from ..decisions.domains import AddressListLimits
 from ..frontends.http_server import HttpServer, WsgiApp
 from ..frontends.operators import OperatorsApp
@@ -28,7 +30,7 @@
 from ..platform.directory import DirectoryApp, ReadinessApp
 from ..platform.feeds import HostRegistry, configuration_feed, server_feed
 from ..platform.store import ObjectStoreClient
-from ..records import Address, FeedView, Host, Incarnation, PublishedHost
+from ..records import Address, FeedView, Host, HostCapacity, Incarnation, PublishedHost
 from ..settings import GatewaySettings
 from .process_context import ProcessContext, make_process_context
 
@@ -52,12 +54,18 @@
 # A host notices a configuration change within at most this fraction of the time in
 # which a revoked key has to be refused.
 NOTICE_FRACTION = 0.4
-# Longest watch, as a fraction of the notice time. A watch confirms the configuration
-# as of the time when the watch began.
-WATCH_FRACTION = 0.25
-# A host that has received no relayed confirmation for this fraction of the notice time
-# queries the store itself.
+# Longest watch, as a fraction of the time in which a revoked key has to be refused. A
+# watch confirms the configuration as of the time when the watch began, so that the age
+# of a confirmation reaches twice the length of a watch.
+WATCH_FRACTION = 0.27
+# A host queries the store itself after this fraction of that time without a newer
+# confirmation,
+CONFIRMED_FRACTION = 0.72
+# or after this fraction of the notice time in which the watching host did not show that
+# it reaches the store.
 RELAY_FRACTION = 0.7
+# The watching host probes the store this often, as a fraction of the notice time.
+PROBE_FRACTION = 0.25
 # Longest watch of the list of servers. It may be long, since keep-alive probes detect
 # a dead connection sooner.
 SERVER_WATCH_TIMEOUT_S = 20.0
@@ -111,6 +119,10 @@
             domain=settings.host.domain,
             callers=settings.listen.callers,
             peers=settings.listen.peers,
+            capacity=HostCapacity(
+                cores=settings.callers.cpu_share * settings.callers.cores,
+                link_mbps=settings.callers.link_mbps,
+            ),
         ),
         incarnation=Incarnation(uuid.uuid4().hex),
         store=ObjectStoreClient(address=platform.store, timeout_s=platform.timeout_s),
@@ -126,13 +138,24 @@
     """Build the controllers that follow the platform's store."""
     process, platform = context.process, context.settings.platform
     configurations = configuration_feed(context.store)
-    watch_s = WATCH_FRACTION * _compute_notice_s(context)
-    limit_s = RELAY_FRACTION * _compute_notice_s(context)
+    notice_s = _compute_notice_s(context)
     follower = _build_feed_follower(
-        process, configurations, CONFIGURATION_FEED, watch_s
+        process, configurations, CONFIGURATION_FEED, WATCH_FRACTION * platform.revoke_s
+    )
+    limits = RelayLimits(
+        confirmed_s=CONFIRMED_FRACTION * platform.revoke_s,
+        reached_s=RELAY_FRACTION * notice_s,
     )
     return (
-        ConfigurationFollower(feed_follower=follower, limit_s=limit_s),
+        ConfigurationFollower(feed_follower=follower, limits=limits),
+        StoreProbe(
+            board=process.board,
+            clock=process.clock,
+            metrics=process.metrics,
+            store=HostRegistry(store=context.store),
+            host_id=context.own_host.host_id,
+            interval_s=PROBE_FRACTION * notice_s,
+        ),
         _build_registrar(context),
         CatalogBuilder(
             board=process.board,
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -10,11 +10,13 @@
     Confirmation,
     FeedView,
     RelayedVersion,
+    StoreReach,
     StoreRelay,
 )
 
 __all__ = [
     "QueryStore",
+    "RelayLimits",
     "UseRelayedConfirmation",
     "check_relay",
     "record_confirmation",
@@ -27,6 +29,18 @@
 MIN_ADVANCE_S = 0.3
 
 
+@frozen(kw_only=True)
+class RelayLimits:
+    """Limit in seconds how long relayed confirmations replace queries to the store.
+
+    `confirmed_s` counts from the last confirmation of the version, `reached_s` from
+    the last request of the watching host that the store answered.
+    """
+
+    confirmed_s: float
+    reached_s: float
+
+
 @frozen(kw_only=True)
 class QueryStore:
     """Query the store now."""
@@ -41,35 +55,50 @@
 
 
 def check_relay(
-    view: FeedView[Configuration], relay: StoreRelay, *, limit_s: float, now_s: float
+    view: FeedView[Configuration],
+    relay: StoreRelay,
+    limits: RelayLimits,
+    *,
+    now_s: float,
 ) -> QueryStore | UseRelayedConfirmation:
     """Return whether a relayed confirmation replaces a query to the store.
 
     A relayed confirmation of the current version confirms the local feed. The host
-    queries the store itself if a newer version is relayed, or if the last
-    confirmation is `limit_s` seconds old.
+    queries the store itself if a newer version is relayed, if the last confirmation
+    is too old, or if the host that watches may no longer reach the store.
     """
     if relay.is_watcher or view.confirmed_s is None:
         return QueryStore()
-    version, confirmed_s = _newest_version(view), view.confirmed_s
+    version = _newest_version(view)
+    confirmed_s = reached_s = view.confirmed_s
     if relay.relayed is not None and relay.relayed.version > version:
         return QueryStore()
     if relay.relayed is not None and relay.relayed.version == version:
         confirmed_s = max(confirmed_s, relay.relayed.confirmed_s)
-    if now_s >= confirmed_s + limit_s:
+        reached_s = max(reached_s, relay.relayed.reached_s)
+    until_s = min(confirmed_s + limits.confirmed_s, reached_s + limits.reached_s)
+    if now_s >= until_s:
         return QueryStore()
     view = evolve(view, confirmed_s=confirmed_s)
-    return UseRelayedConfirmation(view=view, next_query_s=confirmed_s + limit_s)
+    return UseRelayedConfirmation(view=view, next_query_s=until_s)
 
 
 def make_confirmation(
-    view: FeedView[Configuration], *, now_s: float
+    view: FeedView[Configuration], relay: StoreRelay, reach: StoreReach, *, now_s: float
 ) -> Confirmation | None:
     """Return the confirmation to relay, None before the first answer of the store."""
     if view.confirmed_s is None:
         return None
-    age_s = now_s - view.confirmed_s
-    return Confirmation(version=_newest_version(view), age_s=age_s)
+    reached_s = view.confirmed_s
+    if reach.reached_s is not None:
+        reached_s = max(reached_s, reach.reached_s)
+    if relay.relayed is not None:
+        reached_s = max(reached_s, relay.relayed.reached_s)
+    return Confirmation(
+        version=_newest_version(view),
+        age_s=now_s - view.confirmed_s,
+        reached_age_s=now_s - reached_s,
+    )
 
 
 def record_confirmation(
@@ -83,16 +112,22 @@
     if confirmation is None:
         return relay
     known = relay.relayed
-    confirmed_s = sent_s - confirmation.age_s
+    relayed = RelayedVersion(
+        version=confirmation.version,
+        confirmed_s=sent_s - confirmation.age_s,
+        reached_s=sent_s - confirmation.reached_age_s,
+    )
     if known is not None:
-        is_newer = confirmation.version > known.version
-        is_refreshed = (
-            confirmation.version == known.version
-            and confirmed_s >= known.confirmed_s + MIN_ADVANCE_S
-        )
-        if not (is_newer or is_refreshed):
+        if relayed.version < known.version:
             return relay
-    relayed = RelayedVersion(version=confirmation.version, confirmed_s=confirmed_s)
+        if relayed.version == known.version:
+            if not _is_advanced(relayed, known):
+                return relay
+            relayed = RelayedVersion(
+                version=known.version,
+                confirmed_s=max(relayed.confirmed_s, known.confirmed_s),
+                reached_s=max(relayed.reached_s, known.reached_s),
+            )
     return evolve(relay, relayed=relayed)
 
 
@@ -106,5 +141,12 @@
     return evolve(relay, is_watcher=is_watcher)
 
 
+def _is_advanced(relayed: RelayedVersion, known: RelayedVersion) -> bool:
+    return (
+        relayed.confirmed_s >= known.confirmed_s + MIN_ADVANCE_S
+        or relayed.reached_s >= known.reached_s + MIN_ADVANCE_S
+    )
+
+
 def _newest_version(view: FeedView[Configuration]) -> int:
     return max((cfg.version for cfg in view.items.values()), default=0)
--- a/snipespring/decisions/domains/__init__.pyi
+++ b/snipespring/decisions/domains/__init__.pyi
@@ -6,7 +6,7 @@
     sum_answers,
 )
 from .hubs import choose_hubs, is_hub
-from .known_hosts import list_known_hosts, list_outcome_recipients
+from .known_hosts import find_known_host, list_known_hosts, list_outcome_recipients
 from .usage import (
     RateTolerance,
     admit_request,
@@ -17,11 +17,12 @@
 )
 from .views import (
     make_digest,
+    make_hub_state,
+    make_request,
     make_summary,
     make_view,
     receive_report,
     receive_summary,
-    view_from_digest,
 )
 
 __all__ = [
@@ -32,10 +33,13 @@
     "count_answers_by_server",
     "count_server_answers",
     "count_usage",
+    "find_known_host",
     "is_hub",
     "list_known_hosts",
     "list_outcome_recipients",
     "make_digest",
+    "make_hub_state",
+    "make_request",
     "make_summary",
     "make_view",
     "offer_addresses",
@@ -46,5 +50,4 @@
     "record_answers",
     "record_request",
     "sum_answers",
-    "view_from_digest",
 ]
--- a/snipespring/decisions/domains/answers.py
+++ b/snipespring/decisions/domains/answers.py
@@ -5,7 +5,7 @@
 
 from immutables import Map
 
-from ...records import AnswerLog, HostReport, ReportDigest, ServerAnswers
+from ...records import AnswerLog, HostReport, ServerAnswers
 
 __all__ = [
     "ANSWER_WINDOW_S",
@@ -49,7 +49,7 @@
     return tuple(count for count in counts if count.good)
 
 
-def sum_answers(messages: Iterable[HostReport | ReportDigest]) -> Map[str, int]:
+def sum_answers(messages: Iterable[HostReport]) -> Map[str, int]:
     """Return the total of reported good answers by server instance."""
     totals: dict[str, int] = {}
     for message in messages:
--- a/snipespring/decisions/domains/known_hosts.py
+++ b/snipespring/decisions/domains/known_hosts.py
@@ -1,8 +1,8 @@
 """List the hosts that this host knows of."""
 
-from ...records import DomainReports, FeedView, FleetView, PublishedHost
+from ...records import DomainReports, FeedView, FleetView, HostId, PublishedHost
 
-__all__ = ["list_known_hosts", "list_outcome_recipients"]
+__all__ = ["find_known_host", "list_known_hosts", "list_outcome_recipients"]
 
 # Once this share of the known hosts reports, hosts that do not report count as down.
 MIN_REPORTING_SHARE = 0.5
@@ -19,6 +19,14 @@
     return tuple(hosts.values())
 
 
+def find_known_host(
+    feed: FeedView[PublishedHost], reports: DomainReports, host_id: HostId
+) -> PublishedHost | None:
+    """Return a host that reported or is in the registry, or None."""
+    received = reports.by_host.get(host_id)
+    return feed.items.get(host_id) if received is None else received.report.host
+
+
 def list_outcome_recipients(
     hosts: tuple[PublishedHost, ...], view: FleetView, own_host: PublishedHost
 ) -> tuple[PublishedHost, ...]:
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -3,39 +3,48 @@
 from collections.abc import Iterable
 from math import ceil
 
+import xxhash
 from attrs import evolve
 from immutables import Map
 
 from ...records import (
     DomainName,
     DomainReports,
+    DomainState,
     DomainSummary,
     FleetView,
     HostId,
     HostReport,
+    HubState,
     OrganisationName,
     OrganisationUsage,
     ReceivedReport,
     ReceivedSummary,
     ReportDigest,
     ServerAnswers,
+    StateRequest,
 )
 from .answers import sum_answers
 
 __all__ = [
     "MAX_REPORT_AGE_S",
     "make_digest",
+    "make_hub_state",
+    "make_request",
     "make_summary",
     "make_view",
     "receive_report",
     "receive_summary",
-    "view_from_digest",
 ]
 
 MAX_REPORT_AGE_S = 1.0  # reached when four successive reports are lost
 # How many last reports of processes that a restart replaced are kept in a domain.
 MAX_SUPERSEDED_REPORTS = 64
 MAX_SUMMARY_AGE_S = 1.25  # reached when five successive summaries are lost
+# Without a state from the first hub for this time, the second one is asked too.
+MAX_STATE_AGE_S = 0.6
+ANSWERS_INTERVAL_S = 0.75
+SMALL_DOMAIN_HOSTS = 16
 
 
 def receive_report(
@@ -72,27 +81,70 @@
     return evolve(reports, by_domain=by_domain)
 
 
+def make_hub_state(
+    reports: DomainReports, *, window_s: float, now_s: float
+) -> HubState:
+    """Return what a hub knows of the fleet, with the reports that the sums include.
+
+    The usage of silent hosts counts until it has left the window.
+    """
+    recent = _list_recent(reports, now_s)
+    summaries = _list_recent_summaries(reports, now_s)
+    serving = set(_list_serving(recent))
+    for received in summaries:
+        serving.update(received.serving)
+    listed = tuple(sorted(serving))
+    messages: list[HostReport | DomainSummary] = [
+        *recent,
+        *_list_silent(reports, window_s, now_s),
+        *(received.summary for received in summaries),
+    ]
+    state = DomainState(
+        heard_hosts=len(recent) + sum(s.summary.heard_hosts for s in summaries),
+        serving_version=_version_of(listed),
+        serving=listed,
+        usage=_sum_usage(messages),
+        answers=tuple(
+            ServerAnswers(instance=name, good=good)
+            for name, good in sorted(sum_answers(recent).items())
+        ),
+    )
+    included = Map({report.host.host_id: report for report in recent})
+    return HubState(state=state, included=included, as_of_s=now_s)
+
+
 def make_digest(
-    reports: DomainReports,
-    own_id: HostId,
-    report: HostReport,
-    *,
-    window_s: float,
-    now_s: float,
+    hub_state: HubState, own_id: HostId, report: HostReport
 ) -> ReportDigest:
-    """Return a hub's answer to a report: a digest of all hosts but the reporter."""
-    view = make_view(reports, report.host.host_id, window_s=window_s, now_s=now_s)
+    """Return a hub's answer to a report, with the parts of the state it asks for."""
+    included = hub_state.included.get(report.host.host_id)
+    is_included = included is not None and included.incarnation == report.incarnation
     return ReportDigest(
         sender=own_id,
         incarnation=report.incarnation,
         sequence=report.sequence,
-        serving=tuple(sorted(view.serving)),
-        heard_hosts=view.heard_hosts,
-        usage=_list_usage(view.usage),
-        answers=tuple(
-            ServerAnswers(instance=name, good=good)
-            for name, good in sorted(view.answers.items())
-        ),
+        included_sequence=included.sequence if included and is_included else None,
+        state=_select_parts(hub_state.state, report.request),
+    )
+
+
+def make_request(
+    view: FleetView, *, is_first_hub: bool, domain_hosts: int, now_s: float
+) -> StateRequest | None:
+    """Return what to ask of a hub, None for a confirmation of the report only.
+
+    The second hub is asked when the first one has not answered lately. In a large
+    domain, answers are asked for less often than the rest, since they are the
+    largest part.
+    """
+    is_recent = view.as_of_s is not None and now_s - view.as_of_s <= MAX_STATE_AGE_S
+    if is_recent and not is_first_hub:
+        return None
+    interval_s = ANSWERS_INTERVAL_S if domain_hosts > SMALL_DOMAIN_HOSTS else 0.0
+    return StateRequest(
+        serving_version=view.serving_version,
+        wants_answers=view.answers_as_of_s is None
+        or now_s - view.answers_as_of_s >= interval_s,
     )
 
 
@@ -111,55 +163,87 @@
         domain=domain,
         serving=tuple(sorted(_list_serving(recent))),
         heard_hosts=len(recent),
-        usage=_list_usage(
-            _sum_usage([*recent, *_list_silent(reports, window_s, now_s)])
-        ),
+        usage=_sum_usage([*recent, *_list_silent(reports, window_s, now_s)]),
     )
 
 
 def make_view(
-    reports: DomainReports, host_id: HostId, *, window_s: float, now_s: float
+    state: DomainState, own: HostReport | None, previous: FleetView, *, now_s: float
 ) -> FleetView:
     """Return one host's view of the fleet, without its own usage and answers.
 
-    The usage of silent hosts counts until it has left the window.
+    `own` is the report of this host that the sums of the state include. Parts that
+    the state leaves out stay as they were in the previous view.
     """
-    recent = _list_recent(reports, now_s)
-    others = [report for report in recent if report.host.host_id != host_id]
-    summaries = [
-        received
-        for received in reports.by_domain.values()
-        if now_s - received.received_s <= MAX_SUMMARY_AGE_S
-    ]
-    serving = set(_list_serving(recent))
-    for received in summaries:
-        serving.update(received.serving)
+    own_usage, own_answers = _index_own(own)
+    answers, answers_as_of_s = previous.answers, previous.answers_as_of_s
+    if state.answers is not None:
+        answers_as_of_s = now_s
+        answers = Map(
+            {
+                count.instance: good
+                for count in state.answers
+                if (good := count.good - own_answers.get(count.instance, 0)) > 0
+            }
+        )
+    serving, serving_version = previous.serving, previous.serving_version
+    if state.serving is not None:
+        serving, serving_version = frozenset(state.serving), state.serving_version
     return FleetView(
-        serving=frozenset(serving),
-        heard_hosts=len(others) + 1 + sum(s.summary.heard_hosts for s in summaries),
-        usage=_sum_usage(
-            [
-                *others,
-                *_list_silent(reports, window_s, now_s),
-                *(received.summary for received in summaries),
-            ]
-        ),
-        answers=sum_answers(others),
+        serving=serving,
+        serving_version=serving_version,
+        heard_hosts=state.heard_hosts + (own is None),
+        usage=Map(_subtract_usage(state.usage, own_usage)),
+        answers=answers,
+        answers_as_of_s=answers_as_of_s,
         as_of_s=now_s,
     )
 
 
-def view_from_digest(digest: ReportDigest, *, now_s: float) -> FleetView:
-    """Return the view of the fleet that a hub's digest describes."""
-    return FleetView(
-        serving=frozenset(digest.serving),
-        heard_hosts=digest.heard_hosts,
-        usage=_sum_usage([digest]),
-        answers=sum_answers([digest]),
-        as_of_s=now_s,
+def _select_parts(
+    state: DomainState | None, request: StateRequest | None
+) -> DomainState | None:
+    if state is None or request is None:
+        return None
+    is_serving_known = request.serving_version == state.serving_version
+    return evolve(
+        state,
+        serving=None if is_serving_known else state.serving,
+        answers=state.answers if request.wants_answers else None,
     )
 
 
+def _index_own(
+    own: HostReport | None,
+) -> tuple[dict[OrganisationName, OrganisationUsage], dict[str, int]]:
+    if own is None:
+        return {}, {}
+    usage = {entry.organisation: entry for entry in own.usage}
+    return usage, {count.instance: count.good for count in own.answers}
+
+
+def _subtract_usage(
+    usage: Iterable[OrganisationUsage], own: dict[OrganisationName, OrganisationUsage]
+) -> dict[OrganisationName, OrganisationUsage]:
+    result = {}
+    for total in usage:
+        name = total.organisation
+        if (part := own.get(name)) is not None:
+            total = OrganisationUsage(
+                organisation=name,
+                admitted=max(0, total.admitted - part.admitted),
+                received=max(0, total.received - part.received),
+            )
+        if total.admitted or total.received:
+            result[name] = total
+    return result
+
+
+def _version_of(serving: tuple[HostId, ...]) -> int:
+    """Return a number that identifies a list of hosts, never 0."""
+    return 1 + xxhash.xxh32_intdigest("\0".join(serving).encode())
+
+
 def _is_older(report: HostReport, known: HostReport) -> bool:
     return report.incarnation == known.incarnation and report.sequence <= known.sequence
 
@@ -206,24 +290,27 @@
     return [report.host.host_id for report in reports if report.is_serving]
 
 
+def _list_recent_summaries(
+    reports: DomainReports, now_s: float
+) -> list[ReceivedSummary]:
+    return [
+        received
+        for received in reports.by_domain.values()
+        if now_s - received.received_s <= MAX_SUMMARY_AGE_S
+    ]
+
+
 def _sum_usage(
-    messages: Iterable[HostReport | DomainSummary | ReportDigest],
-) -> Map[OrganisationName, OrganisationUsage]:
-    totals: dict[OrganisationName, OrganisationUsage] = {}
+    messages: Iterable[HostReport | DomainSummary],
+) -> tuple[OrganisationUsage, ...]:
+    admitted: dict[OrganisationName, int] = {}
+    received: dict[OrganisationName, int] = {}
     for message in messages:
         for usage in message.usage:
-            total = totals.get(usage.organisation)
-            if total is not None:
-                usage = evolve(
-                    total,
-                    admitted=total.admitted + usage.admitted,
-                    received=total.received + usage.received,
-                )
-            totals[usage.organisation] = usage
-    return Map(totals)
-
-
-def _list_usage(
-    usage: Map[OrganisationName, OrganisationUsage],
-) -> tuple[OrganisationUsage, ...]:
-    return tuple(count for _, count in sorted(usage.items()))
+            name = usage.organisation
+            admitted[name] = admitted.get(name, 0) + usage.admitted
+            received[name] = received.get(name, 0) + usage.received
+    return tuple(
+        OrganisationUsage(organisation=name, admitted=count, received=received[name])
+        for name, count in sorted(admitted.items())
+    )
--- a/snipespring/decisions/suspicion.py
+++ b/snipespring/decisions/suspicion.py
@@ -29,7 +29,7 @@
 MAX_RISK = 0.97  # limits the weight of a series of failures
 MIN_RISK = 0.01  # a server that has just answered may have become gray since
 # Window in which good answers are counted plus the delay of their reports, in seconds.
-ANSWER_COUNT_LAG_S = 2.75
+ANSWER_COUNT_LAG_S = 3.25
 
 FAILURE_WEIGHT = log(GRAY_FAILURE_RATIO / HEALTHY_FAILURE_RATIO)
 SUCCESS_WEIGHT = log((1.0 - GRAY_FAILURE_RATIO) / (1.0 - HEALTHY_FAILURE_RATIO))
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -13,10 +13,14 @@
 from ..records import (
     Address,
     DomainMessage,
+    DomainState,
     DomainSummary,
+    HostId,
     HostReport,
+    OrganisationUsage,
     OutcomeNotification,
     ReportDigest,
+    ServerAnswers,
     ServerChanges,
     ServerQuery,
 )
@@ -66,8 +70,58 @@
     return decode
 
 
+@define(kw_only=True, eq=False)
+class _EncodedParts:
+    """Keep the encoding of the parts of a state that are sent to many hosts."""
+
+    max_parts: int = 8
+    _parts: list[tuple[object, bytes]] = field(factory=list, init=False)
+
+    def encode(self, part: Any) -> bytes | None:
+        """Return the encoding of a tuple of records, which is not changed later."""
+        if part is None:
+            return None
+        for known, content in self._parts:
+            if known is part:
+                return content
+        content = dumps(_converter.unstructure(part))
+        self._parts = [(part, content), *self._parts[: self.max_parts - 1]]
+        return content
+
+
+_encoded_parts = _EncodedParts()
+
+
+def _encode_state(state: DomainState) -> list[Any]:
+    return [
+        state.heard_hosts,
+        state.serving_version,
+        _encoded_parts.encode(state.serving),
+        _encoded_parts.encode(state.usage),
+        _encoded_parts.encode(state.answers),
+    ]
+
+
+def _decode_state(raw: Any, _: Any) -> DomainState:
+    heard_hosts, serving_version, serving, usage, answers = raw
+    return DomainState(
+        heard_hosts=_converter.structure(heard_hosts, int),
+        serving_version=_converter.structure(serving_version, int),
+        serving=None if serving is None else _decode_part(serving, HostId),
+        usage=_decode_part(usage, OrganisationUsage),
+        answers=None if answers is None else _decode_part(answers, ServerAnswers),
+    )
+
+
+def _decode_part(content: bytes, kind: Any) -> tuple[Any, ...]:
+    part: tuple[Any, ...] = _converter.structure(loads(content), tuple[kind, ...])
+    return part
+
+
 _converter.register_unstructure_hook_factory(has, _make_encode)
 _converter.register_structure_hook_factory(has, _make_decode)
+_converter.register_unstructure_hook(DomainState, _encode_state)
+_converter.register_structure_hook(DomainState, _decode_state)
 
 
 class DatagramSender(Protocol):
@@ -76,6 +130,9 @@
     def send(self, address: Address, message: DomainMessage) -> None:
         """Send a message; a message that cannot be sent is dropped."""
 
+    def send_all(self, addresses: tuple[Address, ...], message: DomainMessage) -> None:
+        """Send the same message to several hosts."""
+
 
 def encode_datagram(message: DomainMessage) -> bytes:
     """Return the message as a CBOR array of its kind's index and its fields."""
@@ -110,12 +167,18 @@
 
     def send(self, address: Address, message: DomainMessage) -> None:
         """Send a message; a message that cannot be sent is dropped."""
-        try:
-            self._sock.sendto(encode_datagram(message), (address.ip, address.port))
-        except OSError as exc:
-            log.debug(
-                "could not send a datagram", extra={"to": str(address), "why": exc}
-            )
+        self.send_all((address,), message)
+
+    def send_all(self, addresses: tuple[Address, ...], message: DomainMessage) -> None:
+        """Send the same message to several hosts."""
+        content = encode_datagram(message)
+        for address in addresses:
+            try:
+                self._sock.sendto(content, (address.ip, address.port))
+            except OSError as exc:
+                log.debug(
+                    "could not send a datagram", extra={"to": str(address), "why": exc}
+                )
 
     def close(self) -> None:
         """Stop receiving."""
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -12,6 +12,7 @@
     FeedItem,
     FeedListing,
     FeedUnavailable,
+    HostId,
     InvalidItem,
     ObjectAbsent,
     ObjectConflict,
@@ -101,6 +102,17 @@
             case PlatformUnavailable(reason=reason) | WriteUncertain(reason=reason):
                 return FeedUnavailable(reason=reason)
 
+    def probe(self, host_id: HostId) -> FeedUnavailable | None:
+        """Read a host's own object; return why the store did not answer, or None.
+
+        The object may be seconds old, as such a read costs least.
+        """
+        match self.store.read(HOST_KIND, host_id, may_be_stale=True):
+            case StoredObject() | ObjectAbsent():
+                return None
+            case PlatformUnavailable(reason=reason):
+                return FeedUnavailable(reason=reason)
+
     def feed(self) -> ObjectFeed[PublishedHost]:
         """Return the feed of registered hosts."""
         return ObjectFeed(
--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -13,6 +13,7 @@
     Address,
     Configuration,
     DomainName,
+    HostCapacity,
     HostId,
     InvalidItem,
     KeyAccess,
@@ -42,7 +43,7 @@
 ASKED_BY = "the platform's operators"
 # Whether a server in each state is draining.
 SERVER_STATES = {"ready": False, "draining": True}
-HOST_FIELDS = ("Zone", "Front", "Peers")
+HOST_FIELDS = ("Zone", "Front", "Peers", "Cores", "LinkMbps")
 
 Spec = Mapping[str, Any]
 
@@ -68,7 +69,13 @@
 
 def encode_host(host: PublishedHost) -> dict[str, str]:
     """Return the content of the object that describes a host."""
-    values = (host.domain, str(host.callers), str(host.peers))
+    values = (
+        host.domain,
+        str(host.callers),
+        str(host.peers),
+        str(host.capacity.cores),
+        str(host.capacity.link_mbps),
+    )
     return dict(zip(HOST_FIELDS, values, strict=True))
 
 
@@ -106,12 +113,16 @@
 
 
 def _read_host(name: str, spec: Spec) -> PublishedHost:
-    domain, callers, peers = HOST_FIELDS
+    domain, callers, peers, cores, link = HOST_FIELDS
     return PublishedHost(
         host_id=HostId(name),
         domain=DomainName(_read_text(spec, domain)),
         callers=_read_address(spec, callers),
         peers=_read_address(spec, peers),
+        capacity=HostCapacity(
+            cores=float(spec.get(cores, HostCapacity().cores)),
+            link_mbps=float(spec.get(link, HostCapacity().link_mbps)),
+        ),
     )
 
 
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -88,10 +88,12 @@
     _local: threading.local = field(factory=threading.local, init=False)
 
     def read(
-        self, kind: str, name: str
+        self, kind: str, name: str, *, may_be_stale: bool = False
     ) -> StoredObject | ObjectAbsent | PlatformUnavailable:
-        """Return one object or its absence."""
-        response = self._call("GET", _make_path(kind, name), None, self.timeout_s)
+        """Return one object or its absence, maybe seconds old with `may_be_stale`."""
+        query: dict[str, object] = {"AllowStale": 1} if may_be_stale else {}
+        path = _make_path(kind, name, query)
+        response = self._call("GET", path, None, self.timeout_s)
         match response:
             case _Response(status=200, content=content):
                 obj = _read_object(content)
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -2,6 +2,7 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +17,7 @@
     Address,
     Configuration,
     DomainName,
+    HostCapacity,
     HostId,
     InvalidItem,
     KeyAccess,
@@ -202,5 +204,13 @@
         domain=DomainName("eire-east-a"),
         callers=Address(ip="10.1.0.24", port=8045),
         peers=Address(ip="10.1.0.24", port=7100),
+        capacity=HostCapacity(cores=2.15, link_mbps=60.0),
     )
     assert decode_host("front-1", spec(encode_host(host))) == host
+    without_capacity = {
+        name: value
+        for name, value in encode_host(host).items()
+        if name not in ("Cores", "LinkMbps")
+    }
+    decoded = decode_host("front-1", spec(without_capacity))
+    assert decoded == evolve(host, capacity=HostCapacity())
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -10,15 +10,18 @@
     "AnswerLog",
     "Confirmation",
     "DomainReports",
+    "DomainState",
     "DomainSummary",
     "FleetView",
     "ReceivedReport",
     "ReceivedSummary",
     "HostReport",
+    "HubState",
     "OrganisationTimes",
     "OrganisationUsage",
     "ReportDigest",
     "ServerAnswers",
+    "StateRequest",
     "OutcomeNotification",
     "UsageLog",
     "DomainMessage",
@@ -46,11 +49,23 @@
     good: int
 
 
+@frozen(kw_only=True)
+class StateRequest:
+    """Ask a hub for the state of the fleet.
+
+    `serving_version` is that of the list of serving hosts that is known, 0 for none.
+    """
+
+    serving_version: int = 0
+    wants_answers: bool = True
+
+
 @frozen(kw_only=True)
 class HostReport:
     """Report a host's own state; `sequence` rises with each report.
 
-    A host with `is_serving` is ready for requests and not about to stop.
+    A host with `is_serving` is ready for requests and not about to stop. Without a
+    `request`, the digest only confirms the report.
     """
 
     host: PublishedHost
@@ -59,37 +74,52 @@
     is_serving: bool
     usage: tuple[OrganisationUsage, ...] = ()
     answers: tuple[ServerAnswers, ...] = ()
+    request: StateRequest | None = None
 
 
 @frozen(kw_only=True)
 class Confirmation:
     """Describe the configuration version that the store confirmed, and its age.
 
-    `age_s` counts from when the confirming request was sent.
+    `age_s` counts from when the confirming request was sent, `reached_age_s` from when
+    the latest request was sent that the store answered.
     """
 
     version: int
     age_s: float
+    reached_age_s: float
 
 
 @frozen(kw_only=True)
-class ReportDigest:
-    """Answer a report with what the other hosts of the failure domain reported.
+class DomainState:
+    """Describe the fleet as a hub knows it, the same for all hosts of its domain.
+
+    `serving` lists the serving hosts of the whole fleet, and is None for a receiver
+    that knows the list of this `serving_version`. `answers` are those of the failure
+    domain, None for a receiver that did not ask for them. `heard_hosts` counts the
+    hosts that sent reports.
+    """
+
+    heard_hosts: int
+    serving_version: int
+    serving: tuple[HostId, ...] | None
+    usage: tuple[OrganisationUsage, ...]
+    answers: tuple[ServerAnswers, ...] | None
+
 
-    `incarnation` and `sequence` are those of the answered report.
+@frozen(kw_only=True)
+class ReportDigest:
+    """Answer a report with the state of the fleet, if the report asks for it.
 
-    `serving` lists the serving hosts of the whole fleet. `usage` excludes the
-    receiver's share. `heard_hosts` counts the hosts that sent reports, including the
-    receiver.
+    `incarnation` and `sequence` are those of the answered report. The sums in `state`
+    include the receiver's report number `included_sequence`, or none of its reports.
     """
 
     sender: HostId
     incarnation: Incarnation
     sequence: int
-    serving: tuple[HostId, ...]
-    heard_hosts: int
-    usage: tuple[OrganisationUsage, ...] = ()
-    answers: tuple[ServerAnswers, ...] = ()
+    included_sequence: int | None = None
+    state: DomainState | None = None
     confirmation: Confirmation | None = None
     servers: ServerMark | None = None
 
@@ -161,13 +191,27 @@
     by_domain: Map[DomainName, ReceivedSummary] = Map()
 
 
+@frozen(kw_only=True)
+class HubState:
+    """Hold the state that a hub gives to the hosts of its domain.
+
+    `included` maps each host to its report that the sums include; `as_of_s` is the
+    local time of the sums, None before any.
+    """
+
+    state: DomainState | None = None
+    included: Map[HostId, HostReport] = Map()
+    as_of_s: float | None = None
+
+
 @frozen(kw_only=True)
 class FleetView:
     """Describe the other hosts of the fleet as this host knows them.
 
-    `as_of_s` is the local time at which the latest part was received, None before any.
-    Usage and the successful answers of servers exclude this host's share; the answers
-    are those of the host's failure domain.
+    `as_of_s` is the local time at which the latest part was received, None before any,
+    and `answers_as_of_s` that of the answers. `serving_version` identifies the list of
+    serving hosts. Usage and the successful answers of servers exclude this host's
+    share; the answers are those of the host's failure domain.
     """
 
     serving: frozenset[HostId] = frozenset()
@@ -175,6 +219,8 @@
     usage: Map[OrganisationName, OrganisationUsage] = Map()
     answers: Map[str, int] = Map()
     as_of_s: float | None = None
+    serving_version: int = 0
+    answers_as_of_s: float | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -16,8 +16,10 @@
     "FeedListing",
     "FeedView",
     "InvalidItem",
+    "HostCapacity",
     "PublishedHost",
     "PublishedServer",
+    "StoreReach",
     "StoreRelay",
     "RelayedVersion",
     "ServerChange",
@@ -47,14 +49,23 @@
     warmup_s: float
 
 
+@frozen(kw_only=True)
+class HostCapacity:
+    """State how many processor cores a host has and how fast its link is."""
+
+    cores: float = 1.0
+    link_mbps: float = 1000.0
+
+
 @frozen(kw_only=True)
 class PublishedHost:
-    """List the addresses at which a host of the fleet listens."""
+    """State where a host of the fleet listens and what it can carry."""
 
     host_id: HostId
     domain: DomainName
     callers: Address
     peers: Address
+    capacity: HostCapacity = HostCapacity()
 
 
 @frozen(kw_only=True)
@@ -123,11 +134,20 @@
 class RelayedVersion:
     """Record the configuration version that the store confirmed to another host.
 
-    The confirming request was sent at the local time `confirmed_s` or later.
+    The confirming request was sent at the local time `confirmed_s` or later, and the
+    latest request that the store answered to that host at `reached_s` or later.
     """
 
     version: int
     confirmed_s: float
+    reached_s: float
+
+
+@frozen(kw_only=True)
+class StoreReach:
+    """Record when the latest probe that the store answered was sent."""
+
+    reached_s: float | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -177,11 +177,15 @@
 
     `memory_bytes` determines the number of threads and the memory for request bodies,
     `descriptors` (file descriptors) the number of callers' connections. Callers may
-    use a list of addresses for `address_lifetime_s`.
+    use a list of addresses for `address_lifetime_s`. The host has `cpu_share` of each
+    of its `cores`, and a link of `link_mbps`.
     """
 
     memory_bytes: ByteCount = ByteCount(300 * MEBIBYTE_BYTES)
     descriptors: Count = Count(4100)
+    cpu_share: Amount = Amount(1.0)
+    cores: Amount = Amount(1.0)
+    link_mbps: Amount = Amount(1000.0)
     address_lifetime_s: Seconds = Seconds(2.0)
 
 
