Collect outcomes at the hub of a large domain

Cause: each failure, and each good answer of a suspected server, went to every host by a datagram of its own, so that each host received as many as all hosts have outcomes.

Change: in domains of more than 16 hosts an outcome goes to the first hub, which sends those of 0.05 s on together, to its domain and to a hub of each other one; the first one after a pause goes at once. Smaller domains exchange them directly, as before. Outcomes have a controller of their own; queued requests are placed within 0.05 s after a server is trusted again, without a round of the dispatcher for each outcome.

The test of 60 hosts counts less than 40 + 3 x 60 datagrams for 40 outcomes; it was 40 for each host.

--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -3,7 +3,15 @@
     PENDING_REPORTS,
     ROSTER_TENURE,
 )
-from .domains import ANSWER_LOG, DOMAIN_REPORTS, FLEET_VIEW, HUB_STATE, USAGE_LOG
+from .domains import (
+    ANSWER_LOG,
+    DOMAIN_HUBS,
+    DOMAIN_REPORTS,
+    FLEET_VIEW,
+    HUB_STATE,
+    PENDING_OUTCOMES,
+    USAGE_LOG,
+)
 from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_REACH, STORE_RELAY
 from .fleet import (
     CONFIGURATION,
@@ -55,6 +63,7 @@
     "CONFIGURATION_FEED",
     "COUNTERS",
     "CREDIT_NEEDS",
+    "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "EJECTION_LISTS",
     "EVENTS",
@@ -62,6 +71,7 @@
     "FENCE",
     "FLEET_VIEW",
     "HUB_STATE",
+    "PENDING_OUTCOMES",
     "HEALTH_POOLS",
     "HOST_CONTACTS",
     "BUFFERED_BODIES",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -1,13 +1,32 @@
 """Define the regions of reports that hosts exchange by datagrams."""
 
-from ...records import AnswerLog, DomainReports, FleetView, HubState, UsageLog
+from ...records import (
+    AnswerLog,
+    DomainHubs,
+    DomainReports,
+    FleetView,
+    HubState,
+    PendingOutcomes,
+    UsageLog,
+)
 from ..region import Region
 
-__all__ = ["ANSWER_LOG", "DOMAIN_REPORTS", "FLEET_VIEW", "HUB_STATE", "USAGE_LOG"]
+__all__ = [
+    "ANSWER_LOG",
+    "DOMAIN_HUBS",
+    "DOMAIN_REPORTS",
+    "FLEET_VIEW",
+    "HUB_STATE",
+    "PENDING_OUTCOMES",
+    "USAGE_LOG",
+]
 
 ANSWER_LOG = Region[AnswerLog](
     name="answer_log", writer="health_keeper", initial=AnswerLog()
 )
+DOMAIN_HUBS = Region[DomainHubs](
+    name="domain_hubs", writer="domain_link", initial=DomainHubs()
+)
 DOMAIN_REPORTS = Region[DomainReports](
     name="domain_reports", writer="domain_link", initial=DomainReports()
 )
@@ -15,6 +34,9 @@
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
 HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
+PENDING_OUTCOMES = Region[PendingOutcomes](
+    name="pending_outcomes", writer="outcome_relay", initial=PendingOutcomes()
+)
 USAGE_LOG = Region[UsageLog](
     name="usage_log", writer="usage_limiter", initial=UsageLog()
 )
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -26,6 +26,7 @@
 from .limiter import Limiter
 from .metrics_recorder import MetricsRecorder
 from .observations import read_newest_configuration, read_newest_roster
+from .outcome_relay import OutcomeRelay
 from .puller import Puller
 from .responder import Responder
 from .roster_manager import RosterManager
@@ -93,6 +94,7 @@
     "NoClaimControl",
     "NotPlaced",
     "NoRules",
+    "OutcomeRelay",
     "Placed",
     "Puller",
     "Responder",
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -51,6 +51,8 @@
 __all__ = ["Dispatcher", "NotPlaced", "Placed"]
 
 MIN_STEP_DELAY_S = 0.001
+# While requests are queued, this is how soon a server that is trusted again is used.
+TRUST_CHECK_INTERVAL_S = 0.05
 RETRY_AFTER_S = 0.2
 # Within this time after a service is configured, its subset of servers is selected.
 SUBSET_SELECTION_DELAY_S = 0.1
@@ -88,7 +90,7 @@
     @property
     def watches(self) -> tuple[Region[Any], ...]:
         """Return the regions whose writes wake the controller."""
-        return (REQUEST_QUEUES, SERVER_STATES, SERVER_SUBSETS)
+        return (REQUEST_QUEUES, SERVER_SUBSETS)
 
     def step(self) -> float | None:
         """Place queued requests; return seconds until the next may be placed."""
@@ -97,9 +99,13 @@
             queues = self.board.read(REQUEST_QUEUES).by_service
             services = [name for name, queue in queues.items() if queue.queued]
             free_at_s = min((self._dispatch(name) for name in services), default=inf)
-        if free_at_s == inf:
-            return None
-        return max(MIN_STEP_DELAY_S, free_at_s - self.clock.monotonic_s())
+        if free_at_s < inf:
+            return max(MIN_STEP_DELAY_S, free_at_s - self.clock.monotonic_s())
+        has_queued = any(
+            queue.queued
+            for queue in self.board.read(REQUEST_QUEUES).by_service.values()
+        )
+        return TRUST_CHECK_INTERVAL_S if has_queued else None
 
     def place(self, slot_request: SlotRequest) -> Placed | NotPlaced:
         """Reserve a slot for a request, queueing it while no slot is free."""
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -14,6 +14,7 @@
 from ..blackboard.regions import (
     ANSWER_LOG,
     CONFIGURATION_FEED,
+    DOMAIN_HUBS,
     DOMAIN_REPORTS,
     FLEET_VIEW,
     HOST_FEED,
@@ -35,7 +36,7 @@
     find_known_host,
     is_hub,
     list_known_hosts,
-    list_outcome_recipients,
+    list_other_hubs,
     make_digest,
     make_hub_state,
     make_request,
@@ -53,6 +54,7 @@
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
+    DomainHubs,
     DomainMessage,
     DomainState,
     DomainSummary,
@@ -60,6 +62,7 @@
     HostReport,
     HubState,
     Incarnation,
+    OutcomeBatch,
     OutcomeNotification,
     PublishedHost,
     ReportDigest,
@@ -68,6 +71,7 @@
     StoreRelay,
 )
 from ..utils import Clock
+from .outcome_relay import OutcomeRelay
 from .readiness import is_ready
 
 __all__ = ["DomainLink"]
@@ -88,11 +92,10 @@
 
 @define(kw_only=True, eq=False)
 class DomainLink:
-    """Write the domain reports, the hub state, the fleet view and the store relay.
+    """Write the domain hubs and reports, the hub state, the view and the relay.
 
-    Usage is counted over the last `window_s` seconds. `on_outcome` is called with each
-    outcome notification from another host, and `on_server_changes` with each reply to
-    a query for changes to servers.
+    Usage is counted over the last `window_s` seconds. `on_server_changes` is called
+    with each reply to a query for changes to servers.
     """
 
     board: Board
@@ -101,7 +104,7 @@
     own_host: PublishedHost
     incarnation: Incarnation
     window_s: float
-    on_outcome: Callable[[OutcomeNotification], None]
+    outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
     name: str = "domain_link"
     watches = ()
@@ -125,6 +128,7 @@
                 self.own_host.domain,
                 silent=self._list_silent_hubs(now_s),
             )
+        self._update_hubs(DomainHubs(hubs=hubs))
         if is_hub(hubs, self.own_host.host_id):
             self._receive_report(report)
             self._update_own_view(now_s)
@@ -154,8 +158,9 @@
             case ReportDigest():
                 self._receive_digest(message, sender)
             case OutcomeNotification():
-                self._relay_outcome(message, sender)
-                self.on_outcome(message)
+                self.outcome_relay.receive(message, sender)
+            case OutcomeBatch():
+                self.outcome_relay.receive_batch(message, sender)
             case DomainSummary(domain=domain) if domain != self.own_host.domain:
                 self._relay_summary(message, sender)
                 now_s = self.clock.monotonic_s()
@@ -172,11 +177,6 @@
                 if self._is_sent_by(message.sender, sender):
                     self.on_server_changes(message)
 
-    def broadcast_outcome(self, outcome: OutcomeNotification) -> None:
-        """Send an outcome to this domain's hosts and one hub of each other domain."""
-        self._send_to_own_domain(outcome, self._list_known_hosts())
-        self._send_to_other_domains(outcome)
-
     def report_now(self) -> None:
         """Report at once, because this host begins to leave."""
         self.step()
@@ -193,20 +193,14 @@
         )
         return host is not None and host.peers == sender
 
+    def _update_hubs(self, hubs: DomainHubs) -> None:
+        self.board.update(
+            DOMAIN_HUBS, lambda old: old if old == hubs else hubs, writer=self.name
+        )
+
     def _update_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
         self.board.update(STORE_RELAY, change, writer=self.name)
 
-    def _relay_outcome(self, outcome: OutcomeNotification, sender: Address) -> None:
-        """Forward an outcome within this domain if a host of another domain sent it.
-
-        An outcome that another host has forwarded is not forwarded again.
-        """
-        if outcome.domain == self.own_host.domain:
-            return
-        hosts = self._list_known_hosts()
-        if self._is_sent_by(outcome.sender, sender):
-            self._send_to_own_domain(outcome, hosts)
-
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Forward a summary to this domain's other hubs unless a hub forwarded it."""
         if not self._is_sent_by(summary.sender, sender):
@@ -216,14 +210,6 @@
             if hub.host_id != self.own_host.host_id:
                 self.datagrams.send(hub.peers, summary)
 
-    def _send_to_own_domain(
-        self, outcome: OutcomeNotification, hosts: tuple[PublishedHost, ...]
-    ) -> None:
-        recipients = list_outcome_recipients(
-            hosts, self.board.read(FLEET_VIEW), self.own_host
-        )
-        self.datagrams.send_all(tuple(host.peers for host in recipients), outcome)
-
     def _make_report(self, now_s: float) -> HostReport:
         board = self.board
         return HostReport(
@@ -356,13 +342,7 @@
             summary = evolve(summary, serving=None)
         else:
             self._last_sent_serving = summary.serving
-        self._send_to_other_domains(summary)
-
-    def _send_to_other_domains(self, message: DomainMessage) -> None:
-        """Send a message to the first hub of each other failure domain."""
-        hosts = self._list_known_hosts()
-        serving = self.board.read(FLEET_VIEW).serving
-        not_serving = frozenset(host.host_id for host in hosts) - serving
-        for domain in sorted({host.domain for host in hosts} - {self.own_host.domain}):
-            for hub in choose_hubs(hosts, domain, silent=not_serving)[:1]:
-                self.datagrams.send(hub.peers, message)
+        hubs = list_other_hubs(
+            self._list_known_hosts(), self.board.read(FLEET_VIEW), self.own_host
+        )
+        self.datagrams.send_all(tuple(hub.peers for hub in hubs), summary)
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -18,7 +18,7 @@
     STORE_RELAY,
     USAGE_LOG,
 )
-from snipespring.controllers import DomainLink
+from snipespring.controllers import DomainLink, OutcomeRelay
 from snipespring.decisions.domains import AddressListLimits, offer_addresses
 from snipespring.records import (
     Address,
@@ -74,17 +74,23 @@
 
 @define(kw_only=True, eq=False)
 class SmallFleet:
-    """Simulate three domains of three hosts each; `dead` hosts get no datagrams."""
+    """Simulate three domains of hosts; `dead` hosts get no datagrams."""
 
+    hosts_per_domain: int = 3
     clock: ManualClock = field(factory=ManualClock)
     dead: set[HostId] = field(factory=set)
     links: dict[Address, DomainLink] = field(factory=dict)
     outcomes: dict[HostId, list[str]] = field(factory=dict)
     changes: dict[HostId, list[ServerChanges]] = field(factory=dict)
     cross_domain_datagrams: int = 0
+    datagrams: int = 0
 
     def __attrs_post_init__(self) -> None:
-        hosts = [host(domain, number) for domain in DOMAINS for number in range(3)]
+        hosts = [
+            host(domain, number)
+            for domain in DOMAINS
+            for number in range(self.hosts_per_domain)
+        ]
         registry = FeedView(items=Map({entry.host_id: entry for entry in hosts}))
         for own_host in hosts:
             self.links[own_host.peers] = self._make_link(own_host, registry)
@@ -98,14 +104,22 @@
         board.write(LEASE, LeaseHeld(until_s=1e9), writer="lease_keeper")
         board.write(SERVER_FEED, FeedView(confirmed_s=1.0), writer="server_feed")
         instances = self.outcomes.setdefault(own_host.host_id, [])
+        datagrams = FakeDatagrams(fleet=self, own_host=own_host)
+        outcome_relay = OutcomeRelay(
+            board=board,
+            clock=self.clock,
+            datagrams=datagrams,
+            own_host=own_host,
+            on_outcome=lambda outcome: instances.append(outcome.instance),
+        )
         return DomainLink(
             board=board,
             clock=self.clock,
-            datagrams=FakeDatagrams(fleet=self, own_host=own_host),
+            datagrams=datagrams,
             own_host=own_host,
             incarnation=Incarnation("first"),
             window_s=5.0,
-            on_outcome=lambda outcome: instances.append(outcome.instance),
+            outcome_relay=outcome_relay,
             on_server_changes=self.changes.setdefault(own_host.host_id, []).append,
         )
 
@@ -113,6 +127,7 @@
         self, sender: PublishedHost, address: Address, message: DomainMessage
     ) -> None:
         receiver = self.links[address]
+        self.datagrams += 1
         self.cross_domain_datagrams += receiver.own_host.domain != sender.domain
         if (
             receiver.own_host.host_id not in self.dead
@@ -234,7 +249,7 @@
         instance="i-1",
         is_failure=True,
     )
-    link.broadcast_outcome(outcome)
+    link.outcome_relay.broadcast(outcome)
     recipients = {host_id for host_id, received in fleet.outcomes.items() if received}
     assert {HostId("b-0"), HostId("b-2")} <= recipients
 
@@ -246,7 +261,7 @@
     outcome = OutcomeNotification(
         sender=HostId("a-2"), domain=DomainName("a"), instance="i", is_failure=True
     )
-    fleet.link("a-2").broadcast_outcome(outcome)
+    fleet.link("a-2").outcome_relay.broadcast(outcome)
     assert fleet.cross_domain_datagrams - sent_before == 2
     received = {
         host_id: len(instances) for host_id, instances in fleet.outcomes.items()
@@ -255,6 +270,28 @@
     assert set(received.values()) == {1}
 
 
+def test_outcomes_in_a_large_domain_are_sent_on_together() -> None:
+    """Forty failures within a moment cost few datagrams a host, not forty."""
+    fleet = SmallFleet(hosts_per_domain=20)
+    fleet.run()
+    sent_before = fleet.datagrams
+    failing = [host_id for host_id in fleet.outcomes if host_id.startswith("a-")]
+    for number in range(40):
+        origin = failing[number % len(failing)]
+        outcome = OutcomeNotification(
+            sender=origin, domain=DomainName("a"), instance=f"{number}", is_failure=True
+        )
+        fleet.link(origin).outcome_relay.broadcast(outcome)
+    for _ in range(4):
+        for link in fleet.links.values():
+            link.outcome_relay.step()
+        fleet.clock.advance(0.05)
+    for host_id, received in fleet.outcomes.items():
+        own = {f"{number}" for number in range(40) if failing[number % 20] == host_id}
+        assert sorted(received) == sorted({f"{n}" for n in range(40)} - own)
+    assert fleet.datagrams - sent_before < 40 + 3 * len(fleet.links)
+
+
 def test_callers_get_hosts_of_their_domain_and_of_others_if_few_serve() -> None:
     fleet = SmallFleet()
     fleet.run()
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -13,6 +13,7 @@
 from ..controllers import (
     DomainLink,
     NoClaimControl,
+    OutcomeRelay,
     Runner,
     SettingsReloader,
     SuspicionTracker,
@@ -99,6 +100,13 @@
         on_message=lambda message, sender: domain_link.receive(message, sender),
     )
     server_follower = build_server_follower(context)
+    outcome_relay = OutcomeRelay(
+        board=process.board,
+        clock=process.clock,
+        datagrams=links,
+        own_host=own_host,
+        on_outcome=lambda outcome: suspicion_tracker.receive_outcome(outcome),
+    )
     domain_link = DomainLink(
         board=process.board,
         clock=process.clock,
@@ -106,7 +114,7 @@
         own_host=own_host,
         incarnation=context.incarnation,
         window_s=settings.limits.window_s,
-        on_outcome=lambda outcome: suspicion_tracker.receive_outcome(outcome),
+        outcome_relay=outcome_relay,
         on_server_changes=server_follower.receive_changes,
     )
     suspicion_tracker = SuspicionTracker(
@@ -116,7 +124,7 @@
         metrics=process.metrics,
         host_id=own_host.host_id,
         domain=own_host.domain,
-        broadcast_outcome=domain_link.broadcast_outcome,
+        broadcast_outcome=outcome_relay.broadcast,
     )
     threads = compute_thread_count(settings)
     body_limiter = build_body_limiter(context)
@@ -144,6 +152,7 @@
         *store_followers,
         server_follower,
         domain_link,
+        outcome_relay,
         suspicion_tracker,
         *requests.controllers,
     )
--- a/snipespring/decisions/domains/__init__.pyi
+++ b/snipespring/decisions/domains/__init__.pyi
@@ -7,6 +7,14 @@
 )
 from .hubs import choose_hubs, is_hub
 from .known_hosts import find_known_host, list_known_hosts, list_outcome_recipients
+from .outcomes import (
+    CollectOutcomes,
+    SendDirectly,
+    SendToHub,
+    add_outcomes,
+    choose_outcome_route,
+    list_other_hubs,
+)
 from .usage import (
     RateTolerance,
     admit_request,
@@ -27,6 +35,12 @@
 
 __all__ = [
     "AddressListLimits",
+    "CollectOutcomes",
+    "SendDirectly",
+    "SendToHub",
+    "add_outcomes",
+    "choose_outcome_route",
+    "list_other_hubs",
     "RateTolerance",
     "admit_request",
     "choose_hubs",
--- a/snipespring/decisions/domains/hubs.py
+++ b/snipespring/decisions/domains/hubs.py
@@ -5,8 +5,10 @@
 
 from ...records import DomainName, HostId, PublishedHost
 
-__all__ = ["HUBS_PER_DOMAIN", "choose_hubs", "is_hub"]
+__all__ = ["HUBS_PER_DOMAIN", "SMALL_DOMAIN_HOSTS", "choose_hubs", "is_hub"]
 
+# In a domain of up to this size, hosts exchange more of what they know directly.
+SMALL_DOMAIN_HOSTS = 16
 HUBS_PER_DOMAIN = 2  # so that one hub can fail without stopping the reports
 # A link of this bandwidth limits a hub as much as one processor core does.
 LINK_MBPS_PER_CORE = 20.0
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -25,6 +25,7 @@
     StateRequest,
 )
 from .answers import sum_answers
+from .hubs import SMALL_DOMAIN_HOSTS
 
 __all__ = [
     "MAX_REPORT_AGE_S",
@@ -44,7 +45,6 @@
 # Without a state from the first hub for this time, the second one is asked too.
 MAX_STATE_AGE_S = 0.6
 ANSWERS_INTERVAL_S = 0.75
-SMALL_DOMAIN_HOSTS = 16
 
 
 def receive_report(
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -18,6 +18,7 @@
     HostId,
     HostReport,
     OrganisationUsage,
+    OutcomeBatch,
     OutcomeNotification,
     ReportDigest,
     ServerAnswers,
@@ -36,6 +37,7 @@
     OutcomeNotification,
     ServerQuery,
     ServerChanges,
+    OutcomeBatch,
 )
 
 log = logging.getLogger(__name__)
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -15,6 +15,7 @@
     Incarnation,
     OrganisationName,
     OrganisationUsage,
+    OutcomeBatch,
     OutcomeNotification,
     PublishedHost,
     PublishedServer,
@@ -67,6 +68,13 @@
     warmup_s=st.floats(0.0, 9.0),
 )
 host_ids = st.lists(names.map(HostId), max_size=4).map(tuple)
+outcomes = st.builds(
+    OutcomeNotification,
+    sender=names.map(HostId),
+    domain=names.map(DomainName),
+    instance=names,
+    is_failure=st.booleans(),
+)
 messages = st.one_of(
     st.builds(
         HostReport,
@@ -108,12 +116,12 @@
         heard_hosts=counts,
         usage=usage,
     ),
+    outcomes,
     st.builds(
-        OutcomeNotification,
+        OutcomeBatch,
         sender=names.map(HostId),
         domain=names.map(DomainName),
-        instance=names,
-        is_failure=st.booleans(),
+        outcomes=st.lists(outcomes, max_size=3).map(tuple),
     ),
     st.builds(ServerQuery, sender=names.map(HostId), after=counts),
     st.builds(
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -9,6 +9,7 @@
 __all__ = [
     "AnswerLog",
     "Confirmation",
+    "DomainHubs",
     "DomainReports",
     "DomainState",
     "DomainSummary",
@@ -22,7 +23,9 @@
     "ReportDigest",
     "ServerAnswers",
     "StateRequest",
+    "OutcomeBatch",
     "OutcomeNotification",
+    "PendingOutcomes",
     "UsageLog",
     "DomainMessage",
 ]
@@ -137,6 +140,32 @@
     is_failure: bool
 
 
+@frozen(kw_only=True)
+class OutcomeBatch:
+    """Send outcomes on together, as the hub of a large domain does.
+
+    `domain` is the failure domain of the sender.
+    """
+
+    sender: HostId
+    domain: DomainName
+    outcomes: tuple[OutcomeNotification, ...]
+
+
+@frozen(kw_only=True)
+class PendingOutcomes:
+    """List the outcomes that this host has yet to send on, oldest first."""
+
+    outcomes: tuple[OutcomeNotification, ...] = ()
+
+
+@frozen(kw_only=True)
+class DomainHubs:
+    """List the hubs of this host's failure domain, the first one first."""
+
+    hubs: tuple[PublishedHost, ...] = ()
+
+
 @frozen(kw_only=True)
 class DomainSummary:
     """Summarise the reports of one domain's hosts for another domain.
@@ -159,6 +188,7 @@
     | OutcomeNotification
     | ServerQuery
     | ServerChanges
+    | OutcomeBatch
 )
 
 
