Take back the start tags of cancelled requests

Cause: a request that left the queue without a slot (its caller gone, its deadline passed, evicted) still counted as served in the fair order of its organisation, so that its later requests stood behind their place.

Change: the later requests of the organisation move up by one tag each.

--- a/snipespring/decisions/queueing/fairness.py
+++ b/snipespring/decisions/queueing/fairness.py
@@ -103,13 +103,15 @@
 
 
 def remove_request(queues: RequestQueues, ticket: int) -> RequestQueues:
-    """Return the queues without one request."""
+    """Return the queues without one request that got no slot.
+
+    The later requests of its organisation take the place of the one before them, as
+    if the removed request had never been queued.
+    """
     for service, queue in queues.by_service.items():
-        remaining = tuple(other for other in queue.queued if other.ticket != ticket)
-        if not remaining:
-            queues = _set_queue(queues, service, EMPTY_QUEUE)
-        elif len(remaining) < len(queue.queued):
-            queues = _set_queue(queues, service, evolve(queue, queued=remaining))
+        for request in queue.queued:
+            if request.ticket == ticket:
+                return _set_queue(queues, service, _withdraw(queue, request))
     return queues
 
 
@@ -118,15 +120,42 @@
 
     Virtual time advances to the request's start tag.
     """
-    queues = remove_request(queues, request.ticket)
     service = request.slot_request.service
     queue = get_queue(queues, service)
-    if not queue.queued:
-        return queues
-    queue = evolve(queue, virtual_time=max(queue.virtual_time, request.tag))
+    remaining = tuple(other for other in queue.queued if other.ticket != request.ticket)
+    if not remaining:
+        return _set_queue(queues, service, EMPTY_QUEUE)
+    virtual_time = max(queue.virtual_time, request.tag)
+    queue = evolve(queue, queued=remaining, virtual_time=virtual_time)
     return _set_queue(queues, service, queue)
 
 
+def _withdraw(queue: RequestQueue, removed: QueuedRequest) -> RequestQueue:
+    organisation = removed.slot_request.organisation
+    remaining: list[QueuedRequest] = []
+    free_tag = removed.tag
+    for request in queue.queued:
+        if request.ticket == removed.ticket:
+            continue
+        is_later = request.slot_request.organisation == organisation and (
+            _service_sort_key(request) > _service_sort_key(removed)
+        )
+        if is_later:
+            request, free_tag = evolve(request, tag=free_tag), request.tag
+        remaining.append(request)
+    if not remaining:
+        return EMPTY_QUEUE
+    last_tags = queue.last_tags
+    if last_tags.get(organisation) == free_tag:
+        # The next request of the organisation gets the tag that became free.
+        last_tags = last_tags.set(organisation, free_tag - 1.0)
+    return evolve(
+        queue,
+        queued=tuple(sorted(remaining, key=_service_sort_key)),
+        last_tags=last_tags,
+    )
+
+
 def _next_start_tag(
     queue: RequestQueue, organisation: OrganisationName | None
 ) -> float:
--- a/snipespring/decisions/queueing/tests/test_fairness.py
+++ b/snipespring/decisions/queueing/tests/test_fairness.py
@@ -133,3 +133,18 @@
 
 
 TestQueue = QueueMachine.TestCase
+
+
+def test_cancelled_requests_do_not_count_against_their_organisation() -> None:
+    """Replay a sequence in which `large` was served three times while `other` waited."""
+    machine = QueueMachine()
+    large, other = ORGANISATIONS[0], ORGANISATIONS[2]
+    for organisation in (large, large, large, large, other, other):
+        machine.enqueue_request(organisation)
+    machine.cancel(0)
+    machine.cancel(0)
+    machine.serve()
+    machine.serve()
+    machine.enqueue_request(other)
+    machine.cancel(0)
+    machine.serve()
