--- a/snipespring/decisions/queueing/tests/test_fairness.py
+++ b/snipespring/decisions/queueing/tests/test_fairness.py
@@ -136,7 +136,7 @@
 
 
 def test_cancelled_requests_do_not_count_against_their_organisation() -> None:
-    """Replay a sequence in which `large` was served three times while `other` waited."""
+    """Replay a sequence in which `large` was served thrice while `other` waited."""
     machine = QueueMachine()
     large, other = ORGANISATIONS[0], ORGANISATIONS[2]
     for organisation in (large, large, large, large, other, other):
