Keep servers out that left before an outage of the store

Cause: the grace period after an outage, meant for entries that expired because they could not be renewed, was given to every server ever removed: one that had left long before was in use again for 1.8 s after each recovery of the store.

Change: only servers found missing at the recovery or after it get the rest of that period. The test failed before.

--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -87,8 +87,8 @@
 ) -> tuple[PublishedServer, ...]:
     """Return the servers that may receive requests.
 
-    A server removed within `grace_s` seconds after the store became available again
-    stays active until the end of that time: while the store is unavailable, the
+    A server found missing within `grace_s` seconds after the store became available
+    again stays active until the end of that time: while the store is unavailable, the
     entry of a running server can expire because it cannot be renewed.
     """
     return tuple(
@@ -112,9 +112,10 @@
     removed_s = view.removed_s.get(name)
     if removed_s is None:
         return inf
-    if view.recovered_s is None or removed_s > view.recovered_s + grace_s:
+    # A server that had been removed before the outage did not expire during it.
+    if view.recovered_s is None or removed_s < view.recovered_s:
         return removed_s
-    return view.recovered_s + grace_s
+    return max(removed_s, view.recovered_s + grace_s)
 
 
 def _apply_items(
--- a/snipespring/decisions/tests/test_feeds.py
+++ b/snipespring/decisions/tests/test_feeds.py
@@ -90,6 +90,18 @@
     assert next_removal_s(renewed, grace_s=GRACE_S, now_s=61.0) == inf
 
 
+def test_server_that_left_before_an_outage_stays_out_after_it() -> None:
+    view = apply_names("a", "b")
+    view = apply_changes(view, make_item("a", None), at_s=40.0)
+    view, _ = apply_watch_answer(
+        view, FeedUnavailable(reason="unavailable"), sent_s=50.0, now_s=50.0
+    )
+    view = apply_changes(view, at_s=60.0)
+    for now_s in (60.0, 60.5, 60.0 + GRACE_S, 99.0):
+        assert active_names(view, now_s) == {"b"}
+    assert next_removal_s(view, grace_s=GRACE_S, now_s=60.0) == inf
+
+
 def test_listing_after_a_gap_removes_missing_items() -> None:
     view = apply_names("a", "b")
     view, _ = apply_watch_answer(view, FeedGap(), sent_s=50.0, now_s=50.0)
