List the hosts seldom unless an unknown one serves

Cause: each host listed all hosts three times in its first four seconds and then every 10 s, though hosts of its domain are known by their reports: calls to the store are the largest price of the large fleet.

Change: two listings at the start, one every 30 s, and one when a host serves whose addresses are not known.

--- a/snipespring/controllers/host_registrar.py
+++ b/snipespring/controllers/host_registrar.py
@@ -6,7 +6,8 @@
 from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import HOST_FEED
+from ..blackboard.regions import DOMAIN_REPORTS, FLEET_VIEW, HOST_FEED
+from ..decisions.domains import has_unknown_host
 from ..decisions.feeds import apply_listing
 from ..decisions.membership import draw_backoff_s
 from ..records import FeedListing, FeedUnavailable, PublishedHost, StoreStep
@@ -20,10 +21,12 @@
 MAX_BACKOFF_S = 1.0
 # Delays in seconds before the first listings of hosts. After a restart of the whole
 # fleet, the first listing finds the other hosts, which are still registered; when a
-# fleet starts for the first time, the later listings do, since hosts register within a
-# second. Hosts that start later become known by their reports to a hub.
-FIRST_LISTING_DELAYS_S = (0.0, 1.0, 3.0)
-LISTING_INTERVAL_S = 10.0
+# fleet starts for the first time, the second one does, since hosts register within a
+# second.
+FIRST_LISTING_DELAYS_S = (0.0, 1.0)
+# Hosts are listed again after this time, or sooner if a host serves that is not known.
+LISTING_INTERVAL_S = 30.0
+CHECK_INTERVAL_S = 2.5
 
 
 class HostRegistry(Protocol):
@@ -50,13 +53,30 @@
     _is_announced: bool = field(default=False, init=False)
     _listings: int = field(default=0, init=False)
     _failures: int = field(default=0, init=False)
+    _next_listing_s: float = field(default=0.0, init=False)
 
     def step(self) -> float:
         """Register this host once, then list all hosts; return the pause in seconds."""
         if not self._is_announced:
             return self._announce()
+        now_s = self.clock.monotonic_s()
+        if now_s < self._next_listing_s and not self._is_a_host_unknown():
+            return min(self._next_listing_s - now_s, self._draw_check_s())
         return self._list_hosts()
 
+    def _is_a_host_unknown(self) -> bool:
+        """Return whether a host serves whose addresses are not known."""
+        if self._listings < len(FIRST_LISTING_DELAYS_S):
+            return False
+        return has_unknown_host(
+            self.board.read(HOST_FEED),
+            self.board.read(DOMAIN_REPORTS),
+            self.board.read(FLEET_VIEW),
+        )
+
+    def _draw_check_s(self) -> float:
+        return CHECK_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+
     def _announce(self) -> float:
         self.metrics.count("store_calls", "host_announce")
         failure = self.registry.announce(self.own_host)
@@ -85,7 +105,9 @@
         self._listings += 1
         if self._listings < len(FIRST_LISTING_DELAYS_S):
             return FIRST_LISTING_DELAYS_S[self._listings]
-        return LISTING_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+        interval_s = LISTING_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+        self._next_listing_s = self.clock.monotonic_s() + interval_s
+        return self._draw_check_s()
 
     def _handle_failure(self, evidence: str) -> float:
         if self._failures == 0:
--- a/snipespring/decisions/domains/__init__.pyi
+++ b/snipespring/decisions/domains/__init__.pyi
@@ -6,7 +6,12 @@
     sum_answers,
 )
 from .hubs import choose_hubs, is_hub
-from .known_hosts import find_known_host, list_known_hosts, list_outcome_recipients
+from .known_hosts import (
+    find_known_host,
+    has_unknown_host,
+    list_known_hosts,
+    list_outcome_recipients,
+)
 from .outcomes import (
     CollectOutcomes,
     SendDirectly,
@@ -48,6 +53,7 @@
     "count_server_answers",
     "count_usage",
     "find_known_host",
+    "has_unknown_host",
     "is_hub",
     "list_known_hosts",
     "list_outcome_recipients",
--- a/snipespring/decisions/domains/known_hosts.py
+++ b/snipespring/decisions/domains/known_hosts.py
@@ -2,7 +2,12 @@
 
 from ...records import DomainReports, FeedView, FleetView, HostId, PublishedHost
 
-__all__ = ["find_known_host", "list_known_hosts", "list_outcome_recipients"]
+__all__ = [
+    "find_known_host",
+    "has_unknown_host",
+    "list_known_hosts",
+    "list_outcome_recipients",
+]
 
 # Once this share of the known hosts reports, hosts that do not report count as down.
 MIN_REPORTING_SHARE = 0.5
@@ -27,6 +32,16 @@
     return feed.items.get(host_id) if received is None else received.report.host
 
 
+def has_unknown_host(
+    feed: FeedView[PublishedHost], reports: DomainReports, view: FleetView
+) -> bool:
+    """Return whether a host serves whose addresses are not known."""
+    return any(
+        host_id not in feed.items and host_id not in reports.by_host
+        for host_id in view.serving
+    )
+
+
 def list_outcome_recipients(
     hosts: tuple[PublishedHost, ...], view: FleetView, own_host: PublishedHost
 ) -> tuple[PublishedHost, ...]:
