Wake the followers of the store only by news

Change: what is to be reacted to at once, the role, a newer version and awaited changes, has a region of its own, which is written when it changes; confirmations are read when the next query would be due.

--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -12,7 +12,14 @@
     PENDING_OUTCOMES,
     USAGE_LOG,
 )
-from .feeds import CONFIGURATION_FEED, HOST_FEED, SERVER_FEED, STORE_REACH, STORE_RELAY
+from .feeds import (
+    CONFIGURATION_FEED,
+    HOST_FEED,
+    RELAY_NOTICE,
+    SERVER_FEED,
+    STORE_REACH,
+    STORE_RELAY,
+)
 from .fleet import (
     CONFIGURATION,
     FENCE,
@@ -96,6 +103,7 @@
     "SETTINGS",
     "SHARE_LEDGER",
     "STOP_STATE",
+    "RELAY_NOTICE",
     "STORE_REACH",
     "STORE_RELAY",
     "ROSTER_TENURE",
--- a/snipespring/blackboard/regions/feeds.py
+++ b/snipespring/blackboard/regions/feeds.py
@@ -5,6 +5,7 @@
     FeedView,
     PublishedHost,
     PublishedServer,
+    RelayNotice,
     StoreReach,
     StoreRelay,
 )
@@ -14,6 +15,7 @@
     "CONFIGURATION_FEED",
     "HOST_FEED",
     "SERVER_FEED",
+    "RELAY_NOTICE",
     "STORE_REACH",
     "STORE_RELAY",
 ]
@@ -27,6 +29,9 @@
 HOST_FEED = Region[FeedView[PublishedHost]](
     name="host_feed", writer="host_feed", initial=FeedView()
 )
+RELAY_NOTICE = Region[RelayNotice](
+    name="relay_notice", writer="domain_link", initial=RelayNotice()
+)
 STORE_REACH = Region[StoreReach](
     name="store_reach", writer="store_probe", initial=StoreReach()
 )
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -19,6 +19,7 @@
     FLEET_VIEW,
     HOST_FEED,
     HUB_STATE,
+    RELAY_NOTICE,
     SERVER_FEED,
     STORE_REACH,
     STORE_RELAY,
@@ -26,6 +27,7 @@
 )
 from ..decisions.confirmations import (
     make_confirmation,
+    make_notice,
     record_confirmation,
     set_watcher,
 )
@@ -199,7 +201,13 @@
         )
 
     def _update_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
-        self.board.update(STORE_RELAY, change, writer=self.name)
+        relay = self.board.update(STORE_RELAY, change, writer=self.name)
+        notice = make_notice(relay)
+        self.board.update(
+            RELAY_NOTICE,
+            lambda old: old if old == notice else notice,
+            writer=self.name,
+        )
 
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Forward a summary to this domain's other hubs unless a hub forwarded it."""
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from ..blackboard import Board, Region
-from ..blackboard.regions import STORE_RELAY
+from ..blackboard.regions import RELAY_NOTICE, STORE_RELAY
 from ..decisions.confirmations import (
     QueryStore,
     RelayLimits,
@@ -168,7 +168,7 @@
 
     feed_follower: FeedFollower[Configuration]
     limits: RelayLimits
-    watches: tuple[Region[Any], ...] = field(default=(STORE_RELAY,), init=False)
+    watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
     _next_query_s: float = field(default=0.0, init=False)
 
     @property
@@ -205,7 +205,7 @@
 
     feed_follower: FeedFollower[PublishedServer]
     limit_s: float
-    watches: tuple[Region[Any], ...] = field(default=(STORE_RELAY,), init=False)
+    watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
     _next_query_s: float = field(default=0.0, init=False)
 
     @property
--- a/snipespring/controllers/store_probe.py
+++ b/snipespring/controllers/store_probe.py
@@ -5,7 +5,7 @@
 from attrs import define
 
 from ..blackboard import Board
-from ..blackboard.regions import STORE_REACH, STORE_RELAY
+from ..blackboard.regions import RELAY_NOTICE, STORE_REACH
 from ..records import FeedUnavailable, HostId, StoreReach
 from ..utils import Clock
 from .metrics_recorder import MetricsRecorder
@@ -36,11 +36,11 @@
     host_id: HostId
     interval_s: float
     name: str = "store_probe"
-    watches = (STORE_RELAY,)
+    watches = (RELAY_NOTICE,)
 
     def step(self) -> float | None:
         """Probe the store when it is due; return seconds until the next probe."""
-        if not self.board.read(STORE_RELAY).is_watcher:
+        if not self.board.read(RELAY_NOTICE).is_watcher:
             return None
         sent_s = self.clock.monotonic_s()
         reached_s = self.board.read(STORE_REACH).reached_s
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -13,6 +13,7 @@
     FLEET_VIEW,
     HOST_FEED,
     LEASE,
+    RELAY_NOTICE,
     SERVER_FEED,
     STOP_STATE,
     STORE_RELAY,
@@ -343,6 +344,20 @@
             )
 
 
+def test_followers_of_the_store_are_woken_only_by_news() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    board = fleet.link("a-2").board
+    sub = board.subscribe((RELAY_NOTICE,))
+    for version, is_news in ((4, True), (4, False), (4, False), (5, True)):
+        confirm(fleet, "a-0", version)
+        fleet.run(4)
+        assert sub.wait(0.0) == is_news
+        relayed = board.read(STORE_RELAY).relayed
+        assert relayed is not None
+        assert relayed.confirmed_s > fleet.clock.now_s - 1.5
+
+
 def test_next_hub_queries_the_store_after_the_first_died() -> None:
     fleet = SmallFleet()
     fleet.run()
--- a/snipespring/controllers/tests/test_platform_followers.py
+++ b/snipespring/controllers/tests/test_platform_followers.py
@@ -12,6 +12,7 @@
     CONFIGURATION,
     CONFIGURATION_FEED,
     LEASE,
+    RELAY_NOTICE,
     SERVER_FEED,
     STORE_REACH,
     STORE_RELAY,
@@ -46,6 +47,7 @@
     LeaseLapsed,
     PublishedServer,
     RelayedVersion,
+    RelayNotice,
     ServiceName,
     ServiceRule,
     StoreRelay,
@@ -293,9 +295,9 @@
         host_id=HostId("own"),
         interval_s=0.5,
     )
-    board.write(STORE_RELAY, StoreRelay(is_watcher=False), writer="domain_link")
+    board.write(RELAY_NOTICE, RelayNotice(is_watcher=False), writer="domain_link")
     assert probe.step() is None
-    board.write(STORE_RELAY, StoreRelay(is_watcher=True), writer="domain_link")
+    board.write(RELAY_NOTICE, RelayNotice(is_watcher=True), writer="domain_link")
     started_s = clock.monotonic_s()
     for _ in range(4):
         assert probe.step() == 0.5
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -57,7 +57,7 @@
 # Longest watch, as a fraction of the time in which a revoked key has to be refused. A
 # watch confirms the configuration as of the time when the watch began, so that the age
 # of a confirmation reaches twice the length of a watch.
-WATCH_FRACTION = 0.27
+WATCH_FRACTION = 0.24
 # A host queries the store itself after this fraction of that time without a newer
 # confirmation,
 CONFIRMED_FRACTION = 0.72
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -10,6 +10,7 @@
     Confirmation,
     FeedView,
     RelayedVersion,
+    RelayNotice,
     StoreReach,
     StoreRelay,
 )
@@ -21,12 +22,13 @@
     "check_relay",
     "record_confirmation",
     "make_confirmation",
+    "make_notice",
     "set_watcher",
 ]
 
 # A relayed confirmation of the same version is recorded only if it is newer by so many
-# seconds, since each write to the relay region wakes the controllers that watch it.
-MIN_ADVANCE_S = 0.3
+# seconds.
+MIN_ADVANCE_S = 0.1
 
 
 @frozen(kw_only=True)
@@ -131,6 +133,15 @@
     return evolve(relay, relayed=relayed)
 
 
+def make_notice(relay: StoreRelay) -> RelayNotice:
+    """Return what of the relay the followers of the store react to at once."""
+    return RelayNotice(
+        is_watcher=relay.is_watcher,
+        version=0 if relay.relayed is None else relay.relayed.version,
+        awaited=0 if relay.awaited is None else relay.awaited.revision,
+    )
+
+
 def set_watcher(relay: StoreRelay, *, is_watcher: bool) -> StoreRelay:
     """Return the relay state with a role; the same object if nothing changes.
 
--- a/snipespring/decisions/tests/test_confirmations.py
+++ b/snipespring/decisions/tests/test_confirmations.py
@@ -118,7 +118,7 @@
 def test_slightly_newer_confirmation_is_not_recorded() -> None:
     relay = make_relay(4, 10.0)
     refreshed = Confirmation(version=4, age_s=0.0, reached_age_s=0.0)
-    assert record_confirmation(relay, refreshed, sent_s=10.2) is relay
+    assert record_confirmation(relay, refreshed, sent_s=10.05) is relay
     assert record_confirmation(relay, refreshed, sent_s=10.5) == make_relay(4, 10.5)
     newer = Confirmation(version=5, age_s=0.0, reached_age_s=0.0)
     assert record_confirmation(relay, newer, sent_s=10.1) == make_relay(5, 10.1)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -19,6 +19,7 @@
     "HostCapacity",
     "PublishedHost",
     "PublishedServer",
+    "RelayNotice",
     "StoreReach",
     "StoreRelay",
     "RelayedVersion",
@@ -207,3 +208,16 @@
     is_watcher: bool = True
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
+
+
+@frozen(kw_only=True)
+class RelayNotice:
+    """State what of the relay the followers of the store react to at once.
+
+    `version` is the relayed version of the configuration, `awaited` the revision up
+    to which changes to servers are awaited; 0 stands for none.
+    """
+
+    is_watcher: bool = True
+    version: int = 0
+    awaited: int = 0
