Begin as a host that does not watch the store

Change: a host watches once it has listed the hosts and is still the first; the first listings of its own count as a confirmation like a relayed one.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -146,7 +146,10 @@
                 if request is not None or self._sequence % BACKUP_REPORT_ROUNDS == 0:
                     self._send_report(hub, evolve(report, request=request), now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own_host.host_id
-        self._update_relay(lambda relay: set_watcher(relay, is_watcher=is_first))
+        # Before the first listing every host takes itself for the only one.
+        is_listed = self.board.read(HOST_FEED).confirmed_s is not None
+        is_watcher = is_first and is_listed
+        self._update_relay(lambda relay: set_watcher(relay, is_watcher=is_watcher))
         if is_first:
             self._send_summary(now_s)
         return REPORT_INTERVAL_S
--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -46,11 +46,15 @@
 ) -> QueryStore | AwaitRelay:
     """Return whether relayed changes replace a query to the store.
 
-    They do while the watching host has reached the store within `limit_s` seconds.
+    They do while the watching host, or this one, has reached the store within
+    `limit_s` seconds.
     """
-    if relay.is_watcher or relay.relayed is None or view.revision is None:
+    if relay.is_watcher or view.revision is None or view.confirmed_s is None:
         return QueryStore()
-    until_s = relay.relayed.reached_s + limit_s
+    reached_s = view.confirmed_s
+    if relay.relayed is not None:
+        reached_s = max(reached_s, relay.relayed.reached_s)
+    until_s = reached_s + limit_s
     if relay.awaited is not None:
         until_s = min(until_s, relay.awaited.since_s + MAX_BEHIND_S)
     return QueryStore() if now_s >= until_s else AwaitRelay(next_check_s=until_s)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -205,7 +205,7 @@
     `awaited` is None while this host knows all changes to servers that it heard of.
     """
 
-    is_watcher: bool = True
+    is_watcher: bool = False
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
 
@@ -218,6 +218,6 @@
     to which changes to servers are awaited; 0 stands for none.
     """
 
-    is_watcher: bool = True
+    is_watcher: bool = False
     version: int = 0
     awaited: int = 0
