Read a newer configuration by a stale read first

Cause: after each change of the configuration every host read it from the store at the full price: 412 calls for one change on 292 hosts.

Change: a host that learns of a newer version by relay reads it once with AllowStale, a tenth of the price, and takes it only if it is that version or a newer one; a stale read confirms nothing. Otherwise it asks for fresh data as before.

--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -14,8 +14,10 @@
 from ..blackboard.regions import RELAY_NOTICE, STORE_RELAY
 from ..decisions.confirmations import (
     QueryStore,
+    ReadNewerVersion,
     RelayLimits,
     UseRelayedConfirmation,
+    adopt_stale_listing,
     check_relay,
 )
 from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
@@ -168,6 +170,7 @@
 
     feed_follower: FeedFollower[Configuration]
     limits: RelayLimits
+    _tried_version: int = field(default=0, init=False)
     watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
     _next_query_s: float = field(default=0.0, init=False)
 
@@ -183,9 +186,11 @@
         known = board.read(follower.region)
         relay = board.read(STORE_RELAY)
         match check_relay(known, relay, self.limits, now_s=now_s):
-            case QueryStore() if now_s < self._next_query_s:
+            case QueryStore() | ReadNewerVersion() if now_s < self._next_query_s:
                 return self._next_query_s - now_s
-            case QueryStore():
+            case ReadNewerVersion(version=version) if self._read_version(version):
+                return 0.0
+            case QueryStore() | ReadNewerVersion():
                 pause_s = follower.step()
                 self._next_query_s = follower.clock.monotonic_s() + pause_s
                 return pause_s
@@ -194,6 +199,28 @@
                     board.write(follower.region, view, writer=self.name)
                 return next_query_s - now_s
 
+    def _read_version(self, version: int) -> bool:
+        """Read a version by a stale read, which costs least; return whether it has it.
+
+        Each version is tried once, so that a store that lags is asked for fresh data.
+        """
+        if version <= self._tried_version:
+            return False
+        self._tried_version = version
+        follower = self.feed_follower
+        follower.metrics.count("store_calls", f"{self.name}_stale")
+        match follower.feed.list_items(may_be_stale=True):
+            case FeedUnavailable():
+                return False
+            case FeedListing() as listing:
+                view = adopt_stale_listing(
+                    follower.board.read(follower.region), listing, version
+                )
+        if view is None:
+            return False
+        follower.board.write(follower.region, view, writer=self.name)
+        return True
+
 
 @define(kw_only=True, eq=False)
 class ServerFollower:
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -8,6 +8,7 @@
 from ..records import (
     Configuration,
     Confirmation,
+    FeedListing,
     FeedView,
     RelayedVersion,
     RelayNotice,
@@ -17,8 +18,10 @@
 
 __all__ = [
     "QueryStore",
+    "ReadNewerVersion",
     "RelayLimits",
     "UseRelayedConfirmation",
+    "adopt_stale_listing",
     "check_relay",
     "record_confirmation",
     "make_confirmation",
@@ -48,6 +51,13 @@
     """Query the store now."""
 
 
+@frozen(kw_only=True)
+class ReadNewerVersion:
+    """Read the configuration, of which a newer version has been relayed."""
+
+    version: int
+
+
 @frozen(kw_only=True)
 class UseRelayedConfirmation:
     """Use a relayed confirmation; query the store at `next_query_s` at the latest."""
@@ -62,19 +72,19 @@
     limits: RelayLimits,
     *,
     now_s: float,
-) -> QueryStore | UseRelayedConfirmation:
+) -> QueryStore | ReadNewerVersion | UseRelayedConfirmation:
     """Return whether a relayed confirmation replaces a query to the store.
 
     A relayed confirmation of the current version confirms the local feed. The host
-    queries the store itself if a newer version is relayed, if the last confirmation
-    is too old, or if the host that watches may no longer reach the store.
+    queries the store itself if the last confirmation is too old, or if the host that
+    watches may no longer reach the store.
     """
     if relay.is_watcher or view.confirmed_s is None:
         return QueryStore()
     version = _newest_version(view)
     confirmed_s = reached_s = view.confirmed_s
     if relay.relayed is not None and relay.relayed.version > version:
-        return QueryStore()
+        return ReadNewerVersion(version=relay.relayed.version)
     if relay.relayed is not None and relay.relayed.version == version:
         confirmed_s = max(confirmed_s, relay.relayed.confirmed_s)
         reached_s = max(reached_s, relay.relayed.reached_s)
@@ -133,6 +143,25 @@
     return evolve(relay, relayed=relayed)
 
 
+def adopt_stale_listing(
+    view: FeedView[Configuration], listing: FeedListing[Configuration], version: int
+) -> FeedView[Configuration] | None:
+    """Return the feed with a configuration from a listing that may be stale.
+
+    Return None if the listing does not have the relayed `version` or a newer one. A
+    stale listing confirms nothing.
+    """
+    items = {
+        item.name: item.content
+        for item in listing.items
+        if isinstance(item.content, Configuration)
+    }
+    newest = max((cfg.version for cfg in items.values()), default=0)
+    if newest < version or listing.revision < (view.revision or 0):
+        return None
+    return evolve(view, items=view.items.update(items), revision=listing.revision)
+
+
 def make_notice(relay: StoreRelay) -> RelayNotice:
     """Return what of the relay the followers of the store react to at once."""
     return RelayNotice(
