Wait for a connection to be opened before looking at it in a test

Cause of the IndexError seen once beside other checks: the test looked at the first connection before the server's thread had recorded it.

--- a/snipespring/frontends/peers/tests/test_links.py
+++ b/snipespring/frontends/peers/tests/test_links.py
@@ -138,8 +138,9 @@
     with serve(stay_silent, ADDRESS.ip, ADDRESS.port) as silent:
         Thread(target=silent.serve_forever, daemon=True).start()
         client = PooledPeerClient(secret=SECRET)
-        result = client.call(ADDRESS, PULL, timeout_s=0.1)
+        result = client.call(ADDRESS, PULL, timeout_s=1.0)
         assert isinstance(result, PeerFailed)
+        wait_until(lambda: bool(opened), "the connection to be opened")
         wait_until(
             lambda: opened[0].state is State.CLOSED, "the connection to be closed"
         )
