--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -81,6 +81,7 @@
     region: Region[FeedView[T]]
     wait_s: float
     watches: tuple[Region[Any], ...] = field(default=(), init=False)
+    _next_step_s: float = field(default=0.0, init=False)
     _failures: int = field(default=0, init=False)
 
     @property
@@ -119,6 +120,18 @@
                 )
                 return CHANGE_BATCH_PAUSE_S if _has_changes(answer) else pause_s
 
+    def is_due(self) -> bool:
+        """Return whether the pause after the last step is over."""
+        return self.clock.monotonic_s() >= self._next_step_s
+
+    def step_when_due(self) -> float:
+        """Do one step unless the pause after the last one lasts; return seconds."""
+        if not self.is_due():
+            return self._next_step_s - self.clock.monotonic_s()
+        pause_s = self.step()
+        self._next_step_s = self.clock.monotonic_s() + pause_s
+        return pause_s
+
     def _update_view(
         self,
         change: Callable[[FeedView[T]], tuple[FeedView[T], tuple[SkippedItem, ...]]],
@@ -172,7 +185,6 @@
     limits: RelayLimits
     _tried_version: int = field(default=0, init=False)
     watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
-    _next_query_s: float = field(default=0.0, init=False)
 
     @property
     def name(self) -> str:
@@ -186,14 +198,12 @@
         known = board.read(follower.region)
         relay = board.read(STORE_RELAY)
         match check_relay(known, relay, self.limits, now_s=now_s):
-            case QueryStore() | ReadNewerVersion() if now_s < self._next_query_s:
-                return self._next_query_s - now_s
-            case ReadNewerVersion(version=version) if self._read_version(version):
+            case ReadNewerVersion(version=version) if (
+                follower.is_due() and self._read_version(version)
+            ):
                 return 0.0
             case QueryStore() | ReadNewerVersion():
-                pause_s = follower.step()
-                self._next_query_s = follower.clock.monotonic_s() + pause_s
-                return pause_s
+                return follower.step_when_due()
             case UseRelayedConfirmation(view=view, next_query_s=next_query_s):
                 if view != known:
                     board.write(follower.region, view, writer=self.name)
@@ -233,7 +243,6 @@
     feed_follower: FeedFollower[PublishedServer]
     limit_s: float
     watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
-    _next_query_s: float = field(default=0.0, init=False)
 
     @property
     def name(self) -> str:
@@ -246,12 +255,8 @@
         now_s = follower.clock.monotonic_s()
         known, relay = board.read(follower.region), board.read(STORE_RELAY)
         match check_server_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
-            case QueryStore() if now_s < self._next_query_s:
-                return self._next_query_s - now_s
             case QueryStore():
-                pause_s = follower.step()
-                self._next_query_s = follower.clock.monotonic_s() + pause_s
-                return pause_s
+                return follower.step_when_due()
             case AwaitRelay(next_check_s=next_check_s):
                 return next_check_s - now_s
 
