Order queued requests by urgency, and refuse those that became hopeless

Cause: requests waited in fair order by organisation without regard to the priorities of tenants and routes, which were read and not used; one that could no longer be in time, since servers became slower while it waited, was refused only when its time was over.

Change: for each level of priority a request stands back by four turns of its organisation, so that none is starved; after each placement the queued requests that would miss their deadlines even if the queue moved twice as fast are refused, with the estimated wait as Retry-After.

The three loads, and the refusal once a server is too slow, failed before.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -23,6 +23,7 @@
     dequeue,
     enqueue,
     get_queue,
+    list_hopeless,
     remove_request,
 )
 from ..decisions.routing import (
@@ -243,8 +244,24 @@
                     free_at_s = min(free_at_s, server_free_at_s)
                     if _accepts_any_server(request):
                         break
+        self._refuse_hopeless(service)
         return free_at_s
 
+    def _refuse_hopeless(self, service: ServiceName) -> None:
+        """Refuse the queued requests that will miss their deadlines."""
+        load = self._service_load(service)
+        hopeless = list_hopeless(
+            get_queue(self.board.read(REQUEST_QUEUES), service),
+            in_flight=load.in_flight,
+            service_s=load.mean_service_s,
+            now_s=self.clock.monotonic_s(),
+        )
+        for request, wait_s in hopeless:
+            self._remove_request(request.ticket)
+            reason = f"an estimated wait of {wait_s:.3f} s more exceeds the deadline"
+            not_placed = NotPlaced(reason=reason, retry_after_s=wait_s)
+            self._resolve(request, not_placed)
+
     def _remove_request(self, ticket: int) -> None:
         queues = remove_request(self.board.read(REQUEST_QUEUES), ticket)
         self.board.write(REQUEST_QUEUES, queues, writer=self.name)
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -8,7 +8,13 @@
 from attrs import define, evolve, field, frozen
 
 from ..blackboard import Board
-from ..blackboard.regions import EVIDENCE, HOST_FEED, RETRY_BUDGETS, ROSTER
+from ..blackboard.regions import (
+    CONFIGURATION,
+    EVIDENCE,
+    HOST_FEED,
+    RETRY_BUDGETS,
+    ROSTER,
+)
 from ..decisions.attempts import (
     Finish,
     Retry,
@@ -26,6 +32,7 @@
     retry_delay_s,
 )
 from ..decisions.health import record_attempt_end, record_attempt_start
+from ..decisions.queueing import urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
     BudgetExhausted,
@@ -165,9 +172,15 @@
             organisation=admitted.organisation,
             placement=placement,
             deadline_at_s=admitted.deadline_at_s,
+            priority=self._urgency_of(admitted),
             tag=tag,
         )
 
+    def _urgency_of(self, admitted: AdmittedRequest) -> int:
+        rules = self.board.read(CONFIGURATION).organisations
+        name = admitted.organisation
+        return urgency_of(admitted.route, None if name is None else rules.get(name))
+
     def _run_attempt(
         self,
         admitted: AdmittedRequest,
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -145,3 +145,25 @@
     board = dispatcher.board
     board.write(SERVER_SUBSETS, ServerSubsets(), writer="subset_keeper")
     assert isinstance(dispatcher.place(make_slot_request(1e4)), NotPlaced)
+
+
+def test_queued_request_is_refused_once_the_server_is_too_slow_for_it() -> None:
+    dispatcher = make_dispatcher(1)
+    clock = dispatcher.clock
+    assert isinstance(clock, ManualClock)
+    started_s = clock.monotonic_s()
+    first = dispatcher.place(make_slot_request(1e4))
+    assert isinstance(first, Placed)
+    with ThreadPoolExecutor(3) as pool:
+        futures = [
+            pool.submit(dispatcher.place, make_slot_request(started_s + 6.0))
+            for _ in range(3)
+        ]
+        wait_for_queued(dispatcher, 3)
+        clock.advance(4.0)
+        dispatcher.release(first.server, OK, started_s=started_s)
+        results = [future.result(TIMEOUT_S) for future in futures]
+    refused = [result for result in results if isinstance(result, NotPlaced)]
+    assert len(refused) == 2
+    assert all("exceeds the deadline" in result.reason for result in refused)
+    assert all(result.retry_after_s > 0.0 for result in refused)
--- a/snipespring/decisions/queueing/__init__.py
+++ b/snipespring/decisions/queueing/__init__.py
@@ -7,8 +7,10 @@
     dequeue,
     enqueue,
     get_queue,
+    list_hopeless,
     remove_request,
 )
+from .urgency import urgency_of
 
 __all__ = [
     "EnqueueRefused",
@@ -17,5 +19,7 @@
     "dequeue",
     "enqueue",
     "get_queue",
+    "list_hopeless",
     "remove_request",
+    "urgency_of",
 ]
--- a/snipespring/decisions/queueing/fairness.py
+++ b/snipespring/decisions/queueing/fairness.py
@@ -1,4 +1,8 @@
-"""Queue requests by start-time fair queuing with equal weights."""
+"""Queue requests by start-time fair queuing with equal weights.
+
+The load is that of more requests than the servers have slots for, from organisations
+of unlike size and of unlike urgency.
+"""
 
 from collections import Counter
 
@@ -20,10 +24,16 @@
     "dequeue",
     "enqueue",
     "get_queue",
+    "list_hopeless",
     "remove_request",
 ]
 
 MIN_RETRY_AFTER_S = 0.05
+# A request stands back by so many turns of its organisation for each level of priority
+# that it is less urgent. It is never starved, since its place comes nearer.
+TURNS_PER_PRIORITY = 4.0
+# The queue may move this much faster than estimated from the attempts in flight.
+MAX_SPEEDUP = 2.0
 EMPTY_QUEUE = RequestQueue()
 
 
@@ -78,8 +88,10 @@
     request = QueuedRequest(
         ticket=queues.next_ticket, tag=tag, slot_request=slot_request
     )
-    ahead = sum(other.tag <= tag for other in queue.queued)
-    wait_s = (ahead + 1) * service_s / max(1, in_flight)
+    ahead = sum(
+        _service_sort_key(other) < _service_sort_key(request) for other in queue.queued
+    )
+    wait_s = _estimate_wait_s(ahead, in_flight=in_flight, service_s=service_s)
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
     if now_s + wait_s + service_s > slot_request.deadline_at_s:
         return EnqueueRefused(
@@ -102,6 +114,25 @@
     return Enqueued(queues=queues, request=request, evicted=evicted)
 
 
+def list_hopeless(
+    queue: RequestQueue, *, in_flight: int, service_s: float, now_s: float
+) -> tuple[tuple[QueuedRequest, float], ...]:
+    """Return the queued requests that will miss their deadlines, and their waits.
+
+    They would miss them even if the queue moved faster than estimated, as happens when
+    the servers become slower or are lost while requests wait.
+    """
+    hopeless: list[tuple[QueuedRequest, float]] = []
+    for place, request in enumerate(queue.queued):
+        wait_s = _estimate_wait_s(
+            place - len(hopeless), in_flight=in_flight, service_s=service_s
+        )
+        end_s = now_s + wait_s / MAX_SPEEDUP + service_s
+        if end_s > request.slot_request.deadline_at_s:
+            hopeless.append((request, max(MIN_RETRY_AFTER_S, wait_s)))
+    return tuple(hopeless)
+
+
 def remove_request(queues: RequestQueues, ticket: int) -> RequestQueues:
     """Return the queues without one request that got no slot.
 
@@ -132,30 +163,34 @@
 
 def _withdraw(queue: RequestQueue, removed: QueuedRequest) -> RequestQueue:
     organisation = removed.slot_request.organisation
-    remaining: list[QueuedRequest] = []
-    free_tag = removed.tag
-    for request in queue.queued:
-        if request.ticket == removed.ticket:
-            continue
-        is_later = request.slot_request.organisation == organisation and (
-            _service_sort_key(request) > _service_sort_key(removed)
-        )
-        if is_later:
-            request, free_tag = evolve(request, tag=free_tag), request.tag
-        remaining.append(request)
+    remaining = {
+        request.ticket: request
+        for request in queue.queued
+        if request.ticket != removed.ticket
+    }
     if not remaining:
         return EMPTY_QUEUE
+    free_tag = removed.tag
+    for request in sorted(remaining.values(), key=_tag_order):
+        is_same = request.slot_request.organisation == organisation
+        if is_same and _tag_order(request) > _tag_order(removed):
+            remaining[request.ticket] = evolve(request, tag=free_tag)
+            free_tag = request.tag
     last_tags = queue.last_tags
     if last_tags.get(organisation) == free_tag:
         # The next request of the organisation gets the tag that became free.
         last_tags = last_tags.set(organisation, free_tag - 1.0)
     return evolve(
         queue,
-        queued=tuple(sorted(remaining, key=_service_sort_key)),
+        queued=tuple(sorted(remaining.values(), key=_service_sort_key)),
         last_tags=last_tags,
     )
 
 
+def _tag_order(request: QueuedRequest) -> tuple[float, int]:
+    return (request.tag, request.ticket)
+
+
 def _next_start_tag(
     queue: RequestQueue, organisation: OrganisationName | None
 ) -> float:
@@ -174,8 +209,13 @@
     return _set_queue(queues, slot_request.service, queue)
 
 
+def _estimate_wait_s(ahead: int, *, in_flight: int, service_s: float) -> float:
+    return (ahead + 1) * service_s / max(1, in_flight)
+
+
 def _service_sort_key(request: QueuedRequest) -> tuple[float, int]:
-    return (request.tag, request.ticket)
+    turns = TURNS_PER_PRIORITY * request.slot_request.priority
+    return (request.tag + turns, request.ticket)
 
 
 def _choose_evicted(
--- a/snipespring/decisions/queueing/tests/test_fairness.py
+++ b/snipespring/decisions/queueing/tests/test_fairness.py
@@ -11,6 +11,7 @@
     dequeue,
     enqueue,
     get_queue,
+    list_hopeless,
     remove_request,
 )
 from snipespring.records import (
@@ -32,12 +33,15 @@
     organisation: OrganisationName,
     deadline_at_s: float = 100.0,
     service_s: float = 0.02,
+    priority: int = 0,
+    now_s: float = 0.0,
 ) -> Enqueued | EnqueueRefused:
     slot_request = SlotRequest(
         service=SERVICE,
         organisation=organisation,
         placement=Placement(domain=DomainName("near")),
         deadline_at_s=deadline_at_s,
+        priority=priority,
     )
     return enqueue(
         queues,
@@ -45,7 +49,7 @@
         max_queued=MAX_QUEUED,
         in_flight=2,
         service_s=service_s,
-        now_s=0.0,
+        now_s=now_s,
     )
 
 
@@ -148,3 +152,87 @@
     machine.enqueue_request(other)
     machine.cancel(0)
     machine.serve()
+
+
+SLOTS = 2
+SERVICE_S = 0.1
+CAPACITY_PER_S = SLOTS / SERVICE_S
+DEADLINE_S = 0.6
+PLAYED_S = 30.0
+
+
+def play_overload(load: float, priorities: dict[OrganisationName, int]) -> Counter[str]:
+    """Play a steady load, in parts of the capacity; count who is served in time.
+
+    Each organisation sends the same share of the requests.
+    """
+    queues, served = RequestQueues(), Counter[str]()
+    ends_s = [0.0] * SLOTS
+    for number in range(int(PLAYED_S * load * CAPACITY_PER_S)):
+        now_s = number / (load * CAPACITY_PER_S)
+        queues = serve_until(queues, ends_s, now_s, served)
+        name = list(priorities)[number % len(priorities)]
+        added = add(
+            queues,
+            name,
+            deadline_at_s=now_s + DEADLINE_S,
+            service_s=SERVICE_S,
+            priority=priorities[name],
+            now_s=now_s,
+        )
+        match added:
+            case Enqueued(queues=queues, evicted=evicted):
+                assert evicted is None
+            case EnqueueRefused(retry_after_s=retry_after_s):
+                assert retry_after_s > 0.0
+    return served
+
+
+def serve_until(
+    queues: RequestQueues, ends_s: list[float], now_s: float, served: Counter[str]
+) -> RequestQueues:
+    """Serve queued requests on the slots that become free until `now_s`."""
+    while (free_s := min(ends_s)) <= now_s:
+        queue = get_queue(queues, SERVICE)
+        hopeless = list_hopeless(
+            queue, in_flight=SLOTS, service_s=SERVICE_S, now_s=free_s
+        )
+        for request, _ in hopeless:
+            queues = remove_request(queues, request.ticket)
+        queued = get_queue(queues, SERVICE).queued
+        if not queued:
+            ends_s[ends_s.index(free_s)] = now_s + 1e-6
+            continue
+        queues = dequeue(queues, queued[0])
+        ends_s[ends_s.index(free_s)] = free_s + SERVICE_S
+        if free_s + SERVICE_S <= queued[0].slot_request.deadline_at_s:
+            served[str(queued[0].slot_request.organisation)] += 1
+    return queues
+
+
+@pytest.mark.parametrize("load", [1.3, 1.7, 3.0])
+def test_urgent_requests_are_served_first_and_no_others_are_starved(
+    load: float,
+) -> None:
+    large, small, _ = ORGANISATIONS
+    served = play_overload(load, {large: 2, small: 0})
+    sent = PLAYED_S * load * CAPACITY_PER_S / 2
+    capacity = PLAYED_S * CAPACITY_PER_S
+    assert served["small"] >= 0.9 * min(sent, capacity * 0.75)
+    assert served["large"] >= 0.1 * capacity
+    assert served.total() >= 0.9 * capacity
+
+
+def test_slower_servers_make_queued_requests_hopeless_before_their_deadline() -> None:
+    queues = RequestQueues()
+    for _ in range(6):
+        added = add(queues, ORGANISATIONS[0], deadline_at_s=1.0)
+        assert isinstance(added, Enqueued)
+        queues = added.queues
+    queue = get_queue(queues, SERVICE)
+    state = {"in_flight": 2, "now_s": 0.1}
+    assert list_hopeless(queue, service_s=0.02, **state) == ()  # type: ignore[arg-type]
+    hopeless = list_hopeless(queue, service_s=0.4, **state)  # type: ignore[arg-type]
+    assert 0 < len(hopeless) < 6
+    assert all(request in queue.queued[-len(hopeless) :] for request, _ in hopeless)
+    assert all(wait_s > 0.0 for _, wait_s in hopeless)
--- a/snipespring/records/queues.py
+++ b/snipespring/records/queues.py
@@ -11,12 +11,16 @@
 
 @frozen(kw_only=True)
 class SlotRequest:
-    """Ask for a slot of a service; `tag` restores the position of an earlier wait."""
+    """Ask for a slot of a service; `tag` restores the position of an earlier wait.
+
+    Requests with a lower `priority` are more urgent.
+    """
 
     service: ServiceName
     organisation: OrganisationName | None
     placement: Placement
     deadline_at_s: float
+    priority: int = 0
     tag: float | None = None
 
 
