Let the second hub use the view of the first one

Cause: the second hub summed up its reports at each round and for each confirmation, though it gets only every third report while the first hub answers: one lost report left a host out of its view, in turns with the whole view from the first hub.

Change: it uses its own sums, and gives them, only while the first hub does not answer. The test failed before.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -133,18 +133,20 @@
         self._update_hubs(DomainHubs(hubs=hubs))
         if is_hub(hubs, self.own_host.host_id):
             self._receive_report(report)
-            self._update_own_view(now_s)
         domain_hosts = sum(host.domain == self.own_host.domain for host in hosts)
         for hub in hubs:
+            request = make_request(
+                self.board.read(FLEET_VIEW),
+                is_first_hub=hub is hubs[0],
+                domain_hosts=domain_hosts,
+                now_s=now_s,
+            )
+            is_due = request is not None or self._sequence % BACKUP_REPORT_ROUNDS == 0
             if hub.host_id != self.own_host.host_id:
-                request = make_request(
-                    self.board.read(FLEET_VIEW),
-                    is_first_hub=hub is hubs[0],
-                    domain_hosts=domain_hosts,
-                    now_s=now_s,
-                )
-                if request is not None or self._sequence % BACKUP_REPORT_ROUNDS == 0:
+                if is_due:
                     self._send_report(hub, evolve(report, request=request), now_s)
+            elif request is not None:
+                self._update_own_view(now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own_host.host_id
         # Before the first listing every host takes itself for the only one.
         is_listed = self.board.read(HOST_FEED).confirmed_s is not None
@@ -244,7 +246,9 @@
 
     def _send_digest(self, report: HostReport, sender: Address) -> None:
         now_s = self.clock.monotonic_s()
-        digest = make_digest(self._get_state(now_s), self.own_host.host_id, report)
+        is_asked = report.request is not None
+        hub_state = self._get_state(now_s) if is_asked else HubState()
+        digest = make_digest(hub_state, self.own_host.host_id, report)
         feed = self.board.read(CONFIGURATION_FEED)
         confirmation = make_confirmation(
             feed,
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -12,6 +12,7 @@
     CONFIGURATION_FEED,
     FLEET_VIEW,
     HOST_FEED,
+    HUB_STATE,
     LEASE,
     RELAY_NOTICE,
     SERVER_FEED,
@@ -360,6 +361,20 @@
         assert relayed.confirmed_s > fleet.clock.now_s - 1.5
 
 
+def test_second_hub_uses_its_own_sums_only_while_the_first_does_not_answer() -> None:
+    fleet = SmallFleet()
+    fleet.run()
+    second = fleet.link("a-1")
+    summed_s = second.board.read(HUB_STATE).as_of_s
+    fleet.run()
+    assert second.board.read(HUB_STATE).as_of_s == summed_s
+    fleet.dead = {HostId("a-0")}
+    fleet.run()
+    now_s = fleet.clock.now_s
+    assert second.board.read(HUB_STATE).as_of_s == now_s - 0.25
+    assert set(fleet.views()) == {all_hosts(fleet) - fleet.dead}
+
+
 def test_next_hub_queries_the_store_after_the_first_died() -> None:
     fleet = SmallFleet()
     fleet.run()
