Read only the newest configuration after an outage

Hosts that were cut off for 8 s caught up by a watch from their old revision, which returns every version since, five of them: over a link of 5 Mbit/s the newest came after more than 3 s, while 70 added hosts read theirs. The traced hosts had version 43 0.4 to 0.8 s after the cut and version 46 another 0.6 s later; front-monastir-11 was not done 3 s after it.

Change: the configuration is listed, not watched, when the last call failed or a newer version was relayed.

--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -69,7 +69,9 @@
 class FeedFollower(Generic[T]):
     """Write the region of one feed by listing it once and then watching it.
 
-    The controller watches no region; it blocks in the calls to the store.
+    The controller watches no region; it blocks in the calls to the store. A watch
+    after an outage would return each change since; with `lists_when_behind`, the
+    items are listed instead, which is shorter for a few large ones.
     """
 
     board: Board
@@ -80,6 +82,7 @@
     feed: Feed[T]
     region: Region[FeedView[T]]
     wait_s: float
+    lists_when_behind: bool = False
     watches: tuple[Region[Any], ...] = field(default=(), init=False)
     _next_step_s: float = field(default=0.0, init=False)
     _failures: int = field(default=0, init=False)
@@ -89,11 +92,12 @@
         """Return the name under which this controller writes to the blackboard."""
         return self.region.writer
 
-    def step(self) -> float:
+    def step(self, *, is_behind: bool = False) -> float:
         """Query the store once; return the pause in seconds before the next query."""
         known = self.board.read(self.region)
         sent_s = self.clock.monotonic_s()
-        if known.revision is None:
+        is_behind = is_behind or self._failures > 0
+        if known.revision is None or (self.lists_when_behind and is_behind):
             self.metrics.count("store_calls", f"{self.name}_list")
             listed = self.feed.list_items()
             match listed:
@@ -124,11 +128,11 @@
         """Return whether the pause after the last step is over."""
         return self.clock.monotonic_s() >= self._next_step_s
 
-    def step_when_due(self) -> float:
+    def step_when_due(self, *, is_behind: bool = False) -> float:
         """Do one step unless the pause after the last one lasts; return seconds."""
         if not self.is_due():
             return self._next_step_s - self.clock.monotonic_s()
-        pause_s = self.step()
+        pause_s = self.step(is_behind=is_behind)
         self._next_step_s = self.clock.monotonic_s() + pause_s
         return pause_s
 
@@ -202,7 +206,9 @@
                 follower.is_due() and self._read_version(version)
             ):
                 return 0.0
-            case QueryStore() | ReadNewerVersion():
+            case ReadNewerVersion():
+                return follower.step_when_due(is_behind=True)
+            case QueryStore():
                 return follower.step_when_due()
             case UseRelayedConfirmation(view=view, next_query_s=next_query_s):
                 if view != known:
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -140,7 +140,11 @@
     configurations = configuration_feed(context.store)
     notice_s = _compute_notice_s(context)
     follower = _build_feed_follower(
-        process, configurations, CONFIGURATION_FEED, WATCH_FRACTION * platform.revoke_s
+        process,
+        configurations,
+        CONFIGURATION_FEED,
+        WATCH_FRACTION * platform.revoke_s,
+        lists_when_behind=True,
     )
     limits = RelayLimits(
         confirmed_s=CONFIRMED_FRACTION * platform.revoke_s,
@@ -196,7 +200,12 @@
 
 
 def _build_feed_follower(
-    process: ProcessContext, feed: Feed[T], region: Region[FeedView[T]], wait_s: float
+    process: ProcessContext,
+    feed: Feed[T],
+    region: Region[FeedView[T]],
+    wait_s: float,
+    *,
+    lists_when_behind: bool = False,
 ) -> FeedFollower[T]:
     return FeedFollower(
         board=process.board,
@@ -207,6 +216,7 @@
         feed=feed,
         region=region,
         wait_s=wait_s,
+        lists_when_behind=lists_when_behind,
     )
 
 
