Count an attempt that ends before it is sent as one that did not run

Cause, found by reading the change that bounds answers: if connecting took the whole time of an attempt, the time left was asked for while the head was written, and the TimeoutError left the transport as an exception.

Change: nothing was sent, so that it is a failed connection. The test failed before. The reports that a host has sent are kept in one place with their times.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -8,7 +8,7 @@
 import threading
 from collections.abc import Callable
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from ..blackboard import Board
 from ..blackboard.regions import (
@@ -87,11 +87,17 @@
 # enough to count as heard and to be known as serving when it replaces the first one.
 BACKUP_REPORT_ROUNDS = 3
 HUB_TIMEOUT_S = 1.0  # a hub that answers no report for this long is silent
-# Latest reports whose send times are kept, since their digests may still arrive.
+# Latest reports that are kept, since their digests may still arrive.
 MAX_PENDING_REPORTS = 8
 HUB_RETRY_S = 4.0  # a silent hub is used again after this time
 
 
+@frozen(kw_only=True)
+class _SentReport:
+    report: HostReport
+    sent_s: float
+
+
 @define(kw_only=True, eq=False)
 class DomainLink:
     """Write the domain hubs and reports, the hub state, the view and the relay.
@@ -114,8 +120,7 @@
     _sequence: int = field(default=0, init=False)
     _unanswered_since_s: dict[HostId, float] = field(factory=dict, init=False)
     _silent_since_s: dict[HostId, float] = field(factory=dict, init=False)
-    _reports_sent_s: dict[int, float] = field(factory=dict, init=False)
-    _reports_sent: dict[int | None, HostReport] = field(factory=dict, init=False)
+    _sent: dict[int | None, _SentReport] = field(factory=dict, init=False)
     _last_sent_serving: tuple[HostId, ...] | None = field(default=None, init=False)
 
     def step(self) -> float:
@@ -266,16 +271,17 @@
         with self._lock:
             self._unanswered_since_s.pop(digest.sender, None)
             self._silent_since_s.pop(digest.sender, None)
-            sent_s = self._reports_sent_s.get(digest.sequence)
-            own = self._reports_sent.get(digest.included_sequence)
-        if sent_s is not None and self._is_sent_by(digest.sender, sender):
+            answered = self._sent.get(digest.sequence)
+            included = self._sent.get(digest.included_sequence)
+        if answered is not None and self._is_sent_by(digest.sender, sender):
             self._update_relay(
                 lambda relay: record_confirmation(
-                    relay, digest.confirmation, sent_s=sent_s
+                    relay, digest.confirmation, sent_s=answered.sent_s
                 )
             )
             self._catch_up_on_servers(digest, sender)
         if digest.state is not None:
+            own = None if included is None else included.report
             self._update_view(digest.state, own)
 
     def _catch_up_on_servers(self, digest: ReportDigest, sender: Address) -> None:
@@ -328,10 +334,8 @@
     ) -> None:
         with self._lock:
             self._unanswered_since_s.setdefault(hub.host_id, now_s)
-            self._reports_sent_s[report.sequence] = now_s
-            self._reports_sent_s.pop(report.sequence - MAX_PENDING_REPORTS, None)
-            self._reports_sent[report.sequence] = report
-            self._reports_sent.pop(report.sequence - MAX_PENDING_REPORTS, None)
+            self._sent[report.sequence] = _SentReport(report=report, sent_s=now_s)
+            self._sent.pop(report.sequence - MAX_PENDING_REPORTS, None)
         self.datagrams.send(hub.peers, report)
 
     def _list_silent_hubs(self, now_s: float) -> frozenset[HostId]:
--- a/snipespring/frontends/backends/tests/test_transport.py
+++ b/snipespring/frontends/backends/tests/test_transport.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from snipespring.frontends.backends import HttpTransport
 from snipespring.frontends.backends.tests.scripted_server import (
     TIMEOUT_S,
     answer_completely,
@@ -22,6 +23,7 @@
     SendBroken,
     ShedByServer,
 )
+from snipespring.utils import SystemClock
 
 INCOMPLETE_ANSWERS: list[Callable[[str], bytes]] = [
     lambda request_id: make_answer(request_id, b"half", length=9),
@@ -191,6 +193,19 @@
     assert isinstance(make_transport().send(server_id, make_attempt(2)), ConnectFailed)
 
 
+def test_an_attempt_that_ends_before_it_is_sent_is_a_connect_failure() -> None:
+    class LateClock(SystemClock):
+        def monotonic_s(self) -> float:
+            times_s.append(times_s[-1] + 1.0)
+            return times_s[-1]
+
+    times_s = [0.0]
+    with run_server(answer_completely) as server:
+        transport = HttpTransport(clock=LateClock())
+        result = transport.send(server.server_id, make_attempt(1, timeout_s=0.5))
+        assert isinstance(result, ConnectFailed)
+
+
 def test_reset_after_sending_is_not_a_connect_failure() -> None:
     def reset(conn: socket.socket, request_id: str) -> bool:
         conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -141,6 +141,8 @@
         """Return the result and whether the connection can be reused."""
         try:
             self._write_head(server)
+        except TimeoutError as exc:
+            return ConnectFailed(reason=str(exc)), False
         except (HTTPException, ValueError) as exc:
             reason = f"the request cannot be encoded: {exc}"
             return ConnectFailed(reason=reason), False
