Ask for known hosts, senders and unread bytes in one place

The look-ups of known hosts and of a message's sender stood in the domain link, the outcome relay and the address lister, the check for unread bytes in the pool and the HTTP server: each has one function now. An outcome of the own domain made every host list all hosts and choose a route, work that grows with the fleet; only the first hub does so. A digest wrote the relay and its notice twice; once now. A guard of the host registrar could never be false and is gone.

Behaviour and tests are as they were.

--- a/snipespring/controllers/domain_address_lister.py
+++ b/snipespring/controllers/domain_address_lister.py
@@ -6,13 +6,12 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import (
-    DOMAIN_REPORTS,
     FLEET_VIEW,
-    HOST_FEED,
 )
-from ..decisions.domains import AddressListLimits, list_known_hosts, offer_addresses
+from ..decisions.domains import AddressListLimits, offer_addresses
 from ..records import AddressAnswer, DomainName, PublishedHost
 from ..utils import Clock
+from .peers import read_known_hosts
 from .readiness import is_ready
 
 __all__ = ["DomainAddressLister"]
@@ -35,11 +34,7 @@
     def answer(self, domain: DomainName) -> AddressAnswer:
         """Return the hosts that callers in a domain should use."""
         return offer_addresses(
-            list_known_hosts(
-                self.board.read(HOST_FEED),
-                self.board.read(DOMAIN_REPORTS),
-                self.own_host,
-            ),
+            read_known_hosts(self.board, self.own_host),
             self.board.read(FLEET_VIEW),
             self.own_host.host_id,
             domain,
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -35,9 +35,7 @@
     choose_hubs,
     count_answers_by_server,
     count_usage,
-    find_known_host,
     is_hub,
-    list_known_hosts,
     list_other_hubs,
     make_digest,
     make_hub_state,
@@ -74,6 +72,7 @@
 )
 from ..utils import Clock
 from .outcome_relay import OutcomeRelay
+from .peers import is_sent_by, read_known_hosts
 from .readiness import is_ready
 
 __all__ = ["DomainLink"]
@@ -128,7 +127,7 @@
         now_s = self.clock.monotonic_s()
         self._sequence += 1
         report = self._make_report(now_s)
-        hosts = self._list_known_hosts()
+        hosts = read_known_hosts(self.board, self.own_host)
         with self._lock:
             hubs = choose_hubs(
                 hosts,
@@ -186,25 +185,13 @@
             case ServerQuery():
                 self._answer_server_query(message, sender)
             case ServerChanges():
-                if self._is_sent_by(message.sender, sender):
+                if is_sent_by(self.board, message.sender, sender):
                     self.on_server_changes(message)
 
     def report_now(self) -> None:
         """Report at once, because this host begins to leave."""
         self.step()
 
-    def _list_known_hosts(self) -> tuple[PublishedHost, ...]:
-        return list_known_hosts(
-            self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), self.own_host
-        )
-
-    def _is_sent_by(self, host_id: HostId, sender: Address) -> bool:
-        """Return whether `sender` is the peer address of the host `host_id`."""
-        host = find_known_host(
-            self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), host_id
-        )
-        return host is not None and host.peers == sender
-
     def _update_hubs(self, hubs: DomainHubs) -> None:
         self.board.update(
             DOMAIN_HUBS, lambda old: old if old == hubs else hubs, writer=self.name
@@ -221,9 +208,9 @@
 
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Forward a summary to this domain's other hubs unless a hub forwarded it."""
-        if not self._is_sent_by(summary.sender, sender):
+        if not is_sent_by(self.board, summary.sender, sender):
             return
-        hosts = self._list_known_hosts()
+        hosts = read_known_hosts(self.board, self.own_host)
         for hub in choose_hubs(hosts, self.own_host.domain, silent=frozenset()):
             if hub.host_id != self.own_host.host_id:
                 self.datagrams.send(hub.peers, summary)
@@ -273,24 +260,24 @@
             self._silent_since_s.pop(digest.sender, None)
             answered = self._sent.get(digest.sequence)
             included = self._sent.get(digest.included_sequence)
-        if answered is not None and self._is_sent_by(digest.sender, sender):
-            self._update_relay(
-                lambda relay: record_confirmation(
-                    relay, digest.confirmation, sent_s=answered.sent_s
-                )
-            )
-            self._catch_up_on_servers(digest, sender)
+        if answered is not None and is_sent_by(self.board, digest.sender, sender):
+            self._use_relay(digest, sender, sent_s=answered.sent_s)
         if digest.state is not None:
             own = None if included is None else included.report
             self._update_view(digest.state, own)
 
-    def _catch_up_on_servers(self, digest: ReportDigest, sender: Address) -> None:
-        """Ask the sender of a digest for changes to servers that it knows."""
+    def _use_relay(
+        self, digest: ReportDigest, sender: Address, *, sent_s: float
+    ) -> None:
+        """Record what a digest relays; ask its sender for changes to servers."""
         servers, now_s = self.board.read(SERVER_FEED), self.clock.monotonic_s()
         mark = digest.servers
-        self._update_relay(
-            lambda relay: record_server_mark(relay, servers, mark, now_s=now_s)
-        )
+
+        def record(relay: StoreRelay) -> StoreRelay:
+            relay = record_confirmation(relay, digest.confirmation, sent_s=sent_s)
+            return record_server_mark(relay, servers, mark, now_s=now_s)
+
+        self._update_relay(record)
         query = make_server_query(servers, mark, self.own_host.host_id)
         if query is not None:
             self.datagrams.send(sender, query)
@@ -362,6 +349,8 @@
         else:
             self._last_sent_serving = summary.serving
         hubs = list_other_hubs(
-            self._list_known_hosts(), self.board.read(FLEET_VIEW), self.own_host
+            read_known_hosts(self.board, self.own_host),
+            self.board.read(FLEET_VIEW),
+            self.own_host,
         )
         self.datagrams.send_all(tuple(hub.peers for hub in hubs), summary)
--- a/snipespring/controllers/host_registrar.py
+++ b/snipespring/controllers/host_registrar.py
@@ -66,8 +66,6 @@
 
     def _is_a_host_unknown(self) -> bool:
         """Return whether a host serves whose addresses are not known."""
-        if self._listings < len(FIRST_LISTING_DELAYS_S):
-            return False
         return has_unknown_host(
             self.board.read(HOST_FEED),
             self.board.read(DOMAIN_REPORTS),
--- a/snipespring/controllers/outcome_relay.py
+++ b/snipespring/controllers/outcome_relay.py
@@ -8,9 +8,7 @@
 from ..blackboard import Board, Region
 from ..blackboard.regions import (
     DOMAIN_HUBS,
-    DOMAIN_REPORTS,
     FLEET_VIEW,
-    HOST_FEED,
     PENDING_OUTCOMES,
 )
 from ..decisions.domains import (
@@ -19,21 +17,19 @@
     SendToHub,
     add_outcomes,
     choose_outcome_route,
-    find_known_host,
-    list_known_hosts,
     list_other_hubs,
     list_outcome_recipients,
 )
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
-    HostId,
     OutcomeBatch,
     OutcomeNotification,
     PendingOutcomes,
     PublishedHost,
 )
 from ..utils import Clock
+from .peers import is_sent_by, read_known_hosts
 
 __all__ = ["OutcomeRelay"]
 
@@ -67,7 +63,10 @@
         pending = self.board.transact(
             PENDING_OUTCOMES, lambda old: (PendingOutcomes(), old), writer=self.name
         )
-        hosts, view = self._list_known_hosts(), self.board.read(FLEET_VIEW)
+        hosts, view = (
+            read_known_hosts(self.board, self.own_host),
+            self.board.read(FLEET_VIEW),
+        )
         recipients = list_outcome_recipients(hosts, view, self.own_host)
         self._send(recipients, pending.outcomes)
         own_domain = self.own_host.domain
@@ -78,7 +77,10 @@
 
     def broadcast(self, outcome: OutcomeNotification) -> None:
         """Tell the hosts of this domain, and those of the others through a hub."""
-        hosts, view = self._list_known_hosts(), self.board.read(FLEET_VIEW)
+        hosts, view = (
+            read_known_hosts(self.board, self.own_host),
+            self.board.read(FLEET_VIEW),
+        )
         match self._choose_route(hosts):
             case SendDirectly(recipients=recipients):
                 others = list_other_hubs(hosts, view, self.own_host)
@@ -91,19 +93,19 @@
 
     def receive(self, outcome: OutcomeNotification, sender: Address) -> None:
         """Record an outcome on another host, and pass it on where that is due."""
-        is_from_origin = self._is_sent_by(outcome.sender, sender)
         self.on_outcome(outcome)
-        match self._choose_route(self._list_known_hosts()):
-            case CollectOutcomes() if is_from_origin:
+        is_foreign = outcome.domain != self.own_host.domain
+        if not (is_foreign or self._is_first_hub()):
+            return
+        if not is_sent_by(self.board, outcome.sender, sender):
+            return
+        match self._choose_route(read_known_hosts(self.board, self.own_host)):
+            case CollectOutcomes():
                 self._collect((outcome,))
-            case SendDirectly(recipients=recipients) if (
-                is_from_origin and outcome.domain != self.own_host.domain
-            ):
+            case SendDirectly(recipients=recipients) if is_foreign:
                 addresses = tuple(host.peers for host in recipients)
                 self.datagrams.send_all(addresses, outcome)
-            case SendToHub(hub=hub) if (
-                is_from_origin and outcome.domain != self.own_host.domain
-            ):
+            case SendToHub(hub=hub) if is_foreign:
                 batch = OutcomeBatch(
                     sender=outcome.sender, domain=outcome.domain, outcomes=(outcome,)
                 )
@@ -118,8 +120,8 @@
                 self.on_outcome(outcome)
         if batch.domain == self.own_host.domain:
             return
-        is_from_hub = self._is_sent_by(batch.sender, sender)
-        match self._choose_route(self._list_known_hosts()):
+        is_from_hub = is_sent_by(self.board, batch.sender, sender)
+        match self._choose_route(read_known_hosts(self.board, self.own_host)):
             case CollectOutcomes():
                 self._collect(batch.outcomes)
             case SendDirectly(recipients=recipients) if is_from_hub:
@@ -129,6 +131,10 @@
             case _:
                 return
 
+    def _is_first_hub(self) -> bool:
+        hubs = self.board.read(DOMAIN_HUBS).hubs
+        return bool(hubs) and hubs[0].host_id == self.own_host.host_id
+
     def _collect(self, outcomes: tuple[OutcomeNotification, ...]) -> None:
         self.board.update(
             PENDING_OUTCOMES,
@@ -155,15 +161,3 @@
             sender=self.own_host.host_id, domain=self.own_host.domain, outcomes=outcomes
         )
         self.datagrams.send_all(tuple(host.peers for host in recipients), batch)
-
-    def _list_known_hosts(self) -> tuple[PublishedHost, ...]:
-        return list_known_hosts(
-            self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), self.own_host
-        )
-
-    def _is_sent_by(self, host_id: HostId, sender: Address) -> bool:
-        """Return whether that host sent a message, rather than another one for it."""
-        origin = find_known_host(
-            self.board.read(HOST_FEED), self.board.read(DOMAIN_REPORTS), host_id
-        )
-        return origin is not None and origin.peers == sender
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import io
-import select
 import socket
 import threading
 from collections.abc import Callable
@@ -14,6 +13,7 @@
 
 from ...records import Address
 from ...utils import Clock, SystemClock
+from ..sockets import is_readable
 
 __all__ = ["AnswerTooLongError", "ConnectionPool", "PooledConnection"]
 
@@ -120,7 +120,7 @@
 
     def has_extra_bytes(self) -> bool:
         """Return whether the server sent more after the last answer, or closed."""
-        if _is_readable(self.sock):
+        if is_readable(self.sock):
             return True
         self.raw.set_limits(None, 0)
         return bool(self.reader.peek(1))
@@ -153,7 +153,7 @@
         """Return an idle or a new connection; raise OSError if connecting fails."""
         oldest_s = self.clock.monotonic_s() - MAX_IDLE_S
         while (idle := self._pop(address)) is not None:
-            if idle.idle_since_s >= oldest_s and not _is_readable(idle.sock):
+            if idle.idle_since_s >= oldest_s and not is_readable(idle.sock):
                 return idle
             idle.close()
         return _connect(address, timeout_s=timeout_s)
@@ -220,10 +220,3 @@
     return PooledConnection(
         address=address, conn=conn, sock=conn.sock, raw=raw, reader=reader
     )
-
-
-def _is_readable(sock: socket.socket) -> bool:
-    """Return whether the server closed the connection or wrote to it."""
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -1,7 +1,6 @@
 """Serve a WSGI application on one address, and drain it without aborting requests."""
 
 import logging
-import select
 import socket
 import threading
 import time
@@ -17,6 +16,7 @@
 
 from ..records import Address
 from .http_bodies import BodyBudget, RawFieldsParser, UnlimitedBodies
+from .sockets import is_readable
 
 __all__ = ["FIELDS_KEY", "Environ", "HttpServer", "StartResponse", "WsgiApp"]
 
@@ -139,12 +139,12 @@
         if self.linger_until_s is not None:
             return now_s >= self.linger_until_s
         is_new = now_s - self.creation_time < FIRST_REQUEST_S
-        return not is_new and not _is_readable(self.socket)
+        return not is_new and not is_readable(self.socket)
 
     def _begin_linger(self) -> bool:
         """Close this side of the connection; return whether to wait for the caller."""
         is_draining = self.server.adj.draining.is_set()
-        if not (is_draining or _is_readable(self.socket)):
+        if not (is_draining or is_readable(self.socket)):
             return False
         try:
             self.socket.shutdown(socket.SHUT_WR)
@@ -154,13 +154,6 @@
         return True
 
 
-def _is_readable(sock: socket.socket) -> bool:
-    """Return whether bytes have arrived that are not read, or the end of the stream."""
-    poller = select.poll()
-    poller.register(sock, select.POLLIN)
-    return bool(poller.poll(0))
-
-
 @define(kw_only=True, eq=False)
 class HttpServer:
     """Serve an application with a bounded number of threads and connections."""
@@ -233,7 +226,7 @@
 
     def _close_listener(self) -> None:
         for _ in range(self._server.adj.backlog):
-            if not _is_readable(self._server.socket):
+            if not is_readable(self._server.socket):
                 break
             self._server.handle_accept()
         dispatcher.close(self._server)
