Log which servers a host leaves out when a request is not served

Change: with a request that ends in a 5xx, at most one line a service and second counts the servers by what stands against them, for requests that may run again and for those that may not. Measured: test_forwarder holds three failures in a second to one line; no decision changes.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -72,7 +72,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the request log."""
-        self.request_log = RequestLog(board=self.board, clock=self.clock)
+        self.request_log = RequestLog(
+            board=self.board, clock=self.clock, domain=self.sender.domain
+        )
 
     def handle(self, request: Request, is_disconnected: Callable[[], bool]) -> Reply:
         """Return the reply to a request; send no more attempts after a disconnect."""
--- a/snipespring/controllers/request_log.py
+++ b/snipespring/controllers/request_log.py
@@ -2,21 +2,33 @@
 
 import logging
 import threading
+from random import Random
 
 from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import CONFIGURATION, FLEET_VIEW, LEASE
+from ..blackboard.regions import (
+    CONFIGURATION,
+    FLEET_VIEW,
+    LEASE,
+    SERVER_LOADS,
+    SERVER_STATES,
+    SERVER_SUBSETS,
+)
+from ..decisions.routing import count_server_uses
 from ..records import (
     AttemptRecord,
+    DomainName,
     HandledRequest,
     LeaseHeld,
     LeaseLapsed,
     LeaseState,
     NotRun,
     Outcome,
+    Placement,
     Ran,
     Request,
+    ServiceName,
     Unknown,
 )
 from ..utils import Clock
@@ -25,6 +37,7 @@
 
 MAX_SUCCESS_LINES_PER_S = 50  # further ones in the same second are only counted
 FIRST_ERROR_STATUS = 400
+FIRST_SERVER_ERROR_STATUS = 500
 DECIMAL_PLACES = 4
 
 log = logging.getLogger(__name__)
@@ -32,14 +45,20 @@
 
 @define(kw_only=True, eq=False)
 class RequestLog:
-    """Log requests with the ages of the data that decisions rest on."""
+    """Log requests with the ages of the data that decisions rest on.
+
+    When a request is not served, the servers that this host leaves out are logged too,
+    once a second for each service.
+    """
 
     board: Board
     clock: Clock
+    domain: DomainName
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _second: int = field(default=0, init=False)
     _lines: int = field(default=0, init=False)
     _omitted: int = field(default=0, init=False)
+    _servers_logged: dict[ServiceName, int] = field(factory=dict, init=False)
 
     def write(
         self, request: Request, handled: HandledRequest, *, started_s: float
@@ -68,6 +87,28 @@
             "folded": omitted,
         }
         log.info("request", extra=fields)
+        is_failure = handled.reply.status >= FIRST_SERVER_ERROR_STATUS
+        if is_failure and handled.service is not None:
+            self._log_servers(handled.service, now_s)
+
+    def _log_servers(self, service: ServiceName, now_s: float) -> None:
+        """Log how many servers this host prefers and leaves out, by reason."""
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        if subset is None or self._servers_logged.get(service) == int(now_s):
+            return
+        self._servers_logged[service] = int(now_s)
+        uses = {
+            kind: count_server_uses(
+                subset,
+                self.board.read(SERVER_LOADS),
+                self.board.read(SERVER_STATES),
+                Placement(domain=self.domain, repeatable=repeatable),
+                now_s=now_s,
+                rng=Random(0),
+            )
+            for kind, repeatable in (("repeatable", True), ("run_once", False))
+        }
+        log.info("servers", extra={"service": service, **uses})
 
     def _may_log_success(self, second: int) -> bool:
         with self._lock:
--- a/snipespring/controllers/tests/test_forwarder.py
+++ b/snipespring/controllers/tests/test_forwarder.py
@@ -1,9 +1,17 @@
+import logging
 from unittest.mock import Mock
 
 import pytest
+from immutables import Map
 
 from snipespring.blackboard import Board
-from snipespring.blackboard.regions import CONFIGURATION, EVENTS, LEASE
+from snipespring.blackboard.regions import (
+    CONFIGURATION,
+    EVENTS,
+    LEASE,
+    SERVER_STATES,
+    SERVER_SUBSETS,
+)
 from snipespring.controllers import (
     Claimant,
     EventRecorder,
@@ -21,15 +29,21 @@
 from snipespring.records import (
     Admitted,
     ClaimRefused,
+    HandledRequest,
     Header,
     LeaseHeld,
     NotRun,
     OverLimit,
     Reply,
     Request,
+    ServerStates,
+    ServerSuspected,
+    Unknown,
 )
 from snipespring.utils import ManualClock
 
+from .routing_fakes import SERVICE, make_board, make_server_id
+
 API_KEY = "the-test-key-of-valeters"
 RULES = f"""
 service ledger  # Aoife
@@ -116,3 +130,23 @@
     reply = post(forwarder)
     assert (reply.status, reply.outcome) == (422, refused.outcome)
     assert forwarder.board.read(EVENTS).latest == ()
+
+
+def test_unserved_request_logs_which_servers_are_left_out_once_a_second(
+    forwarder: Forwarder, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    subsets = make_board(3).read(SERVER_SUBSETS)
+    forwarder.board.write(SERVER_SUBSETS, subsets, writer=SERVER_SUBSETS.writer)
+    now_s = forwarder.clock.monotonic_s()
+    suspected = ServerSuspected(risk=0.9, at_s=now_s)
+    states = ServerStates(by_server=Map({make_server_id(1): suspected}))
+    forwarder.board.write(SERVER_STATES, states, writer=SERVER_STATES.writer)
+    request = Request(request_id="r1", method="POST", path="/")
+    failed = Reply(request_id="r1", status=504, outcome=Unknown(reason="late"))
+    handled = HandledRequest(reply=failed, rule="attempt", service=SERVICE.name)
+    for _ in range(3):
+        forwarder.request_log.write(request, handled, started_s=now_s)
+    lines = [record for record in caplog.records if record.msg == "servers"]
+    assert len(lines) == 1
+    assert vars(lines[0])["run_once"] == {"preferred": 2, "avoided": 1}
--- a/snipespring/decisions/routing/__init__.pyi
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -1,4 +1,10 @@
-from .choice import Chosen, NoServer, ServersBusy, choose_server
+from .choice import (
+    Chosen,
+    NoServer,
+    ServersBusy,
+    choose_server,
+    count_server_uses,
+)
 from .loads import (
     cancel_reservation,
     drain_check_at_s,
@@ -21,6 +27,7 @@
     "cancel_reservation",
     "choose_server",
     "choose_subset",
+    "count_server_uses",
     "drain_check_at_s",
     "draw_service",
     "estimate_busy_slots",
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -30,7 +30,13 @@
     service_load_of,
 )
 
-__all__ = ["Chosen", "NoServer", "ServersBusy", "choose_server"]
+__all__ = [
+    "Chosen",
+    "NoServer",
+    "ServersBusy",
+    "choose_server",
+    "count_server_uses",
+]
 
 RAMP_DURATION_S = 10.0
 RAMP_START_SHARE = 0.1
@@ -156,6 +162,46 @@
     return Chosen(server=best.rule.server)
 
 
+def count_server_uses(
+    subset: ServerSubset,
+    loads: ServerLoads,
+    states: ServerStates,
+    placement: Placement,
+    *,
+    now_s: float,
+    rng: Random,
+) -> dict[str, int]:
+    """Return how many servers an attempt may use now, by preference or obstacle."""
+    risky = _list_risky(subset, states, placement, now_s)
+    counts: dict[str, int] = {}
+    for member in subset.members:
+        load = load_of(loads, member.rule.server)
+        use = _decide_use(member, loads, states, placement, now_s, rng, risky)
+        name = _describe_use(use, load, subset.in_flight_cap, now_s)
+        counts[name] = counts.get(name, 0) + 1
+    return counts
+
+
+def _describe_use(
+    use: _ServerUse, load: ServerLoad, in_flight_cap: int, now_s: float
+) -> str:
+    if isinstance(use, _Excluded):
+        return "excluded"
+    if load.drain is not None:
+        return "draining"
+    if load.backoff_until_s > now_s:
+        return "backing_off"
+    if load.in_flight >= in_flight_cap:
+        return "full"
+    match use:
+        case _Preferred():
+            return "preferred"
+        case _Fallback() if use == AVOIDED:
+            return "avoided"
+        case _:
+            return "ramping"
+
+
 def _rank_members(
     subset: ServerSubset,
     loads: ServerLoads,
