Try avoided servers again while others of their service fail

Cause: a class of fault, a breaker that closes by time alone. A few failures bring a server's risk to 0.97, which decays with 10 s: a request that may run once avoided the server for 28 s, up to seven in ten servers at a time, although many failures last 2 s. When other servers began to fail, the recovered ones got nothing and no request could show that they were well. Why it works: while the known failures of the fleet exceed a twentieth of a service's outcomes, a bounded share of its requests goes to avoided servers that did not fail for 2 s, some four a second and server. A server that still fails costs one request each two seconds; one that is well is trusted again after a few answers. Failures of all domains are told at once, so that all hosts see the same trouble.

--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -15,6 +15,7 @@
     "ANSWER_LOG",
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
+    "FAILURE_LOG",
     "FLEET_VIEW",
     "HUB_STATE",
     "PENDING_OUTCOMES",
@@ -30,6 +31,9 @@
 DOMAIN_REPORTS = Region[DomainReports](
     name="domain_reports", writer="domain_link", initial=DomainReports()
 )
+FAILURE_LOG = Region[AnswerLog](
+    name="failure_log", writer="health_keeper", initial=AnswerLog()
+)
 FLEET_VIEW = Region[FleetView](
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -11,7 +11,10 @@
 
 from ..blackboard import Board, Region
 from ..blackboard.regions import (
+    ANSWER_LOG,
     CONFIGURATION,
+    FAILURE_LOG,
+    FLEET_VIEW,
     REQUEST_QUEUES,
     SERVER_LOADS,
     SERVER_STATES,
@@ -32,6 +35,7 @@
     ServersBusy,
     cancel_reservation,
     choose_server,
+    count_recent_outcomes,
     release_server,
     remove_unused_servers,
     reserve_server,
@@ -40,8 +44,10 @@
 from ..records import (
     BackendResult,
     QueuedRequest,
+    RecentOutcomes,
     ServerId,
     ServerLoads,
+    ServerSubset,
     ServerSubsets,
     ServiceLoad,
     ServiceName,
@@ -281,6 +287,7 @@
             slot_request.placement,
             now_s=self.clock.monotonic_s(),
             rng=self.rng,
+            outcomes=self._count_outcomes(subset),
         )
         match choice:
             case Chosen(server=server):
@@ -289,6 +296,15 @@
                 pass
         return choice
 
+    def _count_outcomes(self, subset: ServerSubset) -> RecentOutcomes:
+        return count_recent_outcomes(
+            subset,
+            self.board.read(ANSWER_LOG),
+            self.board.read(FAILURE_LOG),
+            self.board.read(FLEET_VIEW),
+            now_s=self.clock.monotonic_s(),
+        )
+
     def _wait_for_subset(self, service: ServiceName) -> NoServer | ServersBusy:
         """Queue requests of a new service until its servers are selected."""
         if service in self.board.read(CONFIGURATION).services:
--- a/snipespring/controllers/suspicion_tracker.py
+++ b/snipespring/controllers/suspicion_tracker.py
@@ -5,11 +5,12 @@
 from attrs import define, field
 from immutables import Map
 
-from ..blackboard import Board
+from ..blackboard import Board, Region
 from ..blackboard.regions import (
     ANSWER_LOG,
     CONFIGURATION,
     EVIDENCE,
+    FAILURE_LOG,
     FLEET_VIEW,
     SERVER_LOADS,
     SERVER_STATES,
@@ -25,6 +26,7 @@
 )
 from ..decisions.tallies import OutcomeTally, count_outcomes, list_new_outcomes
 from ..records import (
+    AnswerLog,
     DomainName,
     HostId,
     OutcomeNotification,
@@ -46,7 +48,7 @@
 
 @define(kw_only=True, eq=False)
 class SuspicionTracker:
-    """Write the server states: the risk of gray failure of each server."""
+    """Write the server states and the logs of answers and failures."""
 
     board: Board
     clock: Clock
@@ -67,7 +69,8 @@
             previous, tallies, self._get_failure_timeout_s
         ):
             risk = self._get_risk(server)
-            self._record_answers(server, new.good)
+            self._log_outcomes(ANSWER_LOG, server, new.good)
+            self._log_outcomes(FAILURE_LOG, server, new.bad)
             for _ in range(new.good):
                 self._record_outcome(server, SUCCESS_WEIGHT)
             for _ in range(new.connect_failures):
@@ -87,6 +90,8 @@
             for rule in rules:
                 if rule.server.instance == notification.instance:
                     self._record_outcome(rule.server, weight)
+                    if notification.is_failure:
+                        self._log_outcomes(FAILURE_LOG, rule.server, 1)
 
     def _get_failure_timeout_s(self, server: ServerId) -> float:
         loads = self.board.read(SERVER_LOADS)
@@ -109,12 +114,14 @@
         if (old < SUSPECTED_RISK) != (new < SUSPECTED_RISK):
             self._record_state_change(server, old, new)
 
-    def _record_answers(self, server: ServerId, count: int) -> None:
+    def _log_outcomes(
+        self, region: Region[AnswerLog], server: ServerId, count: int
+    ) -> None:
         if not count:
             return
         now_s = self.clock.monotonic_s()
         self.board.update(
-            ANSWER_LOG,
+            region,
             lambda log: record_answers(log, server.instance, count, now_s),
             writer=self.name,
         )
--- a/snipespring/decisions/domains/answers.py
+++ b/snipespring/decisions/domains/answers.py
@@ -32,10 +32,12 @@
     return AnswerLog(by_instance=Map(recent))
 
 
-def count_server_answers(log: AnswerLog, instance: str, *, now_s: float) -> int:
-    """Return the number of good answers of one server within the window."""
+def count_server_answers(
+    log: AnswerLog, instance: str, *, now_s: float, window_s: float = ANSWER_WINDOW_S
+) -> int:
+    """Return the number of logged outcomes of one server within `window_s` seconds."""
     times = log.by_instance.get(instance, ())
-    return len(times) - bisect_left(times, now_s - ANSWER_WINDOW_S)
+    return len(times) - bisect_left(times, now_s - window_s)
 
 
 def count_answers_by_server(
--- a/snipespring/decisions/routing/__init__.pyi
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -19,6 +19,7 @@
 )
 from .shares import draw_service
 from .subsets import choose_subset, order_hosts
+from .trials import count_recent_outcomes
 
 __all__ = [
     "Chosen",
@@ -28,6 +29,7 @@
     "choose_server",
     "choose_subset",
     "count_server_uses",
+    "count_recent_outcomes",
     "drain_check_at_s",
     "draw_service",
     "estimate_busy_slots",
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -8,6 +8,7 @@
 
 from ...records import (
     Placement,
+    RecentOutcomes,
     ServerAvoided,
     ServerEjected,
     ServerHealthy,
@@ -29,6 +30,7 @@
     mean_busy_of_others,
     service_load_of,
 )
+from .trials import draw_trial
 
 __all__ = [
     "Chosen",
@@ -41,6 +43,7 @@
 RAMP_DURATION_S = 10.0
 RAMP_START_SHARE = 0.1
 HEALTHY = ServerHealthy()
+NO_OUTCOMES = RecentOutcomes()
 # A failed request is lost if it may not run again, so its risk limit is lower.
 MAX_RISK_NON_REPEATABLE = 0.2
 MAX_RISK_REPEATABLE = 0.4
@@ -120,10 +123,12 @@
     *,
     now_s: float,
     rng: Random,
+    outcomes: RecentOutcomes = NO_OUTCOMES,
 ) -> Chosen | NoServer | ServersBusy:
-    """Return the least busy server.
+    """Return the least busy server, or an avoided one that is due for a trial.
 
     Servers of the attempt's failure domain are preferred, fallbacks are used last.
+    `outcomes` are those of the service.
     """
     service = service_load_of(loads, subset.service)
     if service.in_flight + 1 > service.limit:
@@ -138,6 +143,18 @@
         return ServersBusy(
             free_at_s=min(candidate.available_at_s for candidate in candidates)
         )
+    avoided = [
+        candidate.member for candidate in available if candidate.rank == AVOIDED.rank
+    ]
+    trial = draw_trial(
+        [member.rule.server for member in avoided],
+        states,
+        outcomes,
+        now_s=now_s,
+        rng=rng,
+    )
+    if trial is not None:
+        return Chosen(server=trial)
     mean_others = min(
         subset.slots, mean_busy_of_others(loads, _list_servers(subset), now_s)
     )
@@ -153,11 +170,6 @@
     ]
     best = _least_busy(members, placement, busy_slots, subset.slots, rng)
     if busy_slots(best) >= subset.slots + SPILLOVER_QUEUE:
-        avoided = [
-            candidate.member
-            for candidate in available
-            if candidate.rank == AVOIDED.rank
-        ]
         best = _least_risky(avoided, states, now_s) or best
     return Chosen(server=best.rule.server)
 
--- /dev/null
+++ b/snipespring/decisions/routing/tests/test_trials.py
@@ -0,0 +1,52 @@
+from random import Random
+
+from immutables import Map
+
+from snipespring.decisions.routing import Chosen, choose_server
+from snipespring.records import (
+    Placement,
+    RecentOutcomes,
+    ServerId,
+    ServerLoads,
+    ServerStates,
+    ServerSuspected,
+)
+
+from .test_choice import NEAR, SERVERS, SUBSET
+
+NOW_S = 100.0
+FAILING = RecentOutcomes(good_per_s=6.0, failed_per_s=4.0)
+CALM = RecentOutcomes(good_per_s=9.8, failed_per_s=0.2)
+
+
+def count_trials(outcomes: RecentOutcomes, *, failed_s: float) -> int:
+    suspected = ServerSuspected(risk=0.9, at_s=failed_s, failed_s=failed_s)
+    states = ServerStates(by_server=Map({SERVERS[0]: suspected}))
+    rng = Random(1)
+    return sum(choose(outcomes, states, rng) == SERVERS[0] for _ in range(1000))
+
+
+def choose(outcomes: RecentOutcomes, states: ServerStates, rng: Random) -> ServerId:
+    chosen = choose_server(
+        SUBSET,
+        ServerLoads(),
+        states,
+        Placement(domain=NEAR),
+        now_s=NOW_S,
+        rng=rng,
+        outcomes=outcomes,
+    )
+    assert isinstance(chosen, Chosen)
+    return chosen.server
+
+
+def test_avoided_server_of_a_failing_service_gets_a_bounded_share() -> None:
+    assert 300 <= count_trials(FAILING, failed_s=NOW_S - 3.0) <= 500
+
+
+def test_avoided_server_gets_nothing_while_its_service_is_well() -> None:
+    assert count_trials(CALM, failed_s=NOW_S - 3.0) == 0
+
+
+def test_server_that_failed_just_now_is_not_tried() -> None:
+    assert count_trials(FAILING, failed_s=NOW_S - 1.0) == 0
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -282,6 +282,7 @@
 )
 from .routing import (
     Placement,
+    RecentOutcomes,
     ServerSubset,
     ServerSubsets,
     SubsetMember,
@@ -496,6 +497,7 @@
     "ReadResult",
     "ReceivedReport",
     "ReceivedSummary",
+    "RecentOutcomes",
     "RecordedReply",
     "Refused",
     "RefusedConfiguration",
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -255,7 +255,7 @@
 
 @frozen(kw_only=True)
 class AnswerLog:
-    """List the local times of successful answers by server instance, oldest first."""
+    """List the local times of outcomes of one kind by server instance, oldest first."""
 
     by_instance: Map[str, tuple[float, ...]] = Map()
 
--- a/snipespring/records/routing.py
+++ b/snipespring/records/routing.py
@@ -6,7 +6,13 @@
 from .identity import DomainName, ServerId, ServiceName
 from .rules import ServerRule
 
-__all__ = ["Placement", "ServerSubset", "ServerSubsets", "SubsetMember"]
+__all__ = [
+    "Placement",
+    "RecentOutcomes",
+    "ServerSubset",
+    "ServerSubsets",
+    "SubsetMember",
+]
 
 
 @frozen(kw_only=True)
@@ -56,3 +62,11 @@
     repeatable: bool = False
     local_queue_margin: int = 0
     local_risk_margin: float = 0.0
+
+
+@frozen(kw_only=True)
+class RecentOutcomes:
+    """Give the rates of a service's good and failed attempts, on all hosts together."""
+
+    good_per_s: float = 0.0
+    failed_per_s: float = 0.0
