Hold servers to the rate that they name

Cause: Server-Limit was not read. Why it works: each host sends a limited server one request an interval, hosts / (0.75 x limit) seconds, and begins at a random point of it, so that the sum of all hosts stays at three quarters of the limit without a message between them. An answer without a limit ends it; one with another value changes the wait in proportion. A request that no server takes in time is refused at once and told the true wait.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -15,6 +15,7 @@
     CONFIGURATION,
     FAILURE_LOG,
     FLEET_VIEW,
+    HOST_FEED,
     REQUEST_QUEUES,
     SERVER_LOADS,
     SERVER_STATES,
@@ -130,9 +131,16 @@
         """Release the slot of a completed attempt and record its result."""
         now_s = self.clock.monotonic_s()
         with self._lock:
+            hosts, phase = self._count_hosts(), self.rng.random()
             self._change_loads(
                 lambda loads: release_server(
-                    loads, server, result, started_s=started_s, now_s=now_s
+                    loads,
+                    server,
+                    result,
+                    started_s=started_s,
+                    now_s=now_s,
+                    hosts=hosts,
+                    phase=phase,
                 )
             )
             self._dispatch(server.service)
@@ -169,27 +177,28 @@
                 return Placed(server=server, tag=queue.virtual_time)
             case NoServer(reason=reason):
                 return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
-            case ServersBusy(free_at_s=free_at_s):
-                return self._refuse_if_too_late(slot_request, free_at_s)
+            case ServersBusy() as busy:
+                return self._refuse_if_too_late(slot_request, busy)
 
     def _refuse_if_too_late(
-        self, slot_request: SlotRequest, free_at_s: float
+        self, slot_request: SlotRequest, busy: ServersBusy
     ) -> NotPlaced | None:
         """Refuse the request if no server becomes free in time for its deadline.
 
-        Return None if the request is to be queued, as it is while attempts of the
-        service are in flight: each may free its slot at any time.
+        Return None if the request is to be queued, as it is while attempts in flight
+        may free a server at any time.
         """
-        if self._service_load(slot_request.service).in_flight > 0:
+        load = self._service_load(slot_request.service)
+        if busy.waits_for_attempts and load.in_flight > 0:
             return None
-        if (
-            free_at_s + self._service_load(slot_request.service).mean_service_s
-            <= slot_request.deadline_at_s
-        ):
+        if busy.free_at_s + load.mean_service_s <= slot_request.deadline_at_s:
             return None
-        delay_s = min(RETRY_AFTER_S, free_at_s - self.clock.monotonic_s())
-        reason = "every server is busy until after the deadline"
-        return NotPlaced(reason=reason, retry_after_s=delay_s)
+        delay_s = busy.free_at_s - self.clock.monotonic_s()
+        reason = (
+            f"the earliest server becomes free in {delay_s:.3f} s, after the deadline"
+        )
+        retry_after_s = RETRY_AFTER_S if delay_s == inf else delay_s
+        return NotPlaced(reason=reason, retry_after_s=retry_after_s)
 
     def _enqueue(
         self, slot_request: SlotRequest
@@ -246,8 +255,13 @@
                     self._remove_request(request.ticket)
                     not_placed = NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
                     self._resolve(request, not_placed)
-                case ServersBusy(free_at_s=server_free_at_s):
-                    free_at_s = min(free_at_s, server_free_at_s)
+                case ServersBusy() as busy:
+                    free_at_s = min(free_at_s, busy.free_at_s)
+                    refused = self._refuse_if_too_late(request.slot_request, busy)
+                    if refused is not None:
+                        self._remove_request(request.ticket)
+                        self._resolve(request, refused)
+                        continue
                     if _accepts_any_server(request):
                         break
         self._refuse_hopeless(service)
@@ -291,11 +305,21 @@
         )
         match choice:
             case Chosen(server=server):
-                self._change_loads(lambda loads: reserve_server(loads, server))
+                hosts, now_s = self._count_hosts(), self.clock.monotonic_s()
+                self._change_loads(
+                    lambda loads: reserve_server(
+                        loads, server, hosts=hosts, now_s=now_s
+                    )
+                )
             case NoServer() | ServersBusy():
                 pass
         return choice
 
+    def _count_hosts(self) -> int:
+        """Return the number of hosts that may send requests to the same servers."""
+        heard = self.board.read(FLEET_VIEW).heard_hosts
+        return max(1, heard, len(self.board.read(HOST_FEED).items))
+
     def _count_outcomes(self, subset: ServerSubset) -> RecentOutcomes:
         return count_recent_outcomes(
             subset,
--- a/snipespring/controllers/tests/server_fleet.py
+++ b/snipespring/controllers/tests/server_fleet.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from itertools import count
+from math import inf
 from random import Random
 
 from attrs import define, field, frozen
@@ -36,6 +37,7 @@
     Placement,
     ReportedLoad,
     ServerId,
+    ServerNotices,
     ServerRule,
     ServerSubset,
     ServerSubsets,
@@ -65,10 +67,14 @@
 
 @frozen(kw_only=True)
 class Arrival:
-    """Record a request that reached a server, and whether it was served."""
+    """Record a request that reached a server, and whether it was served.
+
+    `told_s` is when its host was first told the server's limit, None before.
+    """
 
     at_s: float
     server: int
+    told_s: float | None
     is_served: bool
 
 
@@ -79,6 +85,7 @@
     dispatcher: Dispatcher
     tracker: SuspicionTracker
     domain: DomainName
+    told_s: dict[int, float] = field(factory=dict)
 
 
 @define(kw_only=True, eq=False)
@@ -91,6 +98,9 @@
     faults: tuple[Fault, ...]
     repeatable: bool
     seed: int
+    limits_per_s: Map[int, float] = Map()
+    limited_from_s: float = 0.0
+    limited_to_s: float = inf
     clock: ManualClock = field(factory=ManualClock)
     arrivals: list[Arrival] = field(factory=list)
     rng: Random = field(init=False)
@@ -193,11 +203,20 @@
         number, started_s = server.address.port - 1, self.clock.monotonic_s()
         is_served = self.rng.random() >= self._failure_ratio(number)
         self.arrivals.append(
-            Arrival(at_s=self._now_s(), server=number, is_served=is_served)
+            Arrival(
+                at_s=self._now_s(),
+                server=number,
+                is_served=is_served,
+                told_s=host.told_s.get(number),
+            )
         )
         load = ReportedLoad(busy=1, slots=SLOTS)
         result = Answered(
-            status=200 if is_served else 500, headers=(), body=b"", load=load
+            status=200 if is_served else 500,
+            headers=(),
+            body=b"",
+            load=load,
+            notices=ServerNotices(limit_per_s=self._limit_of(number)),
         )
         attempt_id = str(next(self._numbers))
         update_evidence(
@@ -220,6 +239,8 @@
         started_s: float,
     ) -> None:
         now_s = self.clock.monotonic_s()
+        if isinstance(result, Answered) and result.notices.limit_per_s is not None:
+            host.told_s.setdefault(server.address.port - 1, self._now_s())
         host.dispatcher.release(server, result, started_s=started_s)
         update_evidence(
             host,
@@ -229,6 +250,10 @@
         )
         host.tracker.step()
 
+    def _limit_of(self, server: int) -> float | None:
+        is_limited = self.limited_from_s <= self._now_s() < self.limited_to_s
+        return self.limits_per_s.get(server) if is_limited else None
+
     def _failure_ratio(self, server: int) -> float:
         now_s = self._now_s()
         return max(
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -2,6 +2,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
+import pytest
+from attrs import evolve
 from immutables import Map
 
 from snipespring.blackboard.regions import (
@@ -13,7 +15,12 @@
 from snipespring.controllers.dispatcher import Dispatcher, NotPlaced, Placed
 from snipespring.decisions.queueing import count_queued
 from snipespring.decisions.routing import load_of
-from snipespring.records import Configuration, ServerSubsets, ShedByServer
+from snipespring.records import (
+    Configuration,
+    ServerNotices,
+    ServerSubsets,
+    ShedByServer,
+)
 from snipespring.utils import ManualClock
 
 from .routing_fakes import OK, SERVICE, make_board, make_server_id, make_slot_request
@@ -47,6 +54,22 @@
         assert future.result(TIMEOUT_S) == Placed(server=make_server_id(0), tag=0.0)
 
 
+def test_request_that_no_limited_server_takes_in_time_is_refused_with_the_wait() -> (
+    None
+):
+    dispatcher = make_dispatcher(1)
+    first = dispatcher.place(make_slot_request(1e4))
+    assert isinstance(first, Placed)
+    limited = evolve(OK, notices=ServerNotices(limit_per_s=0.1))
+    dispatcher.release(first.server, limited, started_s=1000.0)
+    limit = load_of(dispatcher.board.read(SERVER_LOADS), first.server).limit
+    assert limit is not None
+    wait_s = limit.next_at_s - 1000.0
+    refused = dispatcher.place(make_slot_request(1000.0 + wait_s / 2.0))
+    assert isinstance(refused, NotPlaced)
+    assert refused.retry_after_s == pytest.approx(wait_s)
+
+
 def test_queued_request_is_placed_when_the_server_backoff_ends() -> None:
     dispatcher = make_dispatcher(1)
     clock = dispatcher.clock
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -75,10 +75,12 @@
     """Represent that servers are eligible but all of them are busy.
 
     `free_at_s` is the earliest time at which a server may be available; it is
-    infinite if none becomes available before one of this host's attempts ends.
+    infinite if none becomes available before one of this host's attempts ends. If it
+    `waits_for_attempts`, the end of an attempt may free a server earlier.
     """
 
     free_at_s: float
+    waits_for_attempts: bool = True
 
 
 @frozen(kw_only=True)
@@ -141,9 +143,8 @@
         candidate for candidate in candidates if candidate.available_at_s <= now_s
     ]
     if not available:
-        return ServersBusy(
-            free_at_s=min(candidate.available_at_s for candidate in candidates)
-        )
+        times_s = [candidate.available_at_s for candidate in candidates]
+        return ServersBusy(free_at_s=min(times_s), waits_for_attempts=inf in times_s)
     avoided = [
         candidate.member for candidate in available if candidate.rank == AVOIDED.rank
     ]
@@ -208,6 +209,8 @@
         return "backing_off"
     if load.in_flight >= in_flight_cap:
         return "full"
+    if load.limit is not None and load.limit.next_at_s > now_s:
+        return "limited"
     match use:
         case _Preferred():
             return "preferred"
@@ -253,7 +256,8 @@
         return inf if load.in_flight else check_at_s
     if load.in_flight >= cap:
         return inf
-    return max(now_s, load.backoff_until_s)
+    limited_until_s = 0.0 if load.limit is None else load.limit.next_at_s
+    return max(now_s, load.backoff_until_s, limited_until_s)
 
 
 def _rank_of(
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -19,11 +19,13 @@
     ServerId,
     ServerLoad,
     ServerLoads,
+    ServerNotices,
     ServiceLoad,
     ServiceName,
     ShedByServer,
 )
 from .limits import record_result
+from .server_limits import record_limit, spend_limit
 
 __all__ = [
     "cancel_reservation",
@@ -122,9 +124,19 @@
     return drain.reported_at_s + delay_s
 
 
-def reserve_server(loads: ServerLoads, server: ServerId) -> ServerLoads:
-    """Return the loads with one more attempt in flight on the server."""
-    return _add_in_flight(loads, server, 1)
+def reserve_server(
+    loads: ServerLoads, server: ServerId, *, hosts: int = 1, now_s: float = 0.0
+) -> ServerLoads:
+    """Return the loads with one more attempt in flight on the server.
+
+    `hosts` counts the hosts that share the server's limit, if it has one.
+    """
+    loads = _add_in_flight(loads, server, 1)
+    load = load_of(loads, server)
+    if load.limit is None:
+        return loads
+    load = evolve(load, limit=spend_limit(load.limit, hosts=hosts, now_s=now_s))
+    return evolve(loads, by_server=loads.by_server.set(server, load))
 
 
 def cancel_reservation(loads: ServerLoads, server: ServerId) -> ServerLoads:
@@ -139,8 +151,14 @@
     *,
     started_s: float,
     now_s: float,
+    hosts: int = 1,
+    phase: float = 1.0,
 ) -> ServerLoads:
-    """Return the loads after the end of an attempt, updated by its result."""
+    """Return the loads after the end of an attempt, updated by its result.
+
+    The `hosts` of the fleet share the server's limit; `phase` is a random number from
+    0 to 1.
+    """
     loads = _add_in_flight(loads, server, -1)
     load = load_of(loads, server)
     failure_timeout_s = failure_timeout_of(service_load_of(loads, server.service))
@@ -166,6 +184,12 @@
         ):
             load = _extend_drain(load, started_s=started_s, now_s=now_s)
             load = _record_failure(load, now_s)
+    notices = _notices_of(result)
+    if notices is not None:
+        limit = record_limit(
+            load.limit, notices.limit_per_s, hosts=hosts, phase=phase, now_s=now_s
+        )
+        load = evolve(load, limit=limit)
     service = record_result(
         service_load_of(loads, server.service), result, duration_s=now_s - started_s
     )
@@ -176,6 +200,18 @@
     )
 
 
+def _notices_of(result: BackendResult) -> ServerNotices | None:
+    match result:
+        case (
+            Answered(notices=notices)
+            | ShedByServer(notices=notices, is_replaced=False)
+            | AnswerBroken(notices=notices)
+        ):
+            return notices
+        case _:
+            return None
+
+
 def remove_unused_servers(loads: ServerLoads, used: Set[ServerId]) -> ServerLoads:
     """Return the loads without servers that are idle and not in `used`."""
     by_server = loads.by_server
--- a/snipespring/decisions/routing/tests/test_choice.py
+++ b/snipespring/decisions/routing/tests/test_choice.py
@@ -281,7 +281,9 @@
 def test_server_is_used_again_after_drain() -> None:
     loads = after_result(ServerLoads(), 0, make_answer(draining=True))
     single = make_subset(MEMBERS[:1], 3)
-    assert choose(loads, now_s=104.9, subset=single) == ServersBusy(free_at_s=105.0)
+    assert choose(loads, now_s=104.9, subset=single) == ServersBusy(
+        free_at_s=105.0, waits_for_attempts=False
+    )
     assert choose(loads, now_s=105.1, subset=single) == Chosen(server=SERVERS[0])
     loads = reserve_server(loads, SERVERS[0])
     assert choose(loads, now_s=105.2, subset=single) == ServersBusy(free_at_s=inf)
--- a/snipespring/platform/backends.py
+++ b/snipespring/platform/backends.py
@@ -1,5 +1,7 @@
 """Encode attempts for the platform's backend servers and decode their answers."""
 
+from math import isfinite, nan
+
 from ..frontends.backends import ServerAnswer, find_header, parse_seconds
 from ..records import (
     AnswerBroken,
@@ -9,6 +11,7 @@
     Header,
     ReportedLoad,
     ServerId,
+    ServerNotices,
     ShedByServer,
 )
 from .headers import (
@@ -18,6 +21,7 @@
     NOT_EXECUTED,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LIMIT,
     SERVER_LOAD,
     SERVER_SEAL,
     TENANT,
@@ -58,11 +62,12 @@
     ) -> BackendResult:
         """Return the answer, that the server shed the request, or why it is invalid."""
         load = _parse_load(find_header(answer.headers, SERVER_LOAD))
+        notices = _read_notices(answer)
         if _is_misdirected(answer):
             return ShedByServer(retry_after_s=None, load=None, is_replaced=True)
         if find_header(answer.headers, NOT_EXECUTED) is not None:
             retry_after_s = parse_seconds(find_header(answer.headers, RETRY_AFTER))
-            return ShedByServer(retry_after_s=retry_after_s, load=load)
+            return ShedByServer(retry_after_s=retry_after_s, load=load, notices=notices)
         if find_header(answer.headers, "Content-Encoding") is not None:
             return AnswerBroken(reason="the answer has a content encoding")
         is_sealed = find_header(answer.headers, SERVER_SEAL) is not None
@@ -72,13 +77,25 @@
             # Without the header NOT_EXECUTED, the request may have run, but a caller
             # that got this status would conclude that it did not.
             return AnswerBroken(
-                reason=f"status {answer.status} without proof that nothing ran"
+                reason=f"status {answer.status} without proof that nothing ran",
+                notices=notices,
             )
         return Answered(
-            status=answer.status, headers=answer.headers, body=answer.body, load=load
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            load=load,
+            notices=notices,
         )
 
 
+def _read_notices(answer: ServerAnswer) -> ServerNotices:
+    # An answer without a readable limit ends the one that was named before.
+    return ServerNotices(
+        limit_per_s=_parse_number(find_header(answer.headers, SERVER_LIMIT))
+    )
+
+
 def _is_misdirected(answer: ServerAnswer) -> bool:
     return (
         answer.status == STATUS_MISDIRECTED
@@ -86,6 +103,15 @@
     )
 
 
+def _parse_number(text: str | None) -> float | None:
+    """Return a finite number from 0, or None if the text is absent or another."""
+    try:
+        number = nan if text is None else float(text)
+    except ValueError:
+        return None
+    return number if isfinite(number) and number >= 0.0 else None
+
+
 def _parse_load(text: str | None) -> ReportedLoad | None:
     """Return the load in `RUNNING,WAITING,SLOTS`, or None if it is malformed."""
     if text is None:
--- a/snipespring/platform/tests/test_backends.py
+++ b/snipespring/platform/tests/test_backends.py
@@ -11,6 +11,7 @@
     OrganisationName,
     ReportedLoad,
     ServerId,
+    ServerNotices,
     ServiceName,
     ShedByServer,
 )
@@ -90,6 +91,32 @@
     assert result == ShedByServer(retry_after_s=0.25)
 
 
+@pytest.mark.parametrize(
+    ("text", "limit_per_s"),
+    [
+        ("4.7", 4.7),
+        ("1", 1.0),
+        ("0", 0.0),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("1e999", None),
+        ("many", None),
+        ("", None),
+    ],
+)
+@pytest.mark.parametrize("fields", [(SEAL,), (SEAL, NOT_RUN)])
+def test_named_limit_is_read_from_any_answer(
+    text: str, limit_per_s: float | None, fields: tuple[tuple[str, str], ...]
+) -> None:
+    result = decode(503, *fields, ("Server-Limit", text))
+    assert isinstance(result, ShedByServer | AnswerBroken)
+    assert result.notices == ServerNotices(limit_per_s=limit_per_s)
+    answered = decode(200, *fields[:1], ("Server-Limit", text))
+    assert isinstance(answered, Answered)
+    assert answered.notices == ServerNotices(limit_per_s=limit_per_s)
+
+
 def test_other_instance_at_the_address_is_a_replacement() -> None:
     result = decode(421, ("Snipespring-Instance-Id", "i-02d9e6b4"))
     assert result == ShedByServer(retry_after_s=None, is_replaced=True)
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -20,8 +20,10 @@
     "DrainReport",
     "ReportedLoad",
     "SendBroken",
+    "ServerLimit",
     "ServerLoad",
     "ServerLoads",
+    "ServerNotices",
     "ServiceLoad",
     "ShedByServer",
 ]
@@ -54,6 +56,16 @@
     draining: bool = False
 
 
+@frozen(kw_only=True)
+class ServerNotices:
+    """Represent what a server asks of hosts with an answer.
+
+    The server accepts `limit_per_s` requests a second from all hosts together.
+    """
+
+    limit_per_s: float | None = None
+
+
 @frozen(kw_only=True)
 class Answered:
     """Represent a complete answer to this request."""
@@ -62,6 +74,7 @@
     headers: tuple[Header, ...]
     body: bytes = field(repr=False)
     load: ReportedLoad | None = None
+    notices: ServerNotices = ServerNotices()
 
 
 @frozen(kw_only=True)
@@ -74,6 +87,7 @@
     retry_after_s: float | None
     load: ReportedLoad | None = None
     is_replaced: bool = False
+    notices: ServerNotices = ServerNotices()
 
 
 @frozen(kw_only=True)
@@ -102,6 +116,7 @@
     """Report that the answer was truncated or malformed."""
 
     reason: str
+    notices: ServerNotices | None = None
 
 
 @frozen(kw_only=True)
@@ -142,6 +157,17 @@
     renewals: int = 0
 
 
+@frozen(kw_only=True)
+class ServerLimit:
+    """Record a server's rate for all hosts, and when this host may send again.
+
+    `next_at_s` is a monotonic time.
+    """
+
+    rate_per_s: float
+    next_at_s: float
+
+
 @frozen(kw_only=True)
 class ServerLoad:
     """Describe one server's use of its slots as this host knows it.
@@ -163,6 +189,7 @@
     failures: int = 0
     avoid_until_s: float = 0.0
     drain: DrainReport | None = None
+    limit: ServerLimit | None = None
 
 
 @frozen(kw_only=True)
