Keep the floor's share of the servers in use, not more

Change: a service is failing from two failures a second and 8 % of its outcomes on; and avoided servers are tried only where they are more than the share that the platform's floor leaves, which is now read from the settings (default 0.7). The lists of settings and dumped records have the new names; all others stay.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -84,12 +84,16 @@
 
 @define(kw_only=True, eq=False)
 class Dispatcher:
-    """Reserve and release slots; write the server loads and request queues regions."""
+    """Reserve and release slots; write the server loads and request queues regions.
+
+    While a service fails, at least `floor_share` of its servers get requests.
+    """
 
     board: Board
     clock: Clock
     rng: Random
     max_queued: int
+    floor_share: float = 0.0
     name: str = "dispatcher"
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _known_subsets: ServerSubsets | None = field(default=None, init=False)
@@ -302,6 +306,7 @@
             now_s=self.clock.monotonic_s(),
             rng=self.rng,
             outcomes=self._count_outcomes(subset),
+            floor_share=self.floor_share,
         )
         match choice:
             case Chosen(server=server):
--- a/snipespring/controllers/tests/server_fleet.py
+++ b/snipespring/controllers/tests/server_fleet.py
@@ -152,7 +152,11 @@
             broadcast_outcome=self._broadcast,
         )
         dispatcher = Dispatcher(
-            board=board, clock=self.clock, rng=Random(self.seed + number), max_queued=64
+            board=board,
+            clock=self.clock,
+            rng=Random(self.seed + number),
+            max_queued=64,
+            floor_share=0.7,
         )
         return FleetHost(dispatcher=dispatcher, tracker=tracker, domain=domain)
 
--- a/snipespring/daemons/requests.py
+++ b/snipespring/daemons/requests.py
@@ -42,11 +42,19 @@
     limiter: AdmissionControl,
     claimant: ClaimControl,
     max_queued: int,
+    floor_share: float = 0.0,
 ) -> RequestPart:
-    """Build the request controllers; at most `max_queued` requests wait for a slot."""
+    """Build the request controllers; at most `max_queued` requests wait for a slot.
+
+    While a service fails, at least `floor_share` of its servers get requests.
+    """
     canceller = Canceller(board=process.board, clock=process.clock, transport=transport)
     dispatcher = Dispatcher(
-        board=process.board, clock=process.clock, rng=process.rng, max_queued=max_queued
+        board=process.board,
+        clock=process.clock,
+        rng=process.rng,
+        max_queued=max_queued,
+        floor_share=floor_share,
     )
     sender = Sender(
         board=process.board,
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -127,11 +127,13 @@
     now_s: float,
     rng: Random,
     outcomes: RecentOutcomes = NO_OUTCOMES,
+    floor_share: float = 0.0,
 ) -> Chosen | NoServer | ServersBusy:
     """Return the least busy server, or an avoided one that is due for a trial.
 
     Servers of the attempt's failure domain are preferred, unless the service is
-    failing by its `outcomes`; fallbacks are used last.
+    failing by its `outcomes`; fallbacks are used last. While it fails, `floor_share` of
+    its servers are used.
     """
     service = service_load_of(loads, subset.service)
     if service.in_flight + 1 > service.limit:
@@ -152,6 +154,7 @@
         [member.rule.server for member in avoided],
         states,
         outcomes,
+        max_untried=int((1.0 - floor_share) * len(subset.members)),
         now_s=now_s,
         rng=rng,
     )
--- a/snipespring/decisions/routing/tests/test_trials.py
+++ b/snipespring/decisions/routing/tests/test_trials.py
@@ -19,11 +19,13 @@
 CALM = RecentOutcomes(good_per_s=9.8, failed_per_s=0.2)
 
 
-def count_trials(outcomes: RecentOutcomes, *, failed_s: float) -> int:
+def count_trials(outcomes: RecentOutcomes, *, failed_s: float, avoided: int = 2) -> int:
     suspected = ServerSuspected(risk=0.9, at_s=failed_s, failed_s=failed_s)
-    states = ServerStates(by_server=Map({SERVERS[0]: suspected}))
+    states = ServerStates(
+        by_server=Map({server: suspected for server in SERVERS[:avoided]})
+    )
     rng = Random(1)
-    return sum(choose(outcomes, states, rng) == SERVERS[0] for _ in range(1000))
+    return sum(choose(outcomes, states, rng) in SERVERS[:avoided] for _ in range(1000))
 
 
 def test_requests_of_a_failing_service_leave_a_domain_without_other_callers() -> None:
@@ -41,6 +43,7 @@
         now_s=NOW_S,
         rng=rng,
         outcomes=outcomes,
+        floor_share=0.7,
     )
     assert isinstance(chosen, Chosen)
     return chosen.server
@@ -54,5 +57,9 @@
     assert count_trials(CALM, failed_s=NOW_S - 3.0) == 0
 
 
+def test_no_server_is_tried_while_enough_are_used() -> None:
+    assert count_trials(FAILING, failed_s=NOW_S - 3.0, avoided=1) == 0
+
+
 def test_server_that_failed_just_now_is_not_tried() -> None:
     assert count_trials(FAILING, failed_s=NOW_S - 1.0) == 0
--- a/snipespring/decisions/routing/trials.py
+++ b/snipespring/decisions/routing/trials.py
@@ -22,7 +22,8 @@
 __all__ = ["count_recent_outcomes", "draw_trial", "is_failing"]
 
 # Share of failed requests from which a service is taken to be failing.
-FAILING_SHARE = 0.05
+FAILING_SHARE = 0.08
+MIN_FAILURES = 2  # a single failure is likely to be one of a healthy server
 FAILURE_WINDOW_S = 1.0
 # A server is tried when its last failure is this long ago, which many failures of
 # healthy servers do not last,
@@ -67,11 +68,15 @@
     states: ServerStates,
     outcomes: RecentOutcomes,
     *,
+    max_untried: int,
     now_s: float,
     rng: Random,
 ) -> ServerId | None:
-    """Return the avoided server that a request is to try, None for no trial."""
-    if not is_failing(outcomes):
+    """Return the avoided server that a request is to try, None for no trial.
+
+    Up to `max_untried` servers may be avoided without trials.
+    """
+    if len(avoided) <= max_untried or not is_failing(outcomes):
         return None
     due = [server for server in avoided if _is_due(states, server, now_s)]
     rate_per_s = outcomes.good_per_s + outcomes.failed_per_s
@@ -82,7 +87,10 @@
 def is_failing(outcomes: RecentOutcomes) -> bool:
     """Return whether more requests of the service fail than healthy servers cause."""
     total_per_s = outcomes.failed_per_s + outcomes.good_per_s
-    return outcomes.failed_per_s > FAILING_SHARE * total_per_s
+    return (
+        outcomes.failed_per_s * FAILURE_WINDOW_S >= MIN_FAILURES
+        and outcomes.failed_per_s >= FAILING_SHARE * total_per_s
+    )
 
 
 def _is_due(states: ServerStates, server: ServerId, now_s: float) -> bool:
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -18,6 +18,7 @@
     "GatewayLimitSettings",
     "GatewayPlatformSettings",
     "GatewayRetrySettings",
+    "GatewayServerSettings",
     "GatewaySettings",
     "GatewayStopSettings",
     "HttpUrl",
@@ -215,6 +216,16 @@
     window_s: Seconds = Seconds(10.0)
 
 
+@frozen(kw_only=True)
+class GatewayServerSettings:
+    """Set the use of each service's servers.
+
+    While the service fails, at least the share `floor` of its servers get requests.
+    """
+
+    floor: Share = Share(0.7)
+
+
 @frozen(kw_only=True)
 class GatewayStopSettings:
     """Set how long a process may run after SIGTERM."""
@@ -232,6 +243,7 @@
     callers: GatewayCallerSettings = field(factory=GatewayCallerSettings)
     limits: GatewayLimitSettings = field(factory=GatewayLimitSettings)
     retries: GatewayRetrySettings = field(factory=GatewayRetrySettings)
+    servers: GatewayServerSettings = field(factory=GatewayServerSettings)
     stop: GatewayStopSettings = field(factory=GatewayStopSettings)
     log: LogSettings = field(factory=LogSettings)
 
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -12,6 +12,7 @@
 from snipespring.settings import (
     GatewayLimitSettings,
     GatewayRetrySettings,
+    GatewayServerSettings,
     GatewaySettings,
     SettingsProblems,
     load_gateway_settings,
@@ -49,6 +50,7 @@
         "QuotaWindow": "5s",
         "QuotaOvershoot": 0.1,
         "QuotaSlack": 20,
+        "FloorShare": 0.65,
     },
 }
 
@@ -84,6 +86,7 @@
     assert settings.callers.link_mbps == 60.0
     assert settings.retries.share == 0.2
     assert settings.retries.slack == 56.0
+    assert settings.servers.floor == 0.65
 
 
 @pytest.mark.parametrize(
@@ -114,6 +117,7 @@
     assert isinstance(settings, GatewaySettings)
     assert settings.limits == GatewayLimitSettings()
     assert settings.retries == GatewayRetrySettings()
+    assert settings.servers == GatewayServerSettings()
 
 
 durations = st.builds(
