Keep the page of a listing usable beside an odd entry

Callers saw: here nothing yet; other operators' hosts ended again and again, or stopped following the servers, after another writer had left one odd entry. Cause: a text nested too deeply raises RecursionError and a number of over 4,300 digits ValueError for the whole page, so that all servers on it were missed; 10^400 raised OverflowError in the follower; ports, slots and birth times had no range, and a host with infinite or no cores was accepted. Why it works: values nested deeper than valid objects are replaced by null and numbers of too many digits by infinity, only in the entry that holds them; each field has a range, and an entry that leaves it names no server.

--- a/snipespring/decisions/routing/tests/test_trials.py
+++ b/snipespring/decisions/routing/tests/test_trials.py
@@ -21,9 +21,7 @@
 
 def count_trials(outcomes: RecentOutcomes, *, failed_s: float, avoided: int = 2) -> int:
     suspected = ServerSuspected(risk=0.9, at_s=failed_s, failed_s=failed_s)
-    states = ServerStates(
-        by_server=Map({server: suspected for server in SERVERS[:avoided]})
-    )
+    states = ServerStates(by_server=Map(dict.fromkeys(SERVERS[:avoided], suspected)))
     rng = Random(1)
     return sum(choose(outcomes, states, rng) in SERVERS[:avoided] for _ in range(1000))
 
--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -1,7 +1,8 @@
 """Decode objects of the platform's store into records, and encode hosts."""
 
 from collections.abc import Callable, Mapping
-from math import inf
+from ipaddress import IPv4Address
+from math import inf, isfinite
 from typing import Any, TypeVar
 
 from immutables import Map
@@ -43,6 +44,8 @@
 ASKED_BY = "the platform's operators"
 # Whether a server in each state is draining.
 SERVER_STATES = {"ready": False, "draining": True}
+MAX_NUMBER = 2**53  # larger whole numbers are not exact in all JSON readers
+MAX_PORT = 65535
 HOST_FIELDS = ("Zone", "Front", "Peers", "Cores", "LinkMbps")
 
 Spec = Mapping[str, Any]
@@ -84,8 +87,9 @@
         return read()
     except _InvalidContentError as exc:
         return InvalidItem(reason=str(exc))
-    except (AttributeError, TypeError, ValueError) as exc:
-        # A table row that is no mapping, or a list with items of another type.
+    except (AttributeError, OverflowError, TypeError, ValueError) as exc:
+        # A table row that is no mapping, a list with items of another type, or a
+        # number that no float holds.
         return InvalidItem(reason=f"malformed: {exc}")
 
 
@@ -99,7 +103,7 @@
     if state not in SERVER_STATES:
         raise _InvalidContentError(f"State: unknown state {state!r}")
     # The platform spells `born` in lower case, unlike all other fields.
-    born_ms = _read_field(spec, "born", int) if "born" in spec else 0
+    born_ms = _read_count(spec, "born") if "born" in spec else 0
     return PublishedServer(
         instance=name,
         born_ms=born_ms,
@@ -120,8 +124,8 @@
         callers=_read_address(spec, callers),
         peers=_read_address(spec, peers),
         capacity=HostCapacity(
-            cores=float(spec.get(cores, HostCapacity().cores)),
-            link_mbps=float(spec.get(link, HostCapacity().link_mbps)),
+            cores=_read_capacity(spec, cores, HostCapacity().cores),
+            link_mbps=_read_capacity(spec, link, HostCapacity().link_mbps),
         ),
     )
 
@@ -253,20 +257,34 @@
     return text
 
 
-def _read_positive(spec: Spec, name: str) -> int:
+def _read_count(spec: Spec, name: str) -> int:
     number: int = _read_field(spec, name, int)
+    if not 0 <= number <= MAX_NUMBER:
+        raise _InvalidContentError(f"{name}: not from 0 to {MAX_NUMBER}")
+    return number
+
+
+def _read_positive(spec: Spec, name: str) -> int:
+    number = _read_count(spec, name)
     if number < 1:
         raise _InvalidContentError(f"{name}: below 1")
     return number
 
 
+def _read_capacity(spec: Spec, name: str, default: float) -> float:
+    number = float(spec.get(name, default))
+    if not (isfinite(number) and number > 0.0):
+        raise _InvalidContentError(f"{name}: {number:g} is not a positive number")
+    return number
+
+
 def _read_duration_s(spec: Spec, name: str) -> float:
     text = _read_text(spec, name)
     match parse_duration_s(text):
-        case InvalidValue():
-            raise _InvalidContentError(f"{name}: {text!r} is not a duration")
-        case duration_s:
+        case float() as duration_s if isfinite(duration_s):
             return duration_s
+        case _:
+            raise _InvalidContentError(f"{name}: {text!r} is not a duration")
 
 
 def _read_address(spec: Spec, name: str) -> Address:
@@ -274,5 +292,8 @@
     match parse_address(text):
         case InvalidValue():
             raise _InvalidContentError(f"{name}: {text!r} is not an address")
-        case address:
+        case Address(ip=ip, port=port) as address:
+            IPv4Address(ip)
+            if not 1 <= port <= MAX_PORT:
+                raise _InvalidContentError(f"{name}: port {port} is out of range")
             return address
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -1,6 +1,7 @@
 """Read, list, watch and write objects in the platform's object store."""
 
 import json
+import re
 import socket
 import threading
 from collections.abc import Mapping
@@ -37,6 +38,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MS_PER_S = 1000
+MAX_JSON_DEPTH = 32  # of a page; valid objects are less deep
+MAX_INT_DIGITS = 400  # above the digits of the largest float
+_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 
 Json = Any
 
@@ -263,10 +267,41 @@
 
 
 def _parse_json(content: bytes) -> Json:
+    text = content.decode("utf-8", errors="replace")
     try:
-        return json.loads(content.decode("utf-8", errors="replace"))
+        return json.loads(text, parse_int=_parse_int)
+    except RecursionError:
+        pass
     except ValueError:
         return None
+    try:
+        return json.loads(_remove_deep_values(text), parse_int=_parse_int)
+    except ValueError:
+        return None
+
+
+def _parse_int(text: str) -> int | float:
+    """Return the number, as a float if it has too many digits to be a valid value."""
+    return int(text) if len(text) <= MAX_INT_DIGITS else float(text)
+
+
+def _remove_deep_values(text: str) -> str:
+    """Replace the values nested deeper than any valid object by null.
+
+    Another writer may leave such an entry on a page with valid ones.
+    """
+    parts, depth, kept_from = [], 0, 0
+    for token in _STRING_OR_BRACKET.finditer(text):
+        match token[0]:
+            case "[" | "{":
+                depth += 1
+                if depth == MAX_JSON_DEPTH + 1:
+                    parts += [text[kept_from : token.start()], "null"]
+            case "]" | "}":
+                if depth == MAX_JSON_DEPTH + 1:
+                    kept_from = token.end()
+                depth -= 1
+    return "".join(parts) + (text[kept_from:] if depth <= MAX_JSON_DEPTH else "")
 
 
 def _read_object(content: Json) -> StoredObject | None:
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -105,6 +105,15 @@
         {"WarmupLeft": 5},
         {"born": "1767390266000"},
         {"born": 1.5},
+        {"born": 10**30},
+        {"born": -1},
+        {"Slots": 10**30},
+        {"Slots": 1e999},
+        {"Address": "10.0.0.1:0"},
+        {"Address": "10.0.0.1:70000"},
+        {"Address": "10.0.0.1:" + "9" * 5000},
+        {"Address": "10.0.0.256:80"},
+        {"WarmupLeft": "9" * 400 + "s"},
     ],
 )
 def test_malformed_server_is_invalid(change: dict[str, Any]) -> None:
@@ -214,3 +223,21 @@
     }
     decoded = decode_host("front-1", spec(without_capacity))
     assert decoded == evolve(host, capacity=HostCapacity())
+
+
+@pytest.mark.parametrize("value", [1e999, float("nan"), 10**400, -1.0, 0, "1e999"])
+def test_host_with_an_impossible_capacity_is_invalid(value: Any) -> None:
+    content = {
+        "Zone": "a",
+        "Front": "10.1.0.1:80",
+        "Peers": "10.1.0.1:7100",
+        "Cores": value,
+    }
+    assert isinstance(decode_host("front-1", spec(content)), InvalidItem)
+
+
+@pytest.mark.parametrize("field", ["RatePerS", "Burst"])
+def test_organisation_with_a_number_too_large_is_invalid(field: str) -> None:
+    tenants = {"cuka620": {"ApiKeys": ["k1"], field: 10**400}}
+    content = spec({**CONFIGURATION, "Tenants": tenants})
+    assert isinstance(decode_configuration(content), InvalidItem)
--- a/snipespring/platform/tests/test_store.py
+++ b/snipespring/platform/tests/test_store.py
@@ -1,5 +1,7 @@
 """Test the store client against the stand-in store, over sockets."""
 
+import json
+import socket
 import threading
 from collections.abc import Iterator
 
@@ -28,7 +30,7 @@
     PublishedServer,
     WriteUncertain,
 )
-from standins.http import Server, start_server
+from standins.http import Request, Response, Server, start_server
 from standins.store import (
     LostAnswers,
     NoFault,
@@ -182,3 +184,51 @@
         "odd": InvalidItem,
         "none": InvalidItem,
     }
+
+
+@define(kw_only=True)
+class FixedPage:
+    body: bytes
+
+    def connect(self) -> bool:
+        return True
+
+    def disconnect(self) -> None:
+        return None
+
+    def accepts_body(self, target: str) -> bool:
+        return True
+
+    def answer(self, req: Request, conn: socket.socket) -> Response:
+        return Response(status=200, body=self.body)
+
+
+def make_page(odd_entry: str) -> bytes:
+    healthy = json.dumps({"Metadata": {"Name": "i-2", "Revision": 2}, "Spec": SERVER})
+    return f'{{"items": [{odd_entry}, {healthy}], "StoreRevision": 9}}'.encode()
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "[" * 100_000 + "]" * 100_000,
+        '{"a":' * 100_000 + "1" + "}" * 100_000,
+        '["]", ' + '{"\\"[": [' * 5_000 + "]}" * 5_000 + "]",
+        "9" * 5_000,
+        "-" + "9" * 5_000,
+        "1e999",
+        "NaN",
+        '"\\ud800"',
+    ],
+)
+def test_odd_entry_leaves_the_healthy_one_on_its_page_usable(value: str) -> None:
+    odd = f'{{"Metadata": {{"Name": "i-1", "Revision": 1}}, "Spec": {value}}}'
+    server = start_server(listen="127.0.0.1:0", app=FixedPage(body=make_page(odd)))
+    address = Address(ip="127.0.0.1", port=server.server_port)
+    store = ObjectStoreClient(address=address, timeout_s=5.0)
+    listing = server_feed(store).list_items()
+    server.server_close()
+    assert isinstance(listing, FeedListing)
+    odd_item, healthy = listing.items
+    assert isinstance(odd_item.content, InvalidItem)
+    assert isinstance(healthy.content, PublishedServer)
