Take a head that breaks off for no answer

Cause: http.client takes the end of the connection for the end of the head; without a length, an orderly close then ended an empty body. Evidence: test_a_head_that_breaks_off_anywhere_is_never_an_answer cuts a head after each byte; on the code before, the cuts behind the seal were answers. Why it works: the last line that was read of a head has to be the empty one.

--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -17,9 +17,14 @@
 
 __all__ = ["AnswerTooLongError", "ConnectionPool", "PooledConnection"]
 
+END_OF_HEAD = (b"\r\n", b"\n")
 MAX_IDLE_S = 8.0  # below the 10 s after which servers close idle connections
 
 
+class IncompleteHeadError(HTTPException):
+    """Report that the connection ended within the head of an answer."""
+
+
 class AnswerTooLongError(HTTPException):
     """Report that a server sent more bytes than an answer may have."""
 
@@ -64,6 +69,13 @@
 class _PersistentReader(io.BufferedReader):
     """Keep bytes that were read past the end of an answer for the next answer."""
 
+    last_line = b""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line, which `last_line` keeps."""
+        self.last_line = super().readline(size)
+        return self.last_line
+
     def close(self) -> None:
         """Do nothing; only `PooledConnection.close` closes the socket."""
 
@@ -113,9 +125,13 @@
         """Read the head of the next answer; raise OSError or HTTPException."""
         if self.is_head_due:
             self.is_head_due = False
-            return self.conn.getresponse()
-        resp = _open_response(self.reader, None, method=method)
-        resp.begin()
+            resp = self.conn.getresponse()
+        else:
+            resp = _open_response(self.reader, None, method=method)
+            resp.begin()
+        # http.client takes the end of the connection for the end of the head.
+        if self.reader.last_line not in END_OF_HEAD:
+            raise IncompleteHeadError("the connection ended within the head")
         return resp
 
     def has_extra_bytes(self) -> bool:
--- a/snipespring/platform/tests/test_faulty_servers.py
+++ b/snipespring/platform/tests/test_faulty_servers.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from functools import partial
 from itertools import chain, repeat
 
 import pytest
@@ -250,6 +251,20 @@
         assert isinstance(result, AnswerBroken)
 
 
+def replace_content(content: bytes, _: str) -> bytes:
+    return content
+
+
+def test_a_head_that_breaks_off_anywhere_is_never_an_answer() -> None:
+    head = make_success("caller-1", body=b"")
+    for size in range(len(head)):
+        part = head[:size]
+        script = make_script(partial(replace_content, part), stays_open=False)
+        with run_server(script) as server:
+            result = make_transport().send(server.server_id, make_request(1))
+        assert not isinstance(result, Answered | ShedByServer), part
+
+
 def test_a_body_without_a_length_ends_with_an_orderly_close_only() -> None:
     def reset(conn: socket.socket, request_id: str) -> bool:
         conn.sendall(make_success(request_id))
