Refuse requests that arrive too late in a stop

Callers would see: a request sent on an open connection late in the grace was taken and passed on, and cut with no answer when the process ended (LOST). Evidence: test_forwarder holds that such a request is refused as not run; on the code before it was passed on. Not reproduced with processes: the cut needs a request on a kept connection within the last seconds while another one keeps the host busy. Why it works: after the time at which the host stops to listen, and 0.1 s for requests on their way, it answers 503 at once, which lets callers return to another host.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -10,6 +10,7 @@
 from ..blackboard.regions import (
     CONFIGURATION,
     LEASE,
+    STOP_STATE,
 )
 from ..decisions.claims import strips_claim_key
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
@@ -28,6 +29,7 @@
     KeyAccess,
     LeaseHeld,
     LeaseLapsed,
+    Leaving,
     NotRun,
     OpenAccess,
     OrganisationName,
@@ -52,6 +54,10 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_TOO_MANY_REQUESTS = 429
+# Requests that arrive on open connections later than this after the host stopped to
+# listen may not end before the process does.
+LATE_REQUEST_S = 0.1
+STOPPING = "the host is stopping"
 NO_CONFIGURATION = "no configuration is active yet"
 API_KEY_IN_IDEMPOTENCY_KEY = "the idempotency key contains the organisation's API key"
 
@@ -86,6 +92,8 @@
     def _serve(
         self, request: Request, is_disconnected: Callable[[], bool], started_s: float
     ) -> HandledRequest:
+        if self._is_too_late(started_s):
+            return self._refuse_temporarily(request, STOPPING, "stop")
         cfg = self.board.read(CONFIGURATION)
         if cfg.version == 0:
             return self._refuse_temporarily(request, NO_CONFIGURATION, "configuration")
@@ -118,6 +126,13 @@
                 )
                 return self._admit(cfg, admitted, is_disconnected)
 
+    def _is_too_late(self, started_s: float) -> bool:
+        match self.board.read(STOP_STATE):
+            case Leaving(until_s=until_s):
+                return started_s >= until_s + LATE_REQUEST_S
+            case _:
+                return False
+
     def _admit(
         self,
         cfg: Configuration,
--- a/snipespring/controllers/tests/test_forwarder.py
+++ b/snipespring/controllers/tests/test_forwarder.py
@@ -11,6 +11,7 @@
     LEASE,
     SERVER_STATES,
     SERVER_SUBSETS,
+    STOP_STATE,
 )
 from snipespring.controllers import (
     Claimant,
@@ -32,6 +33,7 @@
     HandledRequest,
     Header,
     LeaseHeld,
+    Leaving,
     NotRun,
     OverLimit,
     Reply,
@@ -110,6 +112,24 @@
     assert reply.outcome == NotRun(reason="the lease ended", retry_after_s=0.2)
 
 
+def test_request_late_in_a_stop_is_refused_instead_of_cut_later(
+    forwarder: Forwarder,
+) -> None:
+    configure(forwarder)
+    forwarder.limiter.admit.return_value = OverLimit(  # type: ignore[attr-defined]
+        reason="passed on", retry_after_s=0.1
+    )
+    now_s = forwarder.clock.monotonic_s()
+    leaving = Leaving(until_s=now_s - 0.05)
+    forwarder.board.write(STOP_STATE, leaving, writer=STOP_STATE.writer)
+    assert post(forwarder).outcome == NotRun(reason="passed on", retry_after_s=0.1)
+    leaving = Leaving(until_s=now_s - 0.1)
+    forwarder.board.write(STOP_STATE, leaving, writer=STOP_STATE.writer)
+    reply = post(forwarder)
+    assert reply.status == 503
+    assert reply.outcome == NotRun(reason="the host is stopping", retry_after_s=0.2)
+
+
 def test_request_over_the_limit_is_never_claimed(forwarder: Forwarder) -> None:
     configure(forwarder)
     over = OverLimit(reason="over 9/s", retry_after_s=0.5)
