--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -7,7 +7,6 @@
 from attrs import frozen
 
 from ...records import (
-    DomainName,
     Placement,
     RecentOutcomes,
     ServerAvoided,
@@ -31,7 +30,7 @@
     mean_busy_of_others,
     service_load_of,
 )
-from .trials import draw_trial, is_failing
+from .trials import draw_trial
 
 __all__ = [
     "Chosen",
@@ -131,9 +130,9 @@
 ) -> Chosen | NoServer | ServersBusy:
     """Return the least busy server, or an avoided one that is due for a trial.
 
-    Servers of the attempt's failure domain are preferred, unless the service is
-    failing by its `outcomes`; fallbacks are used last. While it fails, `floor_share` of
-    its servers are used.
+    Servers of the attempt's failure domain are preferred, fallbacks are used last.
+    While the service is failing by its `outcomes`, at least `floor_share` of its servers
+    are used.
     """
     service = service_load_of(loads, subset.service)
     if service.in_flight + 1 > service.limit:
@@ -173,9 +172,7 @@
     members = [
         candidate.member for candidate in available if candidate.rank == lowest_rank
     ]
-    near = [] if is_failing(outcomes) else _list_near(members, placement.domain)
-    max_busy = subset.slots - 1 + placement.local_queue_margin
-    best = _least_busy(members, near, busy_slots, max_busy, rng)
+    best = _least_busy(members, placement, busy_slots, subset.slots, rng)
     if busy_slots(best) >= subset.slots + SPILLOVER_QUEUE:
         best = _least_risky(avoided, states, now_s) or best
     return Chosen(server=best.rule.server)
@@ -348,19 +345,20 @@
     return share >= 1.0 or rng.random() < share
 
 
-def _list_near(members: list[SubsetMember], domain: DomainName) -> list[SubsetMember]:
-    return [member for member in members if member.rule.domain == domain]
-
-
 def _least_busy(
     members: list[SubsetMember],
-    near: list[SubsetMember],
+    placement: Placement,
     busy_slots: Callable[[SubsetMember], float],
-    max_busy: float,
+    slots: int,
     rng: Random,
 ) -> SubsetMember:
-    """Return the least busy server, a near one if its queue permits."""
-    near = [member for member in near if busy_slots(member) <= max_busy]
+    """Return the least busy server, one of the same domain if its queue permits."""
+    max_busy = slots - 1 + placement.local_queue_margin
+    near = [
+        member
+        for member in members
+        if member.rule.domain == placement.domain and busy_slots(member) <= max_busy
+    ]
     return min(near or members, key=lambda member: (busy_slots(member), rng.random()))
 
 
