--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -131,8 +131,8 @@
     """Return the least busy server, or an avoided one that is due for a trial.
 
     Servers of the attempt's failure domain are preferred, fallbacks are used last.
-    While the service is failing by its `outcomes`, at least `floor_share` of its servers
-    are used.
+    While the service is failing by its `outcomes`, `floor_share` of its servers are
+    used.
     """
     service = service_load_of(loads, subset.service)
     if service.in_flight + 1 > service.limit:
