Heed servers that leave or ask for a pause

Callers would see: requests sent to a server that had said it leaves, by a host that does not reach the store (DRAIN), and requests pressed on a server that asked to be left alone without a proof that nothing ran, or for more than 30 s (BUDGET). Cause: Server-Leaving was not read; Retry-After only beside Snipespring-Not-Executed, and cut at 30 s. Change: what a server says of itself is decoded once in platform/ and kept with its load. A leaving server is out of use for its instance and birth, also when it is listed again; a pause holds to its end whatever is answered later. The drain report and the back-off of the product's own protocol stay.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -166,7 +166,10 @@
             for member in subset.members
         ]
         used_servers = {member.rule.server for member in members}
-        self._change_loads(lambda loads: remove_unused_servers(loads, used_servers))
+        now_s = self.clock.monotonic_s()
+        self._change_loads(
+            lambda loads: remove_unused_servers(loads, used_servers, now_s=now_s)
+        )
 
     def _place_without_waiting(
         self, slot_request: SlotRequest
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -139,7 +139,9 @@
         return ServersBusy(free_at_s=inf)
     candidates = _rank_members(subset, loads, states, placement, now_s, rng)
     if not candidates:
-        return NoServer(reason="every server is ejected, on trial or already tried")
+        return NoServer(
+            reason="every server is ejected, leaving, on trial or already tried"
+        )
     available = [
         candidate for candidate in candidates if candidate.available_at_s <= now_s
     ]
@@ -203,9 +205,9 @@
 ) -> str:
     if isinstance(use, _Excluded):
         return "excluded"
-    if load.drain is not None:
+    if load.drain is not None or load.is_leaving:
         return "draining"
-    if load.backoff_until_s > now_s:
+    if max(load.backoff_until_s, load.pause_until_s) > now_s:
         return "backing_off"
     if load.in_flight >= in_flight_cap:
         return "full"
@@ -232,12 +234,12 @@
     risky = _list_risky(subset, states, placement, now_s)
     candidates = []
     for member in subset.members:
-        if member.rule.server in placement.excluded:
+        load = load_of(loads, member.rule.server)
+        if member.rule.server in placement.excluded or load.is_leaving:
             continue
         rank = _rank_of(member, loads, states, placement, now_s, rng, risky)
         if rank is None:
             continue
-        load = load_of(loads, member.rule.server)
         room_at_s = _available_at_s(load, subset.in_flight_cap, now_s)
         candidates.append(
             _Candidate(member=member, rank=rank, available_at_s=room_at_s)
@@ -253,11 +255,11 @@
     """Return when the server is available if none of our attempts ends before."""
     if load.drain is not None:
         check_at_s = max(load.backoff_until_s, drain_check_at_s(load.drain))
-        return inf if load.in_flight else check_at_s
+        return inf if load.in_flight else max(check_at_s, load.pause_until_s)
     if load.in_flight >= cap:
         return inf
     limited_until_s = 0.0 if load.limit is None else load.limit.next_at_s
-    return max(now_s, load.backoff_until_s, limited_until_s)
+    return max(now_s, load.backoff_until_s, load.pause_until_s, limited_until_s)
 
 
 def _rank_of(
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -57,6 +57,8 @@
 # Multiple of the mean service time; a healthy server seldom takes longer.
 FAILURE_TIMEOUT_RATIO = 3.0
 MAX_AVOIDANCE_S = 10.0
+# How long the notices of a server that is not listed any more are kept.
+NOTICE_MEMORY_S = 3600.0
 NO_LOAD = ServerLoad()
 NO_SERVICE_LOAD = ServiceLoad()
 
@@ -189,7 +191,7 @@
         limit = record_limit(
             load.limit, notices.limit_per_s, hosts=hosts, phase=phase, now_s=now_s
         )
-        load = evolve(load, limit=limit)
+        load = _record_notices(evolve(load, limit=limit), notices, now_s)
     service = record_result(
         service_load_of(loads, server.service), result, duration_s=now_s - started_s
     )
@@ -212,11 +214,29 @@
             return None
 
 
-def remove_unused_servers(loads: ServerLoads, used: Set[ServerId]) -> ServerLoads:
-    """Return the loads without servers that are idle and not in `used`."""
+def _record_notices(
+    load: ServerLoad, notices: ServerNotices, now_s: float
+) -> ServerLoad:
+    if notices.is_leaving:
+        load = evolve(load, is_leaving=True, noticed_s=now_s)
+    if notices.pause_s is not None:
+        until_s = max(load.pause_until_s, now_s + notices.pause_s)
+        load = evolve(load, pause_until_s=until_s, noticed_s=now_s)
+    return load
+
+
+def remove_unused_servers(
+    loads: ServerLoads, used: Set[ServerId], *, now_s: float
+) -> ServerLoads:
+    """Return the loads without servers that are idle and not in `used`.
+
+    Servers that asked for no requests are kept for some time, since the store may list
+    them again.
+    """
     by_server = loads.by_server
     for server, load in loads.by_server.items():
-        if server not in used and load.in_flight == 0:
+        is_noted = load.noticed_s > 0.0 and now_s < load.noticed_s + NOTICE_MEMORY_S
+        if server not in used and load.in_flight == 0 and not is_noted:
             by_server = by_server.delete(server)
     if by_server is loads.by_server:
         return loads
--- a/snipespring/platform/backends.py
+++ b/snipespring/platform/backends.py
@@ -2,7 +2,7 @@
 
 from math import isfinite, nan
 
-from ..frontends.backends import ServerAnswer, find_header, parse_seconds
+from ..frontends.backends import ServerAnswer, find_header
 from ..records import (
     AnswerBroken,
     Answered,
@@ -21,6 +21,7 @@
     NOT_EXECUTED,
     REQUEST_ID,
     RETRY_AFTER,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     SERVER_LOAD,
     SERVER_SEAL,
@@ -31,8 +32,9 @@
 
 MS_PER_S = 1000.0
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 # Statuses from which a caller concludes that its request did not run.
-NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE})
 
 
 class PlatformEncoding:
@@ -66,7 +68,7 @@
         if _is_misdirected(answer):
             return ShedByServer(retry_after_s=None, load=None, is_replaced=True)
         if find_header(answer.headers, NOT_EXECUTED) is not None:
-            retry_after_s = parse_seconds(find_header(answer.headers, RETRY_AFTER))
+            retry_after_s = _parse_number(find_header(answer.headers, RETRY_AFTER))
             return ShedByServer(retry_after_s=retry_after_s, load=load, notices=notices)
         if find_header(answer.headers, "Content-Encoding") is not None:
             return AnswerBroken(reason="the answer has a content encoding")
@@ -91,8 +93,14 @@
 
 def _read_notices(answer: ServerAnswer) -> ServerNotices:
     # An answer without a readable limit ends the one that was named before.
+    leaving = find_header(answer.headers, SERVER_LEAVING)
+    is_unavailable = answer.status == STATUS_UNAVAILABLE
     return ServerNotices(
-        limit_per_s=_parse_number(find_header(answer.headers, SERVER_LIMIT))
+        limit_per_s=_parse_number(find_header(answer.headers, SERVER_LIMIT)),
+        is_leaving=leaving is not None and leaving.strip() == "1",
+        pause_s=_parse_number(find_header(answer.headers, RETRY_AFTER))
+        if is_unavailable
+        else None,
     )
 
 
--- a/snipespring/platform/headers.py
+++ b/snipespring/platform/headers.py
@@ -8,6 +8,7 @@
     "NOT_EXECUTED",
     "REQUEST_ID",
     "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SERVER_LIMIT",
     "SERVER_LOAD",
     "SERVER_SEAL",
@@ -24,6 +25,7 @@
 SERVER_LOAD = (
     "Snipespring-Server-Load"  # numbers of running and waiting requests, and of slots
 )
+SERVER_LEAVING = "Server-Leaving"  # 1 from a server that drains
 SERVER_LIMIT = "Server-Limit"  # requests a second from all hosts together
 NOT_EXECUTED = "Snipespring-Not-Executed"
 RETRY_AFTER = "Retry-After"  # seconds, may be fractional
--- a/snipespring/platform/tests/test_backends.py
+++ b/snipespring/platform/tests/test_backends.py
@@ -88,7 +88,9 @@
 
 def test_not_executed_answer_is_shed() -> None:
     result = decode(503, NOT_RUN, ("Retry-After", "0.25"))
-    assert result == ShedByServer(retry_after_s=0.25)
+    assert result == ShedByServer(
+        retry_after_s=0.25, notices=ServerNotices(pause_s=0.25)
+    )
 
 
 @pytest.mark.parametrize(
@@ -117,6 +119,43 @@
     assert answered.notices == ServerNotices(limit_per_s=limit_per_s)
 
 
+@pytest.mark.parametrize(
+    ("text", "pause_s"),
+    [
+        ("0.25", 0.25),
+        ("7", 7.0),
+        ("0", 0.0),
+        ("1e9", 1e9),
+        ("-1", None),
+        ("nan", None),
+        ("1e999", None),
+        ("Fri, 31 Dec 1999 23:59:59 GMT", None),
+        ("", None),
+    ],
+)
+@pytest.mark.parametrize("fields", [(SEAL,), (SEAL, NOT_RUN), ()])
+def test_pause_is_read_from_a_503_with_and_without_proof(
+    text: str, pause_s: float | None, fields: tuple[tuple[str, str], ...]
+) -> None:
+    result = decode(503, *fields, ("Retry-After", text))
+    assert isinstance(result, ShedByServer | AnswerBroken)
+    assert result.notices == ServerNotices(pause_s=pause_s)
+
+
+@pytest.mark.parametrize(
+    ("text", "is_leaving"), [("1", True), (" 1 ", True), ("0", False), ("yes", False)]
+)
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_leaving_is_read_from_any_answer_and_passed_on(
+    text: str, is_leaving: bool, status: int
+) -> None:
+    field = ("Server-Leaving", text)
+    result = decode(status, SEAL, field)
+    assert isinstance(result, Answered)
+    assert result.notices.is_leaving == is_leaving
+    assert Header(name=field[0], value=text) in result.headers
+
+
 def test_other_instance_at_the_address_is_a_replacement() -> None:
     result = decode(421, ("Snipespring-Instance-Id", "i-02d9e6b4"))
     assert result == ShedByServer(retry_after_s=None, is_replaced=True)
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -60,10 +60,14 @@
 class ServerNotices:
     """Represent what a server asks of hosts with an answer.
 
-    The server accepts `limit_per_s` requests a second from all hosts together.
+    The server accepts `limit_per_s` requests a second from all hosts together. A server
+    that `is_leaving` wants no more requests, and one that names `pause_s` wants none
+    from this host for so many seconds.
     """
 
     limit_per_s: float | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 @frozen(kw_only=True)
@@ -177,7 +181,9 @@
     `backoff_until_s`. After a drain that ended at `ramp_from_s` the server gets a
     rising share of requests.
     `failures` is the number of failed attempts since the last answer; the host avoids
-    the server until `avoid_until_s`. Times are monotonic, in seconds.
+    the server until `avoid_until_s`. A server that `is_leaving` gets no more requests,
+    and one that asked for a pause none until `pause_until_s`; `noticed_s` is when it
+    last asked for either. Times are monotonic, in seconds.
     """
 
     in_flight: int = 0
@@ -190,6 +196,9 @@
     avoid_until_s: float = 0.0
     drain: DrainReport | None = None
     limit: ServerLimit | None = None
+    is_leaving: bool = False
+    pause_until_s: float = 0.0
+    noticed_s: float = 0.0
 
 
 @frozen(kw_only=True)
