--- a/snipespring/controllers/request_log.py
+++ b/snipespring/controllers/request_log.py
@@ -94,9 +94,11 @@
     def _log_servers(self, service: ServiceName, now_s: float) -> None:
         """Log how many servers this host prefers and leaves out, by reason."""
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
-        if subset is None or self._servers_logged.get(service) == int(now_s):
+        with self._lock:
+            is_logged = self._servers_logged.get(service) == int(now_s)
+            self._servers_logged[service] = int(now_s)
+        if subset is None or is_logged:
             return
-        self._servers_logged[service] = int(now_s)
         uses = {
             kind: count_server_uses(
                 subset,
