Take the end of a cancelled connection for no end of an answer

Cause: the canceller shuts the socket down, and the thread that reads gets the end of the stream. Only a body that ends with the connection cannot tell this from the server's own close. Ruled out: a close by the path (the record has none).

Change: the reader of a connection raises at the end of the stream once the connection is aborted. An answer that was whole before is delivered.

--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -32,6 +32,8 @@
 class _BoundedReader(io.RawIOBase):
     """Read from a socket until an attempt ends, and only as many bytes as allowed."""
 
+    is_aborted = False
+
     def __init__(self, sock: socket.socket) -> None:
         super().__init__()
         self._sock = sock
@@ -50,16 +52,29 @@
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        """Read what has arrived; raise TimeoutError or AnswerTooLongError."""
+        """Read what has arrived; raise OSError or AnswerTooLongError.
+
+        The end of the stream is one that the server sent: after an abort, it raises
+        ConnectionAbortedError.
+        """
         if self._remaining_s is None:
             return None
         if self._bytes_left <= 0:
             raise AnswerTooLongError("the server sent more than an answer may have")
         self._sock.settimeout(self._remaining_s())
         size: int = self._raw.readinto(memoryview(buffer)[: self._bytes_left])
+        if size == 0 and self.is_aborted:
+            raise ConnectionAbortedError("the attempt was cancelled")
         self._bytes_left -= size
         return size
 
+    def abort(self) -> None:
+        """Shut down the socket to wake the thread that reads."""
+        # The flag comes first: the reading thread may see the end at once.
+        self.is_aborted = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Close the socket."""
         super().close()
@@ -113,10 +128,14 @@
     raw: _BoundedReader
     reader: _PersistentReader
     is_used: bool = False
-    is_aborted: bool = False
     is_head_due: bool = False
     idle_since_s: float = 0.0
 
+    @property
+    def is_aborted(self) -> bool:
+        """Return whether `abort` was called."""
+        return self.raw.is_aborted
+
     def limit_reading(self, remaining_s: Callable[[], float], max_bytes: int) -> None:
         """Allow that many more bytes until `remaining_s` raises TimeoutError."""
         self.raw.set_limits(remaining_s, max_bytes)
@@ -143,9 +162,7 @@
 
     def abort(self) -> None:
         """Shut down the socket to wake its owner, which closes the descriptor."""
-        self.is_aborted = True
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
+        self.raw.abort()
 
     def close(self) -> None:
         """Close the connection; only its owner may call this."""
--- a/snipespring/platform/tests/test_faulty_servers.py
+++ b/snipespring/platform/tests/test_faulty_servers.py
@@ -10,7 +10,7 @@
 import pytest
 from attrs import define, evolve, field
 
-from snipespring.frontends.backends import HttpTransport
+from snipespring.frontends.backends import HttpTransport, ServerAnswer
 from snipespring.frontends.backends.tests.scripted_server import (
     Script,
     make_attempt,
@@ -280,6 +280,68 @@
         assert isinstance(result, AnswerBroken)
 
 
+def make_old_success(request_id: str) -> bytes:
+    return make_success(request_id).replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+
+
+# Each answer, and whether its own bytes state where it ends.
+CANCELLED: dict[str, tuple[Callable[[str], bytes], bool]] = {
+    "no length": (make_success, False),
+    "no length, closing": (lambda i: make_success(i, "Connection: close\r\n"), False),
+    "no length, HTTP/1.0": (make_old_success, False),
+    "length": (make_whole_success, True),
+    "chunks": (lambda i: make_success(i, CHUNKED, b"5\r\nwhole\r\n0\r\n\r\n"), True),
+}
+
+
+@pytest.mark.parametrize("framing", sorted(CANCELLED))
+def test_an_answer_cut_by_a_cancelled_attempt_is_never_a_success(framing: str) -> None:
+    # Guards against part of an answer without a length being relayed as a whole 200
+    # after the host itself shut the connection down (MIXED).
+    make_content, states_end = CANCELLED[framing]
+    content = make_content("caller-1")
+    for size in range(len(content) + 1):
+        transport = make_transport()
+
+        def cancel(
+            conn: socket.socket,
+            _: str,
+            part: bytes = content[:size],
+            transport: HttpTransport = transport,
+        ) -> bool:
+            conn.sendall(part)
+            transport.cancel("r1")
+            return True
+
+        with run_server(cancel) as server:
+            result = transport.send(server.server_id, make_request(1))
+        if states_end and size == len(content):
+            assert isinstance(result, Answered), content[:size]
+        else:
+            assert isinstance(result, AnswerLate), content[:size]
+            assert transport.pool.count_idle() == 0
+
+
+@pytest.mark.parametrize("framing", sorted(CANCELLED))
+def test_an_answer_that_was_whole_before_it_was_cancelled_is_delivered(
+    framing: str,
+) -> None:
+    class CancellingEncoding(PlatformEncoding):
+        def decode_answer(
+            self, answer: ServerAnswer, attempt: BackendRequest
+        ) -> BackendResult:
+            transport.cancel(attempt.request_id)
+            return super().decode_answer(answer, attempt)
+
+    make_content, _ = CANCELLED[framing]
+    transport = HttpTransport(clock=SystemClock(), encoding=CancellingEncoding())
+    with run_server(make_script(make_content, stays_open=False)) as server:
+        result = transport.send(server.server_id, make_request(1))
+    assert isinstance(result, Answered)
+    assert result.body == b"whole"
+    assert transport.pool.count_idle() == 0
+
+
 def write_later(content: bytes, written: threading.Event) -> Script:
     """Refuse the first request; write `content` when the second has been read."""
 
