Begin late in a stop only requests whose answers fit before the exit

Cause: the stop looked at the clock only. Three constants fitted requests of 2.5 s; a request with more time that came in the last 0.1 s did not fit. Ruled out: an early exit (the record shows it at its latest moment).

Change: one decision (decisions/stops.py) from the request's deadline and the time of the last reply. What surely fits is begun at any time of the stop, what may not is refused at once as not run, on open connections too. In the first 3 s all requests are begun as before. Waiting for idle connections ends by the clock.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -17,6 +17,7 @@
 from ..decisions.replies import cap_retry_after, make_outcome_reply
 from ..decisions.routing import draw_service
 from ..decisions.rules import find_request_route
+from ..decisions.stops import BeginRequest, RefuseRequest, check_stop
 from ..records import (
     Admitted,
     AdmittedRequest,
@@ -29,7 +30,6 @@
     KeyAccess,
     LeaseHeld,
     LeaseLapsed,
-    Leaving,
     NotRun,
     OpenAccess,
     OrganisationName,
@@ -54,10 +54,6 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_TOO_MANY_REQUESTS = 429
-# Requests that arrive on open connections later than this after the host stopped to
-# listen may not end before the process does.
-LATE_REQUEST_S = 0.1
-STOPPING = "the host is stopping"
 NO_CONFIGURATION = "no configuration is active yet"
 API_KEY_IN_IDEMPOTENCY_KEY = "the idempotency key contains the organisation's API key"
 
@@ -92,8 +88,6 @@
     def _serve(
         self, request: Request, is_disconnected: Callable[[], bool], started_s: float
     ) -> HandledRequest:
-        if self._is_too_late(started_s):
-            return self._refuse_temporarily(request, STOPPING, "stop")
         cfg = self.board.read(CONFIGURATION)
         if cfg.version == 0:
             return self._refuse_temporarily(request, NO_CONFIGURATION, "configuration")
@@ -101,6 +95,14 @@
         if route is None:
             return self._refuse(request, None, STATUS_NOT_FOUND, "no route", "routes")
         route = evolve(route, service=draw_service(route, self.rng))
+        deadline_at_s = _deadline_at_s(cfg, route, request, started_s)
+        match check_stop(
+            self.board.read(STOP_STATE), deadline_at_s=deadline_at_s, now_s=started_s
+        ):
+            case RefuseRequest(reason=reason):
+                return self._refuse_temporarily(request, reason, "stop")
+            case BeginRequest():
+                pass
         lapsed = self._lapsed_lease(route)
         if lapsed is not None:
             return self._refuse_temporarily(request, lapsed.reason, "lease")
@@ -121,18 +123,11 @@
                     request=stripped,
                     route=route,
                     organisation=organisation,
-                    deadline_at_s=_deadline_at_s(cfg, route, request, started_s),
+                    deadline_at_s=deadline_at_s,
                     received_s=started_s,
                 )
                 return self._admit(cfg, admitted, is_disconnected)
 
-    def _is_too_late(self, started_s: float) -> bool:
-        match self.board.read(STOP_STATE):
-            case Leaving(until_s=until_s):
-                return started_s >= until_s + LATE_REQUEST_S
-            case _:
-                return False
-
     def _admit(
         self,
         cfg: Configuration,
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -40,9 +40,12 @@
 __all__ = ["Gateway", "build_gateway", "run_gateway"]
 
 STOP_MARGIN_S = 0.4  # from the last reply to the end of the grace period
-# Listening stops this long before the last reply is due, so that a request of this
-# duration still ends within the grace period.
-MAX_REQUEST_S = 2.6
+# New connections are accepted for this share of the grace period, from callers that
+# still use an old address list.
+LISTEN_SHARE = 0.5
+# For this long, requests are begun whatever their deadline: hardly any takes as long as
+# the rest of the grace period, and callers may not try a refused one again.
+LENIENT_S = 3.0
 SETTINGS_CHECK_INTERVAL_S = 1.0  # a changed settings file is read within this time
 # Enough for many round trips between failure domains. If a server has not accepted
 # the connection by then, another one is tried.
@@ -75,19 +78,22 @@
     def stop(self) -> None:
         """Withdraw from address lists, accept late requests, then finish all requests.
 
-        Late requests come from callers that still use an old address list. Return
-        at the latest `STOP_MARGIN_S` before the end of the grace period.
+        Return at the latest `STOP_MARGIN_S` before the end of the grace period.
         """
-        grace_s = self.context.settings.stop.grace_s - STOP_MARGIN_S
-        listen_s = max(0.0, grace_s - MAX_REQUEST_S)
-        until_s = self.context.process.clock.monotonic_s() + listen_s
-        leaving = Leaving(until_s=until_s)
-        self.context.process.board.write(STOP_STATE, leaving, writer="stopper")
+        board, clock = self.context.process.board, self.context.process.clock
+        grace_s = self.context.settings.stop.grace_s
+        reply_s = max(0.0, grace_s - STOP_MARGIN_S)
+        listen_s = min(LISTEN_SHARE * grace_s, reply_s)
+        now_s = clock.monotonic_s()
+        leaving = Leaving(
+            until_s=now_s + reply_s, lenient_until_s=now_s + min(LENIENT_S, listen_s)
+        )
+        board.write(STOP_STATE, leaving, writer="stopper")
         self.domain_link.report_now()
         self.callers.drain()
         threading.Event().wait(listen_s)
         self.callers.stop_listening()
-        idle = self.callers.wait_until_idle(grace_s - listen_s)
+        idle = self.callers.wait_until_idle(leaving.until_s - clock.monotonic_s())
         log.info("drained", extra={"idle": idle})
 
 
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -88,7 +88,8 @@
         dissemination_s = DISSEMINATION_ROUNDS * settings.peers.pull_interval_s
         wait_s = dissemination_s + settings.callers.address_lifetime_s
         until_s = self.context.clock.monotonic_s() + wait_s
-        self.context.board.write(STOP_STATE, Leaving(until_s=until_s), writer="stopper")
+        leaving = Leaving(until_s=until_s + DRAIN_TIMEOUT_S, lenient_until_s=until_s)
+        self.context.board.write(STOP_STATE, leaving, writer="stopper")
         self.callers.drain()
         threading.Event().wait(wait_s)
 
--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -205,11 +205,13 @@
     def wait_until_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in progress; return False on a timeout."""
         never_set = threading.Event()
-        for _ in range(max(1, int(timeout_s / IDLE_CHECK_INTERVAL_S))):
-            if not self._is_busy():
-                return True
-            never_set.wait(IDLE_CHECK_INTERVAL_S)
-        return not self._is_busy()
+        until_s = time.monotonic() + timeout_s
+        while self._is_busy():
+            remaining_s = until_s - time.monotonic()
+            if remaining_s <= 0.0:
+                return False
+            never_set.wait(min(IDLE_CHECK_INTERVAL_S, remaining_s))
+        return True
 
     def close(self) -> None:
         """Close every connection and stop the threads."""
--- a/snipespring/records/stops.py
+++ b/snipespring/records/stops.py
@@ -1,5 +1,7 @@
 """Define the states of a graceful stop."""
 
+from math import inf
+
 from attrs import frozen
 
 __all__ = ["Leaving", "Serving", "StopState"]
@@ -12,13 +14,15 @@
 
 @frozen(kw_only=True)
 class Leaving:
-    """Indicate that the host is stopping and stops listening at `until_s`.
+    """Indicate that the host is stopping and sends its last reply by `until_s`.
 
-    `until_s` is a monotonic time. A host that is `finished` has no request left and
-    gives up its lease.
+    Times are monotonic. Until `lenient_until_s`, a request is begun even if its
+    deadline is later than `until_s`. A host that is `finished` begins no request any
+    more and gives up its lease.
     """
 
     until_s: float
+    lenient_until_s: float = -inf
     finished: bool = False
 
 
