Refuse requests between the last look at the connections and the exit

Change: the host counts as finished before it looks a last time. What began before is waited for, what comes after is refused as not run. Not reproduced with processes.

--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from types import FrameType
 
-from attrs import define
+from attrs import define, evolve
 
 from ..blackboard.regions import STOP_STATE
 from ..controllers import (
@@ -93,6 +93,10 @@
         self.callers.drain()
         threading.Event().wait(listen_s)
         self.callers.stop_listening()
+        self.callers.wait_until_idle(leaving.until_s - clock.monotonic_s())
+        # A request that arrives between this and the exit is refused, so that only
+        # those that began before have to be waited for.
+        board.write(STOP_STATE, evolve(leaving, finished=True), writer="stopper")
         idle = self.callers.wait_until_idle(leaving.until_s - clock.monotonic_s())
         log.info("drained", extra={"idle": idle})
 
