Answer for changes to servers only from one's own last listing on

Cause: relayed changes name the revision up to which they are complete, not the one from which. A host that has just listed the servers knows no removal before, left it out, and moved the receiver past it. Ruled out: the store's own answer that is dropped as older, which is right if what was relayed is complete.

Removals of unknown servers and changes back to a known state are recorded and passed on too: each of them hid a change in the same way.

--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -53,7 +53,8 @@
         for name in items
         if name not in listed
     )
-    view = evolve(view, revision=listing.revision)
+    # A listing does not name the items that were removed before it.
+    view = evolve(view, revision=listing.revision, complete_after=listing.revision)
     view, skipped = _apply_items(
         view, (*missing, *listing.items), listing.revision, now_s
     )
@@ -128,21 +129,18 @@
     skipped: list[SkippedItem] = []
     for change in changes:
         name = change.name
+        # Unknown and unchanged items are recorded too: another host that asks for the
+        # changes may know an earlier state of them.
+        changed = changed.set(name, revision)
         match change.content:
             case InvalidItem(reason=reason):
                 skipped.append(SkippedItem(name=name, reason=reason))
-                is_removed = name in items and name not in removed
+                removed = removed if name in removed else removed.set(name, now_s)
             case None:
-                is_removed = name in items and name not in removed
+                removed = removed if name in removed else removed.set(name, now_s)
             case content:
-                if items.get(name) != content or name in removed:
-                    changed = changed.set(name, revision)
                 items = items.set(name, content)
                 removed = removed.delete(name) if name in removed else removed
-                continue
-        if is_removed:
-            removed = removed.set(name, now_s)
-            changed = changed.set(name, revision)
     view = evolve(view, items=items, removed_s=removed, changed=changed)
     return view, tuple(skipped)
 
--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -95,9 +95,14 @@
 def answer_server_query(
     view: FeedView[PublishedServer], query: ServerQuery, own_id: HostId, *, now_s: float
 ) -> ServerChanges | None:
-    """Return the changes after a revision, None if there are none or too many."""
+    """Return the changes after a revision, None if there are none or too many.
+
+    None is returned too if changes are asked for that this host may not know.
+    """
     if view.revision is None or view.revision <= query.after:
         return None
+    if view.complete_after is None or query.after < view.complete_after:
+        return None
     changes = tuple(
         ServerChange(
             name=name, server=None if name in view.removed_s else view.items[name]
@@ -127,10 +132,8 @@
     for change in received.changes:
         name = change.name
         match change.server:
-            case None if name in items:
-                removed = removed if name in removed else removed.set(name, now_s)
             case None:
-                continue
+                removed = removed if name in removed else removed.set(name, now_s)
             case server:
                 items = items.set(name, server)
                 removed = removed.delete(name) if name in removed else removed
--- a/snipespring/decisions/tests/test_server_relay.py
+++ b/snipespring/decisions/tests/test_server_relay.py
@@ -142,6 +142,28 @@
     assert apply_server_changes(behind, changes, now_s=1.0) is behind
 
 
+def test_a_host_does_not_answer_for_the_time_before_it_listed_the_servers() -> None:
+    # Guards against servers that others used on because a host that started after they
+    # had left passed on its changes as complete (DRAIN).
+    behind = list_all(["a", "b"], 1)
+    started_again = watch(list_all(["b"], 3), 4, item("c", 4, server("c")))
+    assert catch_up(behind, started_again) is behind
+    query = ServerQuery(sender=OWN, after=3)
+    changes = answer_server_query(started_again, query, HUB, now_s=1.0)
+    assert changes is not None
+    assert [change.name for change in changes.changes] == ["c"]
+    caught_up = watch(behind, 3, item("a", 2, None))
+    assert set(active(catch_up(caught_up, started_again))) == {"b", "c"}
+
+
+def test_a_server_that_came_and_left_unseen_is_passed_on_as_removed() -> None:
+    hub = watch(list_all([], 1), 3, item("a", 3, None))
+    middle = catch_up(list_all([], 1), hub)
+    for sender in (hub, middle):
+        own = watch(list_all([], 1), 2, item("a", 2, server("a")))
+        assert active(catch_up(own, sender)) == {}
+
+
 def test_too_many_changes_are_left_to_the_store() -> None:
     names = [f"s{number}" for number in range(MAX_CHANGES + 1)]
     changes = [item(name, 2, server(name)) for name in names]
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -117,16 +117,18 @@
 class FeedView(Generic[T]):
     """Represent the items of a feed as last received.
 
-    `changed` maps each item to the revision of the answer with its latest change.
-    Times are local monotonic ones. `confirmed_s` is the time at which the latest
-    answered request was sent, `removed_s` the time at which an item was found missing,
-    and `recovered_s` the time at which the store answered again after an outage.
+    `changed` maps each item to the revision of the answer with its latest change, and
+    holds every item that changed after `complete_after`. Times are local monotonic
+    ones. `confirmed_s` is the time at which the latest answered request was sent,
+    `removed_s` the time at which an item was found missing, and `recovered_s` the time
+    at which the store answered again after an outage.
     """
 
     items: Map[str, T] = field(default=Map(), repr=False)
     removed_s: Map[str, float] = field(default=Map(), repr=False)
     changed: Map[str, int] = field(default=Map(), repr=False)
     revision: int | None = None
+    complete_after: int | None = None
     confirmed_s: float | None = None
     recovered_s: float | None = None
 
