Tell an outage of the store from a call that fails

Cause: any failed call counted as an outage, after which servers found missing stay in use for 1.8 s; the relay spread that to hosts without a failed call. Ruled out: the pause before the new watch and the relay itself, which stay below 0.8 s.

Change: an entry lapses after three heartbeats of silence, so that only two heartbeats without any answer can have made one lapse. Every caller of the store records the span in which it was answered; the spans of feeds, probes and relayed confirmations are put together when they are read. A relayed removal gives no grace any more; its age is still sent, for hosts of the build before.

--- a/snipespring/controllers/catalog_builder.py
+++ b/snipespring/controllers/catalog_builder.py
@@ -17,6 +17,7 @@
 from ..records import Configuration, ConfigurationStep, PublishedServer, ServerStep
 from ..utils import Clock
 from .historian import EventRecorder
+from .store_availability import read_recovery_s
 
 __all__ = ["CatalogBuilder"]
 
@@ -26,13 +27,15 @@
     """Write the configuration; its version never decreases.
 
     `grace_s` is the time in seconds after an outage of the store during which servers
-    that the store no longer lists stay active.
+    that the store no longer lists stay active. An outage is a time of `outage_s`
+    seconds in which nobody is known to have reached the store.
     """
 
     board: Board
     clock: Clock
     event_recorder: EventRecorder
     grace_s: float
+    outage_s: float
     retries: RetryBounds
     name: str = "configurator"
     watches = (CONFIGURATION_FEED, SERVER_FEED)
@@ -48,13 +51,18 @@
         if newest is not previous:
             newest = apply_retry_bounds(newest, self.retries)
         view = self.board.read(SERVER_FEED)
-        servers = list_active_servers(view, grace_s=self.grace_s, now_s=now_s)
+        recovered_s = read_recovery_s(self.board, outage_s=self.outage_s)
+        servers = list_active_servers(
+            view, recovered_s=recovered_s, grace_s=self.grace_s, now_s=now_s
+        )
         grouped = group_servers_by_service(servers, previous.servers, now_s=now_s)
         new = evolve(newest, servers=grouped)
         if new != previous:
             self.board.write(CONFIGURATION, new, writer=self.name)
         self._record_changes(previous, new, servers)
-        next_s = next_removal_s(view, grace_s=self.grace_s, now_s=now_s)
+        next_s = next_removal_s(
+            view, recovered_s=recovered_s, grace_s=self.grace_s, now_s=now_s
+        )
         return None if next_s == inf else next_s - now_s
 
     def _record_changes(
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -45,6 +45,7 @@
     receive_report,
     receive_summary,
 )
+from ..decisions.outages import record_relayed_reach
 from ..decisions.server_relay import (
     answer_server_query,
     make_server_mark,
@@ -74,6 +75,7 @@
 from .outcome_relay import OutcomeRelay
 from .peers import is_sent_by, read_known_hosts
 from .readiness import is_ready
+from .store_availability import read_recovery_s
 
 __all__ = ["DomainLink"]
 
@@ -102,7 +104,8 @@
     """Write the domain hubs and reports, the hub state, the view and the relay.
 
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
-    with each reply to a query for changes to servers.
+    with each reply to a query for changes to servers. After `outage_s` seconds in which
+    no host reached the store, it counts as having been away.
     """
 
     board: Board
@@ -111,6 +114,7 @@
     own_host: PublishedHost
     incarnation: Incarnation
     window_s: float
+    outage_s: float
     outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
     name: str = "domain_link"
@@ -275,6 +279,9 @@
 
         def record(relay: StoreRelay) -> StoreRelay:
             relay = record_confirmation(relay, digest.confirmation, sent_s=sent_s)
+            relay = record_relayed_reach(
+                relay, digest.confirmation, sent_s=sent_s, outage_s=self.outage_s
+            )
             return record_server_mark(relay, servers, mark, now_s=now_s)
 
         self._update_relay(record)
@@ -283,11 +290,13 @@
             self.datagrams.send(sender, query)
 
     def _answer_server_query(self, query: ServerQuery, sender: Address) -> None:
+        recovered_s = read_recovery_s(self.board, outage_s=self.outage_s)
+        now_s = self.clock.monotonic_s()
         changes = answer_server_query(
             self.board.read(SERVER_FEED),
             query,
             self.own_host.host_id,
-            now_s=self.clock.monotonic_s(),
+            recovered_age_s=None if recovered_s is None else now_s - recovered_s,
         )
         if changes is not None:
             self.datagrams.send(sender, changes)
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -8,7 +8,7 @@
 from random import Random
 from typing import Any, Generic, Protocol, TypeVar
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ..blackboard import Board, Region
 from ..blackboard.regions import RELAY_NOTICE, STORE_RELAY
@@ -22,6 +22,7 @@
 )
 from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
 from ..decisions.membership import draw_backoff_s
+from ..decisions.outages import extend_span
 from ..decisions.server_relay import (
     AwaitRelay,
     apply_server_changes,
@@ -71,7 +72,8 @@
 
     The controller watches no region; it blocks in the calls to the store. A watch
     after an outage would return each change since; with `lists_when_behind`, the
-    items are listed instead, which is shorter for a few large ones.
+    items are listed instead, which is shorter for a few large ones. Without an answer
+    for `outage_s` seconds, the store counts as having been away.
     """
 
     board: Board
@@ -82,6 +84,7 @@
     feed: Feed[T]
     region: Region[FeedView[T]]
     wait_s: float
+    outage_s: float
     lists_when_behind: bool = False
     watches: tuple[Region[Any], ...] = field(default=(), init=False)
     _next_step_s: float = field(default=0.0, init=False)
@@ -109,12 +112,12 @@
                         )
                     )
                 case FeedUnavailable():
-                    return self._handle_failure(listed, sent_s)
+                    return self._handle_failure(listed)
         self.metrics.count("store_calls", f"{self.name}_watch")
         answer = self.feed.watch(after=known.revision, wait_s=self.wait_s)
         match answer:
             case FeedUnavailable():
-                return self._handle_failure(answer, sent_s)
+                return self._handle_failure(answer)
             case FeedChanges() | FeedGap():
                 now_s = self.clock.monotonic_s()
                 pause_s = self._update_view(
@@ -140,7 +143,14 @@
         self,
         change: Callable[[FeedView[T]], tuple[FeedView[T], tuple[SkippedItem, ...]]],
     ) -> float:
-        skipped = self.board.transact(self.region, change, writer=self.name)
+        now_s = self.clock.monotonic_s()
+
+        def apply(view: FeedView[T]) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
+            view, skipped = change(view)
+            span = extend_span(view.available, now_s, outage_s=self.outage_s)
+            return evolve(view, available=span), skipped
+
+        skipped = self.board.transact(self.region, apply, writer=self.name)
         if self._failures:
             self._record(f"store recovered after {self._failures} failed calls")
         self._failures = 0
@@ -148,19 +158,11 @@
             self._record(f"skipped item {item.name}: {item.reason}")
         return 0.0
 
-    def _handle_failure(self, failure: FeedUnavailable, sent_s: float) -> float:
-        now_s = self.clock.monotonic_s()
+    def _handle_failure(self, failure: FeedUnavailable) -> float:
         if self._failures == 0:
             self._record(f"store unavailable: {failure.reason}")
         self._failures += 1
         self.metrics.count("store_failures", self.name)
-        self.board.update(
-            self.region,
-            lambda view: apply_watch_answer(view, failure, sent_s=sent_s, now_s=now_s)[
-                0
-            ],
-            writer=self.name,
-        )
         return draw_backoff_s(self._failures, max_s=MAX_BACKOFF_S, rng=self.rng)
 
     def _record(self, evidence: str) -> None:
--- a/snipespring/controllers/store_probe.py
+++ b/snipespring/controllers/store_probe.py
@@ -6,6 +6,7 @@
 
 from ..blackboard import Board
 from ..blackboard.regions import RELAY_NOTICE, STORE_REACH
+from ..decisions.outages import extend_span
 from ..records import FeedUnavailable, HostId, StoreReach
 from ..utils import Clock
 from .metrics_recorder import MetricsRecorder
@@ -26,7 +27,8 @@
 
     A long watch is cheap but shows only at its end that the store is reached. The
     other hosts of the domain rely on the watching host as long as its probes are
-    answered, one every `interval_s` seconds.
+    answered, one every `interval_s` seconds. Without an answer for `outage_s` seconds,
+    the store counts as having been away.
     """
 
     board: Board
@@ -35,6 +37,7 @@
     store: ProbedStore
     host_id: HostId
     interval_s: float
+    outage_s: float
     name: str = "store_probe"
     watches = (RELAY_NOTICE,)
 
@@ -43,7 +46,8 @@
         if not self.board.read(RELAY_NOTICE).is_watcher:
             return None
         sent_s = self.clock.monotonic_s()
-        reached_s = self.board.read(STORE_REACH).reached_s
+        known = self.board.read(STORE_REACH)
+        reached_s = known.reached_s
         if reached_s is not None and sent_s < reached_s + self.interval_s:
             return reached_s + self.interval_s - sent_s
         self.metrics.count("store_calls", f"{self.name}_read")
@@ -51,6 +55,10 @@
         if failure is not None:
             self.metrics.count("store_failures", self.name)
             return self.interval_s
-        reach = StoreReach(reached_s=sent_s)
+        answered_s = self.clock.monotonic_s()
+        reach = StoreReach(
+            reached_s=sent_s,
+            available=extend_span(known.available, answered_s, outage_s=self.outage_s),
+        )
         self.board.write(STORE_REACH, reach, writer=self.name)
         return self.interval_s
--- a/snipespring/controllers/tests/domain_fleet.py
+++ b/snipespring/controllers/tests/domain_fleet.py
@@ -104,6 +104,7 @@
             own_host=own_host,
             incarnation=Incarnation("first"),
             window_s=5.0,
+            outage_s=3.0,
             outcome_relay=outcome_relay,
             on_server_changes=self.changes.setdefault(own_host.host_id, []).append,
         )
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -124,6 +124,7 @@
         own_host=own_host,
         incarnation=context.incarnation,
         window_s=settings.limits.window_s,
+        outage_s=context.outage_s,
         outcome_relay=outcome_relay,
         on_server_changes=server_follower.receive_changes,
     )
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -24,6 +24,7 @@
 from ..decisions.catalog import RetryBounds
 from ..decisions.confirmations import RelayLimits
 from ..decisions.domains import AddressListLimits
+from ..decisions.outages import shortest_outage_s
 from ..frontends.http_server import HttpServer, WsgiApp
 from ..frontends.operators import OperatorsApp
 from ..platform.callers import PlatformCallersApp
@@ -96,6 +97,11 @@
     incarnation: Incarnation
     store: ObjectStoreClient
 
+    @property
+    def outage_s(self) -> float:
+        """Return the shortest outage of the store in which entries can lapse."""
+        return shortest_outage_s(self.settings.platform.heartbeat_s)
+
     def describe_host(self) -> Host:
         """Return this host in the form that request routing uses."""
         return Host(
@@ -140,7 +146,7 @@
     configurations = configuration_feed(context.store)
     notice_s = _compute_notice_s(context)
     follower = _build_feed_follower(
-        process,
+        context,
         configurations,
         CONFIGURATION_FEED,
         WATCH_FRACTION * platform.revoke_s,
@@ -159,6 +165,7 @@
             store=HostRegistry(store=context.store),
             host_id=context.own_host.host_id,
             interval_s=PROBE_FRACTION * notice_s,
+            outage_s=context.outage_s,
         ),
         _build_registrar(context),
         CatalogBuilder(
@@ -166,6 +173,7 @@
             clock=process.clock,
             event_recorder=process.event_recorder,
             grace_s=platform.drain_s - DRAIN_MARGIN_S,
+            outage_s=context.outage_s,
             retries=RetryBounds(
                 share=RETRY_BUDGET_FRACTION * context.settings.retries.share,
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
@@ -183,7 +191,7 @@
 def build_server_follower(context: GatewayContext) -> ServerFollower:
     """Build the controller that follows the registered servers."""
     follower = _build_feed_follower(
-        context.process,
+        context,
         server_feed(context.store),
         SERVER_FEED,
         SERVER_WATCH_TIMEOUT_S,
@@ -200,13 +208,14 @@
 
 
 def _build_feed_follower(
-    process: ProcessContext,
+    context: GatewayContext,
     feed: Feed[T],
     region: Region[FeedView[T]],
     wait_s: float,
     *,
     lists_when_behind: bool = False,
 ) -> FeedFollower[T]:
+    process = context.process
     return FeedFollower(
         board=process.board,
         clock=process.clock,
@@ -216,6 +225,7 @@
         feed=feed,
         region=region,
         wait_s=wait_s,
+        outage_s=context.outage_s,
         lists_when_behind=lists_when_behind,
     )
 
--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -11,7 +11,6 @@
     FeedGap,
     FeedItem,
     FeedListing,
-    FeedUnavailable,
     FeedView,
     InvalidItem,
     PublishedServer,
@@ -45,7 +44,7 @@
     that is older than the feed only confirms that the store answers.
     """
     if view.revision is not None and listing.revision < view.revision:
-        return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), ()
+        return _mark_confirmed(view, sent_s=sent_s), ()
     items = view.items
     listed = {item.name for item in listing.items}
     missing = tuple(
@@ -58,12 +57,12 @@
     view, skipped = _apply_items(
         view, (*missing, *listing.items), listing.revision, now_s
     )
-    return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), skipped
+    return _mark_confirmed(view, sent_s=sent_s), skipped
 
 
 def apply_watch_answer(
     view: FeedView[T],
-    answer: FeedChanges[T] | FeedGap | FeedUnavailable,
+    answer: FeedChanges[T] | FeedGap,
     *,
     sent_s: float,
     now_s: float,
@@ -72,51 +71,63 @@
     match answer:
         case FeedChanges(revision=revision) if revision < (view.revision or 0):
             # Another host has relayed these changes and later ones meanwhile.
-            return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), ()
+            return _mark_confirmed(view, sent_s=sent_s), ()
         case FeedChanges(changes=changes, revision=revision):
             view, skipped = _apply_items(view, changes, revision, now_s)
             view = evolve(view, revision=revision)
-            return _mark_confirmed(view, sent_s=sent_s, now_s=now_s), skipped
+            return _mark_confirmed(view, sent_s=sent_s), skipped
         case FeedGap():
             return evolve(view, revision=None), ()
-        case FeedUnavailable():
-            return evolve(view, recovered_s=None), ()
 
 
 def list_active_servers(
-    view: FeedView[PublishedServer], *, grace_s: float, now_s: float
+    view: FeedView[PublishedServer],
+    *,
+    recovered_s: float | None,
+    grace_s: float,
+    now_s: float,
 ) -> tuple[PublishedServer, ...]:
     """Return the servers that may receive requests.
 
-    A server found missing within `grace_s` seconds after the store became available
-    again stays active until the end of that time: while the store is unavailable, the
-    entry of a running server can expire because it cannot be renewed.
+    A server found missing within `grace_s` seconds after the store recovered from an
+    outage, at `recovered_s`, stays active until the end of that time: during an outage,
+    the entry of a running server can expire because it cannot be renewed.
     """
     return tuple(
         server
         for name, server in view.items.items()
-        if not server.is_draining and now_s < _removal_time_s(view, name, grace_s)
+        if not server.is_draining
+        and now_s < _removal_time_s(view, name, recovered_s, grace_s)
     )
 
 
 def next_removal_s(
-    view: FeedView[PublishedServer], *, grace_s: float, now_s: float
+    view: FeedView[PublishedServer],
+    *,
+    recovered_s: float | None,
+    grace_s: float,
+    now_s: float,
 ) -> float:
     """Return when the next removed server becomes inactive, or infinity."""
-    times = (_removal_time_s(view, name, grace_s) for name in view.removed_s)
+    times = (
+        _removal_time_s(view, name, recovered_s, grace_s) for name in view.removed_s
+    )
     return min((time_s for time_s in times if time_s > now_s), default=inf)
 
 
 def _removal_time_s(
-    view: FeedView[PublishedServer], name: str, grace_s: float
+    view: FeedView[PublishedServer],
+    name: str,
+    recovered_s: float | None,
+    grace_s: float,
 ) -> float:
     removed_s = view.removed_s.get(name)
     if removed_s is None:
         return inf
     # A server that had been removed before the outage did not expire during it.
-    if view.recovered_s is None or removed_s < view.recovered_s:
+    if recovered_s is None or removed_s < recovered_s:
         return removed_s
-    return max(removed_s, view.recovered_s + grace_s)
+    return max(removed_s, recovered_s + grace_s)
 
 
 def _apply_items(
@@ -145,7 +156,5 @@
     return view, tuple(skipped)
 
 
-def _mark_confirmed(view: FeedView[T], *, sent_s: float, now_s: float) -> FeedView[T]:
-    recovered_s = now_s if view.recovered_s is None else view.recovered_s
-    confirmed_s = max(sent_s, view.confirmed_s or sent_s)
-    return evolve(view, confirmed_s=confirmed_s, recovered_s=recovered_s)
+def _mark_confirmed(view: FeedView[T], *, sent_s: float) -> FeedView[T]:
+    return evolve(view, confirmed_s=max(sent_s, view.confirmed_s or sent_s))
--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -93,7 +93,11 @@
 
 
 def answer_server_query(
-    view: FeedView[PublishedServer], query: ServerQuery, own_id: HostId, *, now_s: float
+    view: FeedView[PublishedServer],
+    query: ServerQuery,
+    own_id: HostId,
+    *,
+    recovered_age_s: float | None,
 ) -> ServerChanges | None:
     """Return the changes after a revision, None if there are none or too many.
 
@@ -112,12 +116,11 @@
     )
     if len(changes) > MAX_CHANGES:
         return None
-    recovered_s = view.recovered_s
     return ServerChanges(
         sender=own_id,
         after=query.after,
         until=view.revision,
-        recovered_age_s=None if recovered_s is None else now_s - recovered_s,
+        recovered_age_s=recovered_age_s,
         changes=changes,
     )
 
@@ -138,12 +141,10 @@
                 items = items.set(name, server)
                 removed = removed.delete(name) if name in removed else removed
         changed = changed.set(name, received.until)
-    age_s = received.recovered_age_s
     return evolve(
         view,
         items=items,
         removed_s=removed,
         changed=changed,
         revision=received.until,
-        recovered_s=None if age_s is None else now_s - age_s,
     )
--- a/snipespring/frontends/outer_names.py
+++ b/snipespring/frontends/outer_names.py
@@ -34,7 +34,6 @@
     "DomainReports": {"superseded": "ended"},
     "DrainReport": {"reported_at_s": "at_s"},
     "EvidencePool": {"evaluated_s": "judged_s", "past_ejections": "returned"},
-    "FeedView": {"recovered_s": "regained_s"},
     "HostContacts": {"first_listed_s": "listed_at_s", "last_contact_s": "direct_at_s"},
     "OrganisationTimes": {"received_s": "asked_s"},
     "OrganisationUsage": {"received": "asked"},
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -113,6 +113,7 @@
     StoreStep,
 )
 from .feeds import (
+    AvailableSpan,
     AwaitedServers,
     FeedChanges,
     FeedGap,
@@ -339,6 +340,7 @@
     "AttemptRecord",
     "AttemptWatch",
     "Avoidance",
+    "AvailableSpan",
     "AwaitedServers",
     "BackendRequest",
     "BackendResult",
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -8,6 +8,7 @@
 from .identity import Address, DomainName, HostId, ServiceName
 
 __all__ = [
+    "AvailableSpan",
     "AwaitedServers",
     "FeedUnavailable",
     "FeedChanges",
@@ -113,6 +114,17 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class AvailableSpan:
+    """Record from when to when the store answered without an outage.
+
+    Both are local monotonic times of answers.
+    """
+
+    since_s: float
+    until_s: float
+
+
 @frozen(kw_only=True)
 class FeedView(Generic[T]):
     """Represent the items of a feed as last received.
@@ -120,8 +132,8 @@
     `changed` maps each item to the revision of the answer with its latest change, and
     holds every item that changed after `complete_after`. Times are local monotonic
     ones. `confirmed_s` is the time at which the latest answered request was sent,
-    `removed_s` the time at which an item was found missing, and `recovered_s` the time
-    at which the store answered again after an outage.
+    `removed_s` the time at which an item was found missing, and `available` the span
+    in which the store answered the calls of this feed.
     """
 
     items: Map[str, T] = field(default=Map(), repr=False)
@@ -130,7 +142,7 @@
     revision: int | None = None
     complete_after: int | None = None
     confirmed_s: float | None = None
-    recovered_s: float | None = None
+    available: AvailableSpan | None = None
 
 
 @frozen(kw_only=True)
@@ -148,9 +160,13 @@
 
 @frozen(kw_only=True)
 class StoreReach:
-    """Record when the latest probe that the store answered was sent."""
+    """Record when the latest probe that the store answered was sent.
+
+    `available` is the span in which the store answered probes.
+    """
 
     reached_s: float | None = None
+    available: AvailableSpan | None = None
 
 
 @frozen(kw_only=True)
@@ -188,8 +204,8 @@
 class ServerChanges:
     """List the servers that changed after one revision and up to another.
 
-    `recovered_age_s` is the time in seconds since the store answered the sender again
-    after an outage, None while it does not.
+    `recovered_age_s` is the time in seconds since the store recovered from an outage as
+    far as the sender knows, None before its first answer. Older builds rely on it.
     """
 
     sender: HostId
@@ -205,11 +221,13 @@
 
     A host that does not query the store uses what a watching host relays to it.
     `awaited` is None while this host knows all changes to servers that it heard of.
+    `available` is the span in which other hosts are known to have reached the store.
     """
 
     is_watcher: bool = False
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
+    available: AvailableSpan | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -1,10 +1,11 @@
 """Load and validate the settings file of one process."""
 
+import os
 from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 from typing import Any, TypeVar
 
-from attrs import Attribute, fields, has
+from attrs import Attribute, evolve, fields, has
 from cattrs import BaseValidationError, ClassValidationError, Converter
 from cattrs.errors import ForbiddenExtraKeysError
 from cattrs.gen import make_dict_structure_fn, override
@@ -43,10 +44,11 @@
     read_url,
 )
 
-__all__ = ["load_gateway_settings", "load_settings"]
+__all__ = ["HEARTBEAT_VARIABLE", "load_gateway_settings", "load_settings"]
 
 T = TypeVar("T")
 
+HEARTBEAT_VARIABLE = "SNIPESPRING_HEARTBEAT"
 _SECRET_FILE = "secret_file"
 _SECRET_ENV = "secret_env"
 _READERS: tuple[tuple[Any, Callable[[Any], object]], ...] = (
@@ -70,8 +72,23 @@
 
 
 def load_gateway_settings(path: Path) -> GatewaySettings | SettingsProblems:
-    """Load the settings of a gateway host, or report all problems of the file."""
-    return _load(path, GatewaySettings)
+    """Load the settings of a gateway host, or report all problems of the file.
+
+    The environment variable `HEARTBEAT_VARIABLE` overrides `platform.heartbeat`.
+    """
+    settings = _load(path, GatewaySettings)
+    heartbeat = os.environ.get(HEARTBEAT_VARIABLE)
+    if not heartbeat or isinstance(settings, SettingsProblems):
+        return settings
+    try:
+        heartbeat_s = read_seconds(heartbeat)
+    except SettingsError as exc:
+        problem = SettingsProblem(
+            file=HEARTBEAT_VARIABLE, line=0, field="", reason=str(exc)
+        )
+        return SettingsProblems(problems=(problem,))
+    platform = evolve(settings.platform, heartbeat_s=heartbeat_s)
+    return evolve(settings, platform=platform)
 
 
 def _load(path: Path, kind: type[T]) -> T | SettingsProblems:
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -162,7 +162,8 @@
     """Set how this host reaches the platform's store, and how fast changes apply.
 
     A revoked key is refused within `revoke_s`, a configuration is effective within
-    `apply_s`, and a removed server gets no requests after `drain_s`.
+    `apply_s`, and a removed server gets no requests after `drain_s`. Each server renews
+    its entry every `heartbeat_s` seconds.
     """
 
     store: Address
@@ -170,6 +171,7 @@
     revoke_s: Seconds = Seconds(5.0)
     apply_s: Seconds = Seconds(2.0)
     drain_s: Seconds = Seconds(2.0)
+    heartbeat_s: Seconds = Seconds(1.5)
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -17,6 +17,7 @@
     SettingsProblems,
     load_gateway_settings,
 )
+from snipespring.settings.load import HEARTBEAT_VARIABLE
 
 TEMPLATE = Path(__file__).parents[3] / "deploy" / "host.yaml"
 PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9_.]+)(\|json)?\}\}")
@@ -89,6 +90,22 @@
     assert settings.servers.floor == 0.65
 
 
+def test_heartbeat_of_the_platform_overrides_the_default(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    settings = load(tmp_path, render(FIELDS))
+    assert isinstance(settings, GatewaySettings)
+    assert settings.platform.heartbeat_s == 1.5
+    monkeypatch.setenv(HEARTBEAT_VARIABLE, "800ms")
+    settings = load(tmp_path, render(FIELDS))
+    assert isinstance(settings, GatewaySettings)
+    assert settings.platform.heartbeat_s == 0.8
+    monkeypatch.setenv(HEARTBEAT_VARIABLE, "soon")
+    problems = load(tmp_path, render(FIELDS))
+    assert isinstance(problems, SettingsProblems)
+    assert [problem.file for problem in problems.problems] == [HEARTBEAT_VARIABLE]
+
+
 @pytest.mark.parametrize(
     ("field", "field_prefix"),
     [("NodeName", "host.id"), ("Platform", "platform.store"), ("Bounds", "")],
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,6 +3,8 @@
 import tomllib
 from pathlib import Path
 
+from snipespring.settings.load import HEARTBEAT_VARIABLE
+
 ROOT = Path(__file__).parents[1]
 
 
@@ -26,4 +28,5 @@
     deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
     for role in deploy["roles"].values():
         assert (ROOT / role["template"]).is_file()
+        assert HEARTBEAT_VARIABLE in role["env"]
     assert "deploy/requirements.txt" in deploy["build"]
