Read chunks in blocks and limit what is not content

Cause: three calls of the reader for each chunk, bounded by time and raw bytes only, in as many threads as there are such answers.

Change: whole chunks are taken out of the block that has arrived; heads, extensions and line ends are limited to 64 KiB and an eighth of the content.

--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -23,6 +23,11 @@
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16384
+# Chunk heads and line ends cost more to read than content does: beyond the first bytes,
+# they are limited to a share of the content.
+FREE_FRAMING_BYTES = 65536
+MAX_FRAMING_SHARE = 0.125
+CRLF = b"\r\n"
 BODILESS_STATUSES = frozenset({204, 304})
 # Content up to this size is not counted in the budget for bodies in memory.
 UNCOUNTED_BYTES = 65536
@@ -122,10 +127,7 @@
         case SizedBody(size_bytes=size_bytes):
             _read_exactly(reader, size_bytes, body)
         case ChunkedBody():
-            while (size_bytes := _read_chunk_size(reader)) > 0:
-                _read_exactly(reader, size_bytes, body)
-                if reader.read(2) != b"\r\n":
-                    raise MalformedAnswerError("a chunk is longer than it states")
+            _read_chunks(reader, body)
             _skip_trailer(reader)
         case CloseDelimitedBody():
             while piece := reader.read1(READ_BYTES):
@@ -144,11 +146,50 @@
         left_bytes -= len(piece)
 
 
-def _read_chunk_size(reader: BufferedReader) -> int:
-    line = reader.readline(MAX_CHUNK_LINE_BYTES)
-    found = CHUNK_SIZE.fullmatch(line)
+def _read_chunks(reader: BufferedReader, body: BodyBuffer) -> None:
+    """Read the chunks up to the empty one, and its head too."""
+    framing_bytes = 0
+    while True:
+        content, read_bytes = _parse_whole_chunks(reader.peek(1))
+        if read_bytes > 0:
+            reader.read(read_bytes)
+            body.append(content)
+            framing_bytes += read_bytes - len(content)
+        else:
+            head = reader.readline(MAX_CHUNK_LINE_BYTES)
+            size_bytes = _parse_chunk_size(head)
+            framing_bytes += len(head)
+            if size_bytes == 0:
+                return
+            _read_exactly(reader, size_bytes, body)
+            if reader.read(len(CRLF)) != CRLF:
+                raise MalformedAnswerError("a chunk is longer than it states")
+        if framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_SHARE * len(body.content):
+            raise MalformedAnswerError(
+                f"the chunks have {framing_bytes} bytes of framing for "
+                f"{len(body.content)} bytes of content"
+            )
+
+
+def _parse_whole_chunks(block: bytes) -> tuple[bytes, int]:
+    """Return the content of the whole chunks at the start, and their bytes in all."""
+    pieces: list[bytes] = []
+    position = 0
+    while (found := CHUNK_SIZE.match(block, position)) is not None:
+        start = found.end()
+        end = start + int(found[1], 16)
+        is_last, is_cut = end == start, block[end : end + len(CRLF)] != CRLF
+        if is_last or is_cut or start - position > MAX_CHUNK_LINE_BYTES:
+            break
+        pieces.append(block[start:end])
+        position = end + len(CRLF)
+    return b"".join(pieces), position
+
+
+def _parse_chunk_size(head: bytes) -> int:
+    found = CHUNK_SIZE.fullmatch(head)
     if found is None:
-        raise MalformedAnswerError(f"not a chunk size: {line[:40]!r}")
+        raise MalformedAnswerError(f"not a chunk size: {head[:40]!r}")
     return int(found[1], 16)
 
 
