Keep hosts ready beside servers of a service that is not configured

Cause: readiness asked for chosen servers of each listed service, while servers are chosen for configured ones only. Change: it asks for the configured ones.

--- a/snipespring/decisions/serving.py
+++ b/snipespring/decisions/serving.py
@@ -46,7 +46,12 @@
 
 
 def _has_chosen_servers(state: ServingConditions) -> bool:
-    if state.configuration.version == 0 or not state.has_servers:
+    """Return whether servers are chosen for each service that has some.
+
+    Servers of a service that is not configured are never chosen nor needed.
+    """
+    cfg = state.configuration
+    if cfg.version == 0 or not state.has_servers:
         return False
-    chosen = (state.subsets.get(name) for name in state.configuration.servers)
+    chosen = (state.subsets.get(name) for name in cfg.servers if name in cfg.services)
     return all(subset is not None and subset.members for subset in chosen)
--- a/snipespring/decisions/tests/test_serving.py
+++ b/snipespring/decisions/tests/test_serving.py
@@ -13,6 +13,7 @@
     ServerRule,
     ServerSubset,
     ServiceName,
+    ServiceRule,
     Serving,
     SubsetMember,
 )
@@ -26,7 +27,11 @@
 EMPTY = ServerSubset(service=SERVICE, slots=3, in_flight_cap=3)
 READY = ServingConditions(
     stop=Serving(),
-    configuration=Configuration(version=4, servers=Map({SERVICE: (RULE,)})),
+    configuration=Configuration(
+        version=4,
+        services=Map({SERVICE: ServiceRule(name=SERVICE, asked_by="a test")}),
+        servers=Map({SERVICE: (RULE,)}),
+    ),
     lease=LeaseHeld(until_s=10.0),
     has_servers=True,
     subsets={SERVICE: evolve(EMPTY, members=(SubsetMember(rule=RULE),))},
@@ -52,3 +57,11 @@
         READY, configuration=Configuration(version=4), subsets={SERVICE: EMPTY}
     )
     assert is_serving(without_servers, 9.0)
+
+
+def test_servers_of_a_service_that_is_not_configured_do_not_prevent_serving() -> None:
+    # Guards against one odd entry of a server that made every host say that it is not
+    # ready, so that callers were offered no host in particular.
+    cfg = READY.configuration
+    odd = cfg.servers.set(ServiceName("unknown"), (RULE,))
+    assert is_serving(evolve(READY, configuration=evolve(cfg, servers=odd)), 9.0)
