--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -43,7 +43,9 @@
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
+    Answered,
     AnswerLate,
+    AnswerOrigin,
     AttemptCancelled,
     AttemptRecord,
     BackendRequest,
@@ -60,6 +62,7 @@
     RunPolicy,
     ServerId,
     ServiceRule,
+    ShedByServer,
     SlotRequest,
 )
 from ..utils import Clock
@@ -205,9 +208,20 @@
         took_s = self.clock.monotonic_s() - started_s
         self.dispatcher.release(server, result, started_s=started_s)
         self._record_end(server, attempt.request_id, result)
-        self.metrics.count("attempts", type(result).__name__)
+        self._count_result(server, result)
         return _CompletedAttempt(result=result, server=server, took_s=took_s)
 
+    def _count_result(self, server: ServerId, result: BackendResult) -> None:
+        self.metrics.count("attempts", type(result).__name__)
+        match result:
+            case (
+                Answered(origin=AnswerOrigin(skipped_answers=skipped))
+                | ShedByServer(origin=AnswerOrigin(skipped_answers=skipped))
+            ) if skipped:
+                self.metrics.count("skipped_answers", server.service, skipped)
+            case _:
+                pass
+
     def _make_backend_request(
         self, admitted: AdmittedRequest, attempt_number: int
     ) -> BackendRequest:
--- a/snipespring/decisions/attempts.py
+++ b/snipespring/decisions/attempts.py
@@ -10,6 +10,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AnswerOrigin,
     AttemptCancelled,
     BackendResult,
     ConnectFailed,
@@ -109,12 +110,15 @@
 def describe_result(result: BackendResult) -> str:
     """Return a description of an attempt's result for the log."""
     match result:
-        case Answered(status=status):
-            return f"answered {status}"
-        case ShedByServer(is_replaced=True):
-            return "not run: another server has taken over the address"
-        case ShedByServer():
-            return "not run: shed by the server"
+        case Answered(status=status, origin=origin):
+            return f"answered {status}{_describe_skipped(origin)}"
+        case ShedByServer(is_replaced=True, origin=origin):
+            return (
+                "not run: another server has taken over the address"
+                f"{_describe_origin(origin)}"
+            )
+        case ShedByServer(origin=origin):
+            return f"not run: shed by the server{_describe_origin(origin)}"
         case (
             ConnectFailed(reason=reason)
             | SendBroken(reason=reason)
@@ -127,6 +131,22 @@
             return f"answer to another request, {received_id}"
 
 
+def _describe_origin(origin: AnswerOrigin | None) -> str:
+    if origin is None:
+        return ""
+    echo = "with its id" if origin.has_id else "without an id"
+    return (
+        f" with status {origin.status} {echo}, behind {origin.earlier_answers} earlier "
+        f"answers on the connection{_describe_skipped(origin)}"
+    )
+
+
+def _describe_skipped(origin: AnswerOrigin | None) -> str:
+    if origin is None or origin.skipped_answers == 0:
+        return ""
+    return f", after {origin.skipped_answers} answers to other requests"
+
+
 def most_informative_result(results: tuple[BackendResult, ...]) -> BackendResult:
     """Return the last answer, else the last result that leaves the outcome unknown.
 
--- a/snipespring/decisions/tests/test_attempts.py
+++ b/snipespring/decisions/tests/test_attempts.py
@@ -10,6 +10,7 @@
     attempt_headers,
     attempt_timeout_s,
     decide_after_attempt,
+    describe_result,
     most_informative_result,
     outcome_of,
     retry_delay_s,
@@ -19,6 +20,7 @@
     Answered,
     AnswerForeign,
     AnswerLate,
+    AnswerOrigin,
     AttemptCancelled,
     BackendResult,
     ConnectFailed,
@@ -77,6 +79,18 @@
             assert any(result in ANSWERED_RESULTS for result in attempts)
 
 
+def test_the_log_tells_on_what_a_refusal_rests() -> None:
+    origin = AnswerOrigin(status=503, has_id=True, earlier_answers=4, skipped_answers=1)
+    assert describe_result(ShedByServer(retry_after_s=None, origin=origin)) == (
+        "not run: shed by the server with status 503 with its id, behind 4 earlier "
+        "answers on the connection, after 1 answers to other requests"
+    )
+    answer = Answered(status=200, headers=(), body=b"", origin=origin)
+    assert describe_result(answer) == (
+        "answered 200, after 1 answers to other requests"
+    )
+
+
 @pytest.mark.parametrize("status", [200, 201, 404, 409, 500, 503])
 def test_upload_is_retried_after_server_errors_only(status: int) -> None:
     answer = Answered(status=status, headers=(), body=b"")
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -117,9 +117,9 @@
 class PooledConnection:
     """Represent one connection, owned by the thread that acquired it.
 
-    `is_used` is true if an earlier attempt was answered over this connection,
-    `is_head_due` if no answer to the last request has been read, and `idle_since_s` is
-    the time of its last release by the monotonic clock.
+    `answers` is the number of attempts that were answered over this connection.
+    `is_head_due` is true if no answer to the last request has been read, and
+    `idle_since_s` is the time of its last release by the monotonic clock.
     """
 
     address: Address
@@ -127,7 +127,7 @@
     sock: socket.socket
     raw: _BoundedReader
     reader: _PersistentReader
-    is_used: bool = False
+    answers: int = 0
     is_head_due: bool = False
     idle_since_s: float = 0.0
 
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -6,19 +6,22 @@
 from http.client import HTTPException, HTTPResponse
 from typing import Protocol
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ...records import (
     Address,
     AnswerBroken,
+    Answered,
     AnswerForeign,
     AnswerLate,
+    AnswerOrigin,
     BackendRequest,
     BackendResult,
     ConnectFailed,
     Header,
     SendBroken,
     ServerId,
+    ShedByServer,
 )
 from ...utils import Clock
 from ..http_bodies import BodyBudget, UnlimitedBodies
@@ -157,13 +160,13 @@
             except (OSError, HTTPException) as exc:
                 return SendBroken(reason=str(exc)), False
             try:
-                result, is_reusable = self._read_answer()
+                result, is_reusable = self._read_answer(skipped_answers=number)
             except TimeoutError:
                 return AnswerLate(waited_s=self.attempt.timeout_s), False
             except (OSError, HTTPException, ValueError) as exc:
                 return AnswerBroken(reason=f"{type(exc).__name__}: {exc}"), False
             match result:
-                case AnswerForeign() if self.conn.is_used and is_reusable:
+                case AnswerForeign() if self.conn.answers and is_reusable:
                     # A server that answered a request twice sends the second answer
                     # late, ahead of the answer to this attempt, which may not even
                     # have been sent completely.
@@ -214,7 +217,7 @@
             sent_bytes += sock.send(body[sent_bytes : sent_bytes + SEND_CHUNK_BYTES])
         return sent_bytes
 
-    def _read_answer(self) -> tuple[BackendResult, bool]:
+    def _read_answer(self, *, skipped_answers: int) -> tuple[BackendResult, bool]:
         """Return what the next answer states and whether another may follow it."""
         resp, framing = self._read_head()
         answer = self._read_complete_answer(resp, framing)
@@ -223,10 +226,18 @@
         match result:
             case AnswerForeign() | AnswerBroken():
                 return result, stays_open and isinstance(result, AnswerForeign)
+            case Answered() | ShedByServer():
+                has_id = self._find_echoed_id(answer) is not None
+                origin = AnswerOrigin(
+                    status=answer.status,
+                    has_id=has_id,
+                    earlier_answers=self.conn.answers,
+                    skipped_answers=skipped_answers,
+                )
+                self.conn.answers += 1
+                return evolve(result, origin=origin), has_id and stays_open
             case _:
-                is_identified = self._find_echoed_id(answer) is not None
-                self.conn.is_used = is_identified
-                return result, is_identified and stays_open
+                return result, False
 
     def _read_head(self) -> tuple[HTTPResponse, Framing]:
         """Read the head of the next answer that is not an interim one."""
@@ -245,7 +256,7 @@
         """Accept an answer without an id only if it can belong to no other request."""
         expected_id = self.encoding.wire_id(self.attempt)
         match self._find_echoed_id(answer):
-            case None if self.conn.is_used:
+            case None if self.conn.answers:
                 return AnswerBroken(reason="no request id on a used connection")
             case str() as received_id if received_id != expected_id:
                 return AnswerForeign(expected_id=expected_id, received_id=received_id)
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -13,6 +13,7 @@
     "AnswerBroken",
     "AnswerForeign",
     "AnswerLate",
+    "AnswerOrigin",
     "AttemptCancelled",
     "BackendRequest",
     "BackendResult",
@@ -70,6 +71,21 @@
     pause_s: float | None = None
 
 
+@frozen(kw_only=True)
+class AnswerOrigin:
+    """Describe how an answer was read from its connection.
+
+    The connection had carried `earlier_answers` to other attempts. `skipped_answers`
+    stood before this one and belonged to other requests. `has_id` is true if the answer
+    echoes the id of its request.
+    """
+
+    status: int
+    has_id: bool
+    earlier_answers: int = 0
+    skipped_answers: int = 0
+
+
 @frozen(kw_only=True)
 class Answered:
     """Represent a complete answer to this request."""
@@ -79,6 +95,7 @@
     body: bytes = field(repr=False)
     load: ReportedLoad | None = None
     notices: ServerNotices = ServerNotices()
+    origin: AnswerOrigin | None = None
 
 
 @frozen(kw_only=True)
@@ -92,6 +109,7 @@
     load: ReportedLoad | None = None
     is_replaced: bool = False
     notices: ServerNotices = ServerNotices()
+    origin: AnswerOrigin | None = None
 
 
 @frozen(kw_only=True)
