--- a/snipespring/platform/tests/test_faulty_servers.py
+++ b/snipespring/platform/tests/test_faulty_servers.py
@@ -8,12 +8,11 @@
 from itertools import chain, repeat
 
 import pytest
-from attrs import define, evolve, field
+from attrs import define, field
 
 from snipespring.frontends.backends import HttpTransport, ServerAnswer
 from snipespring.frontends.backends.tests.scripted_server import (
     Script,
-    make_attempt,
     make_script,
     run_server,
 )
@@ -22,6 +21,15 @@
     MAX_HEAD_BYTES,
 )
 from snipespring.platform.backends import PlatformEncoding
+from snipespring.platform.tests.answers import (
+    ATTEMPT_TIMEOUT_S,
+    SERVER_TIMEOUT_S,
+    make_refusal,
+    make_request,
+    make_success,
+    make_transport,
+    make_whole_success,
+)
 from snipespring.records import (
     AnswerBroken,
     Answered,
@@ -34,9 +42,6 @@
 
 # Both buffers of a loopback connection together hold less than this.
 SOCKET_BUFFERS_BYTES = 12 * 1024 * 1024
-ATTEMPT_TIMEOUT_S = 1.0
-SERVER_TIMEOUT_S = 6.0
-SEAL = "Snipespring-Server-Seal: 3e1b\r\n"
 LARGE_BODY = bytes(8 * 1024 * 1024)
 
 
@@ -62,37 +67,6 @@
             self.size_bytes -= size_bytes
 
 
-def make_transport() -> HttpTransport:
-    return HttpTransport(clock=SystemClock(), encoding=PlatformEncoding())
-
-
-def make_request(number: int, body: bytes = b"") -> BackendRequest:
-    attempt = make_attempt(number, timeout_s=ATTEMPT_TIMEOUT_S)
-    return evolve(
-        attempt,
-        caller_request_id=f"caller-{number}",
-        method="POST" if body else "GET",
-        body=body,
-    )
-
-
-def make_success(request_id: str, fields: str = "", body: bytes = b"whole") -> bytes:
-    head = f"HTTP/1.1 200 OK\r\nSnipespring-Request-Id: {request_id}\r\n{SEAL}{fields}"
-    return head.encode() + b"\r\n" + body
-
-
-def make_whole_success(request_id: str) -> bytes:
-    return make_success(request_id, "Content-Length: 5\r\n")
-
-
-def make_refusal(request_id: str | None, status: int = 503) -> bytes:
-    echo = "" if request_id is None else f"Snipespring-Request-Id: {request_id}\r\n"
-    return (
-        f"HTTP/1.1 {status} No\r\n{echo}Snipespring-Not-Executed: 1\r\n"
-        "Snipespring-Instance-Id: i-1\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
-
-
 CHUNKED = "Transfer-Encoding: chunked\r\n"
 LENGTH = "Content-Length: 5\r\n"
 ENDLESS: dict[str, tuple[Callable[[str], bytes], bytes, int]] = {
