--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -1,19 +1,18 @@
 """Read the bodies of backend servers' answers."""
 
 import re
-from http.client import HTTPException, HTTPResponse
 from io import BufferedReader
 
 from attrs import define, field, frozen
 
 from ..http_bodies import BodyBudget
+from .heads import AnswerHead, MalformedAnswerError
 
 __all__ = [
     "BodyBuffer",
     "ChunkedBody",
     "CloseDelimitedBody",
     "Framing",
-    "MalformedAnswerError",
     "NoBody",
     "SizedBody",
     "find_framing",
@@ -36,10 +35,6 @@
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
 
 
-class MalformedAnswerError(HTTPException):
-    """Report that an answer is not valid HTTP or ends early."""
-
-
 @frozen(kw_only=True)
 class NoBody:
     """Represent an answer that has no body by its status or method."""
@@ -92,31 +87,29 @@
             self._reserved_bytes = 0
 
 
-def find_framing(resp: HTTPResponse, method: str) -> Framing:
+def find_framing(head: AnswerHead, method: str) -> Framing:
     """Return how the body ends; raise MalformedAnswerError if that is not certain."""
-    if resp.headers.defects:
-        raise MalformedAnswerError("the answer has a malformed header field")
-    if method == "HEAD" or resp.status in BODILESS_STATUSES:
+    if method == "HEAD" or head.status in BODILESS_STATUSES:
         return NoBody()
-    lengths = set(resp.headers.get_all("Content-Length", ()))
-    codings = resp.headers.get_all("Transfer-Encoding", ())
-    match [coding.strip().lower() for coding in codings], sorted(lengths):
-        case ["chunked"], []:
+    lengths = head.list_values("Content-Length")
+    codings = head.list_values("Transfer-Encoding")
+    match [coding.lower() for coding in codings], lengths:
+        case ["chunked"], [] if head.minor_version == 1:
             return ChunkedBody()
-        case [], [length] if DECIMAL.fullmatch(length.strip()):
+        case [], [length] if DECIMAL.fullmatch(length):
             return SizedBody(size_bytes=int(length))
         case [], []:
             return CloseDelimitedBody()
     raise MalformedAnswerError(
         f"the end of the body is uncertain: Transfer-Encoding {codings}, "
-        f"Content-Length {sorted(lengths)}"
+        f"Content-Length {lengths}"
     )
 
 
 def read_body(
     reader: BufferedReader, framing: Framing, body: BodyBuffer, *, max_bytes: int
 ) -> None:
-    """Read a complete body; raise OSError or HTTPException."""
+    """Read a complete body; raise OSError or MalformedAnswerError."""
     match framing:
         case NoBody():
             return
--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -5,8 +5,6 @@
 import socket
 import threading
 from collections.abc import Callable
-from functools import partial
-from http.client import HTTPConnection, HTTPException, HTTPResponse
 from typing import Any
 
 from attrs import define, field
@@ -14,21 +12,13 @@
 from ...records import Address
 from ...utils import Clock, SystemClock
 from ..sockets import is_readable
+from .heads import MalformedAnswerError
 
-__all__ = ["AnswerTooLongError", "ConnectionPool", "PooledConnection"]
+__all__ = ["ConnectionPool", "PooledConnection"]
 
-END_OF_HEAD = (b"\r\n", b"\n")
 MAX_IDLE_S = 8.0  # below the 10 s after which servers close idle connections
 
 
-class IncompleteHeadError(HTTPException):
-    """Report that the connection ended within the head of an answer."""
-
-
-class AnswerTooLongError(HTTPException):
-    """Report that a server sent more bytes than an answer may have."""
-
-
 class _BoundedReader(io.RawIOBase):
     """Read from a socket until an attempt ends, and only as many bytes as allowed."""
 
@@ -52,7 +42,7 @@
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        """Read what has arrived; raise OSError or AnswerTooLongError.
+        """Read what has arrived; raise OSError or MalformedAnswerError.
 
         The end of the stream is one that the server sent: after an abort, it raises
         ConnectionAbortedError.
@@ -60,7 +50,7 @@
         if self._remaining_s is None:
             return None
         if self._bytes_left <= 0:
-            raise AnswerTooLongError("the server sent more than an answer may have")
+            raise MalformedAnswerError("the server sent more than an answer may have")
         self._sock.settimeout(self._remaining_s())
         size: int = self._raw.readinto(memoryview(buffer)[: self._bytes_left])
         if size == 0 and self.is_aborted:
@@ -81,54 +71,20 @@
         self._raw.close()
 
 
-class _PersistentReader(io.BufferedReader):
-    """Keep bytes that were read past the end of an answer for the next answer."""
-
-    last_line = b""
-
-    def readline(self, size: int | None = -1, /) -> bytes:
-        """Return the next line, which `last_line` keeps."""
-        self.last_line = super().readline(size)
-        return self.last_line
-
-    def close(self) -> None:
-        """Do nothing; only `PooledConnection.close` closes the socket."""
-
-
-class _ReaderSocket:
-    """Replace the socket of an HTTPResponse, so that responses share one reader."""
-
-    def __init__(self, reader: _PersistentReader) -> None:
-        self._reader = reader
-
-    def makefile(self, *_: Any) -> _PersistentReader:
-        """Return the connection's reader."""
-        return self._reader
-
-
-def _open_response(
-    reader: _PersistentReader, _: Any, *, method: str | None = None
-) -> HTTPResponse:
-    source: Any = _ReaderSocket(reader)
-    return HTTPResponse(source, method=method)
-
-
 @define(kw_only=True, eq=False)
 class PooledConnection:
     """Represent one connection, owned by the thread that acquired it.
 
-    `answers` is the number of attempts that were answered over this connection.
-    `is_head_due` is true if no answer to the last request has been read, and
-    `idle_since_s` is the time of its last release by the monotonic clock.
+    `answers` is the number of attempts that were answered over this connection, and
+    `idle_since_s` the time of its last release by the monotonic clock. `reader` keeps
+    bytes that were read past the end of an answer for the next one.
     """
 
     address: Address
-    conn: HTTPConnection
     sock: socket.socket
     raw: _BoundedReader
-    reader: _PersistentReader
+    reader: io.BufferedReader
     answers: int = 0
-    is_head_due: bool = False
     idle_since_s: float = 0.0
 
     @property
@@ -140,19 +96,6 @@
         """Allow that many more bytes until `remaining_s` raises TimeoutError."""
         self.raw.set_limits(remaining_s, max_bytes)
 
-    def read_head(self, method: str) -> HTTPResponse:
-        """Read the head of the next answer; raise OSError or HTTPException."""
-        if self.is_head_due:
-            self.is_head_due = False
-            resp = self.conn.getresponse()
-        else:
-            resp = _open_response(self.reader, None, method=method)
-            resp.begin()
-        # http.client takes the end of the connection for the end of the head.
-        if self.reader.last_line not in END_OF_HEAD:
-            raise IncompleteHeadError("the connection ended within the head")
-        return resp
-
     def has_extra_bytes(self) -> bool:
         """Return whether the server sent more after the last answer, or closed."""
         if is_readable(self.sock):
@@ -168,8 +111,8 @@
         """Close the connection; only its owner may call this."""
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
-        self.conn.close()
         self.raw.close()
+        self.sock.close()
 
 
 @define(kw_only=True, eq=False)
@@ -244,12 +187,9 @@
 
 
 def _connect(address: Address, *, timeout_s: float) -> PooledConnection:
-    conn = HTTPConnection(address.ip, address.port, timeout=timeout_s)
-    conn.connect()
-    conn.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    raw = _BoundedReader(conn.sock)
-    reader = _PersistentReader(raw)
-    conn.response_class = partial(_open_response, reader)  # type: ignore[assignment]
+    sock = socket.create_connection((address.ip, address.port), timeout=timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw = _BoundedReader(sock)
     return PooledConnection(
-        address=address, conn=conn, sock=conn.sock, raw=raw, reader=reader
+        address=address, sock=sock, raw=raw, reader=io.BufferedReader(raw)
     )
--- a/snipespring/frontends/backends/tests/test_bodies.py
+++ b/snipespring/frontends/backends/tests/test_bodies.py
@@ -2,7 +2,6 @@
 
 import re
 from collections.abc import Iterable
-from http.client import HTTPException
 from io import BufferedReader, RawIOBase
 from itertools import chain, cycle, islice, repeat
 from typing import Any
@@ -17,10 +16,10 @@
     ChunkedBody,
     CloseDelimitedBody,
     Framing,
-    MalformedAnswerError,
     SizedBody,
     read_body,
 )
+from snipespring.frontends.backends.heads import MalformedAnswerError
 from snipespring.frontends.http_bodies import UnlimitedBodies
 
 MAX_BYTES = 1 << 20
@@ -82,7 +81,7 @@
     body = BodyBuffer(budget=UnlimitedBodies())
     try:
         read_body(reader, framing, body, max_bytes=MAX_BYTES)
-    except HTTPException:
+    except MalformedAnswerError:
         return None
     return bytes(body.content)
 
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -3,7 +3,6 @@
 import select
 import threading
 from collections.abc import Callable
-from http.client import HTTPException, HTTPResponse
 from typing import Protocol
 
 from attrs import define, evolve, field
@@ -25,8 +24,14 @@
 )
 from ...utils import Clock
 from ..http_bodies import BodyBudget, UnlimitedBodies
-from .bodies import BodyBuffer, CloseDelimitedBody, Framing, find_framing, read_body
+from .bodies import BodyBuffer, CloseDelimitedBody, find_framing, read_body
 from .encoding import BackendEncoding, NativeEncoding, ServerAnswer, find_header
+from .heads import (
+    AnswerHead,
+    MalformedAnswerError,
+    encode_request_head,
+    read_head,
+)
 from .pool import ConnectionPool, PooledConnection
 
 __all__ = ["HttpTransport", "Transport"]
@@ -38,6 +43,8 @@
 MAX_MISMATCHED_ANSWERS = 3  # late answers to other requests, read before giving up
 MS_PER_S = 1000.0
 BODILESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+INTERIM_STATUSES = range(100, 200)
+STATUS_SWITCHING_PROTOCOLS = 101
 
 
 class Transport(Protocol):
@@ -143,27 +150,27 @@
     def run(self, server: ServerId) -> tuple[BackendResult, bool]:
         """Return the result and whether the connection can be reused."""
         try:
-            self._write_head(server)
+            head = self._encode_head(server)
         except TimeoutError as exc:
             return ConnectFailed(reason=str(exc)), False
-        except (HTTPException, ValueError) as exc:
+        except ValueError as exc:
             reason = f"the request cannot be encoded: {exc}"
             return ConnectFailed(reason=reason), False
         sent_bytes = 0
         for number in range(MAX_MISMATCHED_ANSWERS):
             try:
                 if number == 0:
-                    self._send_head()
+                    self._send_head(head)
                 sent_bytes = self._send_body(sent_bytes)
             except TimeoutError:
                 return AnswerLate(waited_s=self.attempt.timeout_s), False
-            except (OSError, HTTPException) as exc:
+            except OSError as exc:
                 return SendBroken(reason=str(exc)), False
             try:
                 result, is_reusable = self._read_answer(skipped_answers=number)
             except TimeoutError:
                 return AnswerLate(waited_s=self.attempt.timeout_s), False
-            except (OSError, HTTPException, ValueError) as exc:
+            except (OSError, MalformedAnswerError) as exc:
                 return AnswerBroken(reason=f"{type(exc).__name__}: {exc}"), False
             match result:
                 case AnswerForeign() if self.conn.answers and is_reusable:
@@ -178,23 +185,19 @@
                     return result, is_reusable and is_sent
         return AnswerBroken(reason="too many answers to other requests"), False
 
-    def _write_head(self, server: ServerId) -> None:
-        http, attempt = self.conn.conn, self.attempt
-        http.putrequest(
-            attempt.method, attempt.path, skip_host=True, skip_accept_encoding=True
-        )
+    def _encode_head(self, server: ServerId) -> bytes:
+        attempt = self.attempt
         headers = self.encoding.encode_headers(
             server, attempt, remaining_s=self.remaining_s()
         )
-        for header in headers:
-            http.putheader(header.name, header.value.encode("latin-1"))
         if attempt.body or attempt.method not in BODILESS_METHODS:
-            http.putheader("Content-Length", str(len(attempt.body)))
+            length = Header(name="Content-Length", value=str(len(attempt.body)))
+            headers = (*headers, length)
+        return encode_request_head(attempt.method, attempt.path or "/", headers)
 
-    def _send_head(self) -> None:
+    def _send_head(self, head: bytes) -> None:
         self.conn.sock.settimeout(self.remaining_s())
-        self.conn.conn.endheaders()
-        self.conn.is_head_due = True
+        self.conn.sock.sendall(head)
 
     def _send_body(self, sent_bytes: int) -> int:
         """Send what is left of the body until the server answers or closes.
@@ -219,10 +222,10 @@
 
     def _read_answer(self, *, skipped_answers: int) -> tuple[BackendResult, bool]:
         """Return what the next answer states and whether another may follow it."""
-        resp, framing = self._read_head()
-        answer = self._read_complete_answer(resp, framing)
+        head = self._read_head()
+        answer = self._read_complete_answer(head)
         result = self._check_request_id(answer)
-        stays_open = not resp.will_close and not answer.is_close_delimited
+        stays_open = head.stays_open and not answer.is_close_delimited
         match result:
             case AnswerForeign() | AnswerBroken():
                 return result, stays_open and isinstance(result, AnswerForeign)
@@ -239,15 +242,13 @@
             case _:
                 return result, False
 
-    def _read_head(self) -> tuple[HTTPResponse, Framing]:
+    def _read_head(self) -> AnswerHead:
         """Read the head of the next answer that is not an interim one."""
         self.conn.limit_reading(self.remaining_s, MAX_HEAD_BYTES)
-        while True:
-            resp = self.conn.read_head(self.attempt.method)
-            # The body is read from the connection itself.
-            resp.close()
-            if not 100 < resp.status < 200:
-                return resp, find_framing(resp, self.attempt.method)
+        while (head := read_head(self.conn.reader)).status in INTERIM_STATUSES:
+            if head.status == STATUS_SWITCHING_PROTOCOLS:
+                raise MalformedAnswerError("the server left HTTP without being asked")
+        return head
 
     def _find_echoed_id(self, answer: ServerAnswer) -> str | None:
         return find_header(answer.headers, self.encoding.id_header)
@@ -263,19 +264,16 @@
             case _:
                 return self.encoding.decode_answer(answer, self.attempt)
 
-    def _read_complete_answer(
-        self, resp: HTTPResponse, framing: Framing
-    ) -> ServerAnswer:
-        """Read the body; raise OSError or HTTPException if it is not complete."""
+    def _read_complete_answer(self, head: AnswerHead) -> ServerAnswer:
+        """Read the body; raise OSError or MalformedAnswerError if not complete."""
+        framing = find_framing(head, self.attempt.method)
         self.conn.limit_reading(self.remaining_s, MAX_ANSWER_BYTES)
         body = BodyBuffer(budget=self.body_budget)
         try:
             read_body(self.conn.reader, framing, body, max_bytes=MAX_ANSWER_BYTES)
             return ServerAnswer(
-                status=resp.status,
-                headers=tuple(
-                    Header(name=name, value=value) for name, value in resp.getheaders()
-                ),
+                status=head.status,
+                headers=head.headers,
                 body=bytes(body.content),
                 is_close_delimited=isinstance(framing, CloseDelimitedBody),
             )
--- a/snipespring/platform/tests/test_refusals.py
+++ b/snipespring/platform/tests/test_refusals.py
@@ -128,12 +128,6 @@
     "status line with two spaces": REFUSAL.replace(b"1.1 503", b"1.1  503"),
     "another version": REFUSAL.replace(b"HTTP/1.1", b"HTTP/1.7"),
     "switched protocols": REFUSAL.replace(b"503 No", b"101 No"),
-    "two ids": REFUSAL.replace(MARK, MARK + b"Snipespring-Request-Id: caller-2\r\n"),
-    "the same id twice": REFUSAL.replace(
-        MARK, MARK + b"Snipespring-Request-Id: caller-1\r\n"
-    ),
-    "the mark twice": REFUSAL.replace(MARK, MARK + MARK),
-    "two instances": REFUSAL.replace(MARK, MARK + b"Snipespring-Instance-Id: i-2\r\n"),
     "the length twice": REFUSAL.replace(MARK, MARK + b"Content-Length: 0\r\n"),
 }
 
@@ -148,6 +142,25 @@
     assert is_unknown(result)
 
 
+REPEATED_FIELDS: dict[str, bytes] = {
+    "two ids": REFUSAL.replace(MARK, MARK + b"Snipespring-Request-Id: caller-2\r\n"),
+    "the same id twice": REFUSAL.replace(
+        MARK, MARK + b"Snipespring-Request-Id: caller-1\r\n"
+    ),
+    "the mark twice": REFUSAL.replace(MARK, MARK + MARK),
+    "two instances": REFUSAL.replace(MARK, MARK + b"Snipespring-Instance-Id: i-2\r\n"),
+}
+
+
+@pytest.mark.parametrize("fault", sorted(REPEATED_FIELDS))
+def test_a_refusal_with_a_field_that_stands_twice_promises_nothing(fault: str) -> None:
+    # Guards against a promise that takes the first of two ids or marks (REFUSED).
+    content = REPEATED_FIELDS[fault]
+    with run_server(make_script(lambda _: content, stays_open=False)) as server:
+        result = make_transport().send(server.server_id, make_request(1))
+    assert is_unknown(result)
+
+
 def test_a_refusal_behind_an_answer_to_another_request_promises_nothing() -> None:
     # Guards against a promise from a connection that is out of step (REFUSED).
     repeated = make_whole_success("caller-1")
