--- a/snipespring/frontends/backends/pool.py
+++ b/snipespring/frontends/backends/pool.py
@@ -16,6 +16,8 @@
 
 __all__ = ["ConnectionPool", "PooledConnection"]
 
+# The ids of the requests on a connection are kept in memory until it is closed.
+MAX_ANSWERS_PER_CONNECTION = 1000
 MAX_IDLE_S = 8.0  # below the 10 s after which servers close idle connections
 
 
@@ -75,16 +77,16 @@
 class PooledConnection:
     """Represent one connection, owned by the thread that acquired it.
 
-    `answers` is the number of attempts that were answered over this connection, and
-    `idle_since_s` the time of its last release by the monotonic clock. `reader` keeps
-    bytes that were read past the end of an answer for the next one.
+    `answered_ids` are those of the requests that were answered over this connection,
+    and `idle_since_s` is the time of its last release by the monotonic clock. `reader`
+    keeps bytes that were read past the end of an answer for the next one.
     """
 
     address: Address
     sock: socket.socket
     raw: _BoundedReader
     reader: io.BufferedReader
-    answers: int = 0
+    answered_ids: set[str] = field(factory=set)
     idle_since_s: float = 0.0
 
     @property
@@ -125,10 +127,16 @@
     _idle: dict[Address, list[PooledConnection]] = field(factory=dict, init=False)
     _retained_addresses: frozenset[Address] | None = field(default=None, init=False)
 
-    def acquire(self, address: Address, *, timeout_s: float) -> PooledConnection:
-        """Return an idle or a new connection; raise OSError if connecting fails."""
+    def acquire(
+        self, address: Address, *, request_id: str, timeout_s: float
+    ) -> PooledConnection:
+        """Return a connection that is idle or new; raise OSError if connecting fails.
+
+        It has carried no answer with this id, which could come again and be taken for
+        the answer to the new request.
+        """
         oldest_s = self.clock.monotonic_s() - MAX_IDLE_S
-        while (idle := self._pop(address)) is not None:
+        while (idle := self._pop(address, request_id)) is not None:
             if idle.idle_since_s >= oldest_s and not is_readable(idle.sock):
                 return idle
             idle.close()
@@ -137,10 +145,12 @@
     def release(self, conn: PooledConnection) -> None:
         """Keep a connection for reuse after a complete answer, or close it.
 
-        It is closed if the server sent more than the answer, if its address is not
-        among those to keep, or if enough connections to this server are idle.
+        It is closed if the server sent more than the answer, if it carried the most
+        answers, if its address is not among those to keep, or if enough connections to
+        this server are idle.
         """
-        if conn.has_extra_bytes():
+        is_worn = len(conn.answered_ids) >= MAX_ANSWERS_PER_CONNECTION
+        if is_worn or conn.has_extra_bytes():
             conn.close()
             return
         conn.idle_since_s = self.clock.monotonic_s()
@@ -180,10 +190,13 @@
         with self._lock:
             return sum(len(idle) for idle in self._idle.values())
 
-    def _pop(self, address: Address) -> PooledConnection | None:
+    def _pop(self, address: Address, request_id: str) -> PooledConnection | None:
         with self._lock:
-            idle = self._idle.get(address)
-            return idle.pop() if idle else None
+            idle = self._idle.get(address, [])
+            for index in reversed(range(len(idle))):
+                if request_id not in idle[index].answered_ids:
+                    return idle.pop(index)
+            return None
 
 
 def _connect(address: Address, *, timeout_s: float) -> PooledConnection:
--- a/snipespring/frontends/backends/tests/test_transport.py
+++ b/snipespring/frontends/backends/tests/test_transport.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from snipespring.frontends.backends import HttpTransport
+from snipespring.frontends.backends import HttpTransport, pool
 from snipespring.frontends.backends.tests.scripted_server import (
     TIMEOUT_S,
     answer_completely,
@@ -150,6 +150,18 @@
         assert transport.pool.count_idle() == 0
 
 
+def test_a_connection_is_closed_after_the_most_answers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(pool, "MAX_ANSWERS_PER_CONNECTION", 3)
+    with run_server(*[answer_completely] * 7) as server:
+        transport = make_transport()
+        for number in range(7):
+            result = transport.send(server.server_id, make_attempt(number))
+            assert isinstance(result, Answered)
+        assert server.connections == 3
+
+
 def test_attempt_timeout_is_late_and_closes_the_connection() -> None:
     with run_server(lambda conn, request_id: True, answer_completely) as server:
         transport = make_transport()
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -80,7 +80,11 @@
         started_s = self.clock.monotonic_s()
         timeout_s = min(self.connect_timeout_s, attempt.timeout_s)
         try:
-            conn = self.pool.acquire(server.address, timeout_s=timeout_s)
+            conn = self.pool.acquire(
+                server.address,
+                request_id=self.encoding.wire_id(attempt),
+                timeout_s=timeout_s,
+            )
         except OSError as exc:
             return ConnectFailed(reason=str(exc))
         with self._lock:
@@ -173,7 +177,7 @@
             except (OSError, MalformedAnswerError) as exc:
                 return AnswerBroken(reason=f"{type(exc).__name__}: {exc}"), False
             match result:
-                case AnswerForeign() if self.conn.answers and is_reusable:
+                case AnswerForeign() if self.conn.answered_ids and is_reusable:
                     # A server that answered a request twice sends the second answer
                     # late, ahead of the answer to this attempt, which may not even
                     # have been sent completely.
@@ -234,10 +238,10 @@
                 origin = AnswerOrigin(
                     status=answer.status,
                     has_id=has_id,
-                    earlier_answers=self.conn.answers,
+                    earlier_answers=len(self.conn.answered_ids),
                     skipped_answers=skipped_answers,
                 )
-                self.conn.answers += 1
+                self.conn.answered_ids.add(self.encoding.wire_id(self.attempt))
                 return evolve(result, origin=origin), has_id and stays_open
             case _:
                 return result, False
@@ -257,7 +261,7 @@
         """Accept an answer without an id only if it can belong to no other request."""
         expected_id = self.encoding.wire_id(self.attempt)
         match self._find_echoed_id(answer):
-            case None if self.conn.answers:
+            case None if self.conn.answered_ids:
                 return AnswerBroken(reason="no request id on a used connection")
             case str() as received_id if received_id != expected_id:
                 return AnswerForeign(expected_id=expected_id, received_id=received_id)
--- a/snipespring/platform/tests/test_refusals.py
+++ b/snipespring/platform/tests/test_refusals.py
@@ -84,14 +84,20 @@
 ) -> None:
     # Guards against an id that stands for two attempts on one connection (REFUSED).
     refusal = make_refusal("caller-1", status)
+    conns: list[socket.socket] = []
 
-    def repeat(conn: socket.socket, request_id: str) -> bool:
+    def refuse(conn: socket.socket, _: str) -> bool:
+        conns.append(conn)
         conn.sendall(refusal)
+        return True
+
+    def repeat(conn: socket.socket, request_id: str) -> bool:
+        conns[0].sendall(refusal)
         time.sleep(0.01)
         conn.sendall(make_whole_success(request_id))
         return False
 
-    with run_server(make_script(lambda _: refusal), repeat) as server:
+    with run_server(refuse, repeat) as server:
         transport = make_transport()
         first = transport.send(server.server_id, make_request(1))
         assert isinstance(first, ShedByServer)
@@ -100,6 +106,16 @@
     assert not isinstance(result, ShedByServer)
 
 
+def test_an_id_that_is_sent_again_goes_over_another_connection() -> None:
+    with run_server(*[make_script(make_whole_success)] * 4) as server:
+        transport = make_transport()
+        sent = (make_request(1), make_request(2), make_request(1), make_request(3))
+        for attempt in sent:
+            result = transport.send(server.server_id, attempt)
+            assert isinstance(result, Answered)
+        assert server.connections == 2
+
+
 @pytest.mark.parametrize("status", STATUSES_WITHOUT_MARK)
 def test_a_mark_beside_a_status_that_cannot_bear_it_promises_nothing(
     status: int,
