--- a/snipespring/platform/backends.py
+++ b/snipespring/platform/backends.py
@@ -31,10 +31,23 @@
 __all__ = ["PlatformEncoding"]
 
 MS_PER_S = 1000.0
+STATUS_BAD_REQUEST = 400
 STATUS_MISDIRECTED = 421
+STATUS_TOO_MANY_REQUESTS = 429
 STATUS_UNAVAILABLE = 503
 # Statuses from which a caller concludes that its request did not run.
-NOT_RUN_STATUSES = frozenset({408, STATUS_MISDIRECTED, 429, STATUS_UNAVAILABLE})
+NOT_RUN_STATUSES = frozenset(
+    {408, STATUS_MISDIRECTED, STATUS_TOO_MANY_REQUESTS, STATUS_UNAVAILABLE}
+)
+# Statuses with which servers state that they did not run a request.
+MARKED_STATUSES = frozenset(
+    {
+        STATUS_BAD_REQUEST,
+        STATUS_MISDIRECTED,
+        STATUS_TOO_MANY_REQUESTS,
+        STATUS_UNAVAILABLE,
+    }
+)
 
 
 class PlatformEncoding:
@@ -68,6 +81,11 @@
         if _is_misdirected(answer):
             return ShedByServer(retry_after_s=None, load=None, is_replaced=True)
         if find_header(answer.headers, NOT_EXECUTED) is not None:
+            if answer.status not in MARKED_STATUSES:
+                return AnswerBroken(
+                    reason=f"status {answer.status} with the mark that nothing ran",
+                    notices=notices,
+                )
             retry_after_s = _parse_number(find_header(answer.headers, RETRY_AFTER))
             return ShedByServer(retry_after_s=retry_after_s, load=load, notices=notices)
         if find_header(answer.headers, "Content-Encoding") is not None:
