--- a/snipespring/frontends/backends/encoding.py
+++ b/snipespring/frontends/backends/encoding.py
@@ -20,12 +20,14 @@
     "NativeEncoding",
     "ServerAnswer",
     "find_header",
+    "find_repeated_header",
     "parse_reported_load",
     "parse_seconds",
 ]
 
 MS_PER_S = 1000.0
 REQUEST_ID = "Request-Id"
+SHED = "Shed"
 
 
 @frozen(kw_only=True)
@@ -49,6 +51,13 @@
     def id_header(self) -> str:
         """Return the name of the header in which a server echoes the request id."""
 
+    @property
+    def single_headers(self) -> tuple[str, ...]:
+        """Return the names of headers on which what an answer states depends.
+
+        An answer with two fields of one of these names states nothing.
+        """
+
     def wire_id(self, attempt: BackendRequest) -> str:
         """Return the id that is sent with an attempt and echoed by the server."""
 
@@ -67,6 +76,7 @@
     """Encode attempts and decode answers in the product's own protocol."""
 
     id_header = REQUEST_ID
+    single_headers = (REQUEST_ID, SHED)
 
     def wire_id(self, attempt: BackendRequest) -> str:
         """Return the attempt's own id, which differs even between retries."""
@@ -92,7 +102,7 @@
         if answer.is_close_delimited:
             return AnswerBroken(reason="the answer's length could not be verified")
         load = parse_reported_load(find_header(answer.headers, "Load"))
-        if find_header(answer.headers, "Shed") == "not-run":
+        if find_header(answer.headers, SHED) == "not-run":
             retry_after_s = parse_seconds(find_header(answer.headers, "Retry-After"))
             return ShedByServer(retry_after_s=retry_after_s, load=load)
         return Answered(
@@ -107,6 +117,14 @@
     return next(values, None)
 
 
+def find_repeated_header(
+    headers: tuple[Header, ...], names: tuple[str, ...]
+) -> str | None:
+    """Return the first of the names that several headers have, or None."""
+    found = [header.name.lower() for header in headers]
+    return next((name for name in names if found.count(name.lower()) > 1), None)
+
+
 def parse_reported_load(text: str | None) -> ReportedLoad | None:
     """Return the load in a `Load` header, or None if it is absent or malformed."""
     if text is None:
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -25,7 +25,13 @@
 from ...utils import Clock
 from ..http_bodies import BodyBudget, UnlimitedBodies
 from .bodies import BodyBuffer, CloseDelimitedBody, find_framing, read_body
-from .encoding import BackendEncoding, NativeEncoding, ServerAnswer, find_header
+from .encoding import (
+    BackendEncoding,
+    NativeEncoding,
+    ServerAnswer,
+    find_header,
+    find_repeated_header,
+)
 from .heads import (
     AnswerHead,
     MalformedAnswerError,
@@ -259,6 +265,9 @@
 
     def _check_request_id(self, answer: ServerAnswer) -> BackendResult:
         """Accept an answer without an id only if it can belong to no other request."""
+        repeated = find_repeated_header(answer.headers, self.encoding.single_headers)
+        if repeated is not None:
+            return AnswerBroken(reason=f"the answer has more than one {repeated}")
         expected_id = self.encoding.wire_id(self.attempt)
         match self._find_echoed_id(answer):
             case None if self.conn.answered_ids:
--- a/snipespring/platform/backends.py
+++ b/snipespring/platform/backends.py
@@ -54,6 +54,7 @@
     """Encode attempts and decode answers in the platform's protocol."""
 
     id_header = REQUEST_ID
+    single_headers = (REQUEST_ID, NOT_EXECUTED, INSTANCE_ID, SERVER_SEAL)
 
     def wire_id(self, attempt: BackendRequest) -> str:
         """Return the caller's request id, which servers receive unchanged."""
