--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -190,9 +190,12 @@
                     continue
                 case AnswerForeign():
                     return result, False
+                case ShedByServer(notices=notices) if number > 0:
+                    reason = "a refusal behind an answer to another request"
+                    return AnswerBroken(reason=reason, notices=notices), False
                 case _:
                     is_sent = sent_bytes == len(self.attempt.body)
-                    return result, is_reusable and is_sent
+                    return result, is_reusable and is_sent and number == 0
         return AnswerBroken(reason="too many answers to other requests"), False
 
     def _encode_head(self, server: ServerId) -> bytes:
--- a/snipespring/platform/tests/test_refusals.py
+++ b/snipespring/platform/tests/test_refusals.py
@@ -59,7 +59,7 @@
 
 
 @pytest.mark.parametrize("status", [503, 429, 421])
-@pytest.mark.parametrize("order", permutations(range(4)))
+@pytest.mark.parametrize("order", [*permutations(range(4))])
 def test_a_part_of_a_refusal_before_an_answer_does_not_refuse_the_request_that_ran(
     status: int, order: tuple[int, ...]
 ) -> None:
