--- a/snipespring/daemons/process_context.py
+++ b/snipespring/daemons/process_context.py
@@ -1,15 +1,18 @@
 """Create the objects that all controllers of one process share."""
 
+import logging
 from random import Random
 
 from attrs import define
 
 from ..blackboard import Board
 from ..controllers import EventRecorder, MetricsRecorder
-from ..utils import Clock, SystemClock
+from ..utils import Clock, SystemClock, limit_retained_memory
 
 __all__ = ["ProcessContext", "make_process_context"]
 
+log = logging.getLogger(__name__)
+
 
 @define(kw_only=True, eq=False)
 class ProcessContext:
@@ -23,7 +26,9 @@
 
 
 def make_process_context() -> ProcessContext:
-    """Create the context of a new process."""
+    """Create the context of a new process and limit the memory that it retains."""
+    if not limit_retained_memory():
+        log.warning("the C library may retain freed memory")
     board = Board()
     return ProcessContext(
         board=board,
--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -22,6 +22,7 @@
 READ_BYTES = 65536
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16384
+MAX_TRAILER_FIELDS = 100
 # Chunk heads and line ends cost more to read than content does: beyond the first bytes,
 # they are limited to a share of the content.
 FREE_FRAMING_BYTES = 65536
@@ -188,9 +189,9 @@
 
 def _skip_trailer(reader: BufferedReader) -> None:
     left_bytes = MAX_TRAILER_BYTES
-    while left_bytes > 0:
+    for _ in range(MAX_TRAILER_FIELDS + 1):
         line = reader.readline(left_bytes)
-        if line == b"\r\n":
+        if line == CRLF:
             return
         if not line.endswith(b"\n"):
             break
--- a/snipespring/frontends/backends/heads.py
+++ b/snipespring/frontends/backends/heads.py
@@ -25,6 +25,7 @@
     rb"(?P<value>[\t\x20-\x7e\x80-\xff]*?)[ \t]*\r\n"
 )
 STATUS_LINE_START = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+MAX_FIELDS = 100
 MAX_SHOWN_BYTES = 40
 
 
@@ -85,7 +86,10 @@
 
 
 def _read_fields(reader: BufferedReader) -> Iterable[Header]:
-    while (line := _read_line(reader)) != CRLF:
+    for _ in range(MAX_FIELDS + 1):
+        line = _read_line(reader)
+        if line == CRLF:
+            return
         found = FIELD_LINE.fullmatch(line)
         if found is None or STATUS_LINE_START.search(line):
             raise MalformedAnswerError(
@@ -93,6 +97,7 @@
             )
         name, value = found["name"].decode("ascii"), found["value"].decode("latin-1")
         yield Header(name=name, value=value)
+    raise MalformedAnswerError(f"the head has more than {MAX_FIELDS} fields")
 
 
 def _read_line(reader: BufferedReader) -> bytes:
--- a/snipespring/frontends/backends/tests/test_heads.py
+++ b/snipespring/frontends/backends/tests/test_heads.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from snipespring.frontends.backends.heads import (
+    MAX_FIELDS,
     AnswerHead,
     MalformedAnswerError,
     encode_request_head,
@@ -113,6 +114,14 @@
     assert all(read(whole[:size]) is None for size in range(len(whole)))
 
 
+def test_a_head_has_a_limited_number_of_fields() -> None:
+    line = b"A: b\r\n"
+    most = read(b"HTTP/1.1 200 OK\r\n" + line * MAX_FIELDS + b"\r\n")
+    assert most is not None
+    assert len(most.headers) == MAX_FIELDS
+    assert read(b"HTTP/1.1 200 OK\r\n" + line * (MAX_FIELDS + 1) + b"\r\n") is None
+
+
 @pytest.mark.parametrize(
     ("lines", "stays_open"),
     [
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -46,6 +46,7 @@
 SEND_CHUNK_BYTES = 16384
 MAX_HEAD_BYTES = 65536  # of an answer, with the interim answers before it
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+MAX_INTERIM_ANSWERS = 10
 MAX_MISMATCHED_ANSWERS = 3  # late answers to other requests, read before giving up
 MS_PER_S = 1000.0
 BODILESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
@@ -258,10 +259,13 @@
     def _read_head(self) -> AnswerHead:
         """Read the head of the next answer that is not an interim one."""
         self.conn.limit_reading(self.remaining_s, MAX_HEAD_BYTES)
-        while (head := read_head(self.conn.reader)).status in INTERIM_STATUSES:
+        for _ in range(MAX_INTERIM_ANSWERS + 1):
+            head = read_head(self.conn.reader)
+            if head.status not in INTERIM_STATUSES:
+                return head
             if head.status == STATUS_SWITCHING_PROTOCOLS:
                 raise MalformedAnswerError("the server left HTTP without being asked")
-        return head
+        raise MalformedAnswerError(f"more than {MAX_INTERIM_ANSWERS} interim answers")
 
     def _find_echoed_id(self, answer: ServerAnswer) -> str | None:
         return find_header(answer.headers, self.encoding.id_header)
--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,197 @@
+"""Run gateway processes before a store and scripted servers on one network."""
+
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from http.client import HTTPException
+from pathlib import Path
+from threading import Thread
+from typing import Any
+
+import yaml
+from attrs import define, field, frozen
+
+from standins.harness import Answer, call, find_free_network, wait_until
+from standins.http import start_server
+from standins.store import StoreApplication
+from standins.store.records import CreateObject, ObjectKey
+
+HOST = "hulo84.example"
+BACKEND_PORT = 9001
+BACKLOG = 256
+LENGTH_FIELD = "content-length"
+
+
+@frozen(kw_only=True)
+class ReceivedRequest:
+    """Represent a request that a scripted server has read."""
+
+    method: str
+    target: str
+    request_id: str
+
+
+Answerer = Callable[[socket.socket, ReceivedRequest], bool]
+
+
+def read_request(conn: socket.socket) -> ReceivedRequest | None:
+    """Return the next request with its body read, None at the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = conn.recv(65536)
+        if not part:
+            return None
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    fields = {
+        name.lower(): value
+        for name, value in (line.split(": ", 1) for line in lines if ": " in line)
+    }
+    left = int(fields.get(LENGTH_FIELD, "0")) - len(body)
+    while left > 0:
+        left -= len(conn.recv(left))
+    method, target, _ = first.split(" ")
+    request_id = fields.get("snipespring-request-id", "")
+    return ReceivedRequest(method=method, target=target, request_id=request_id)
+
+
+@define(kw_only=True, eq=False)
+class ScriptedServer:
+    """Serve connections; `answer` writes to one and returns whether to stay open."""
+
+    ip: str
+    answer: Answerer
+
+    def __attrs_post_init__(self) -> None:
+        """Start to listen."""
+        listener = socket.create_server((self.ip, BACKEND_PORT), backlog=BACKLOG)
+        Thread(target=self._accept, args=(listener,), daemon=True).start()
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            conn, _ = listener.accept()
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        with conn:
+            try:
+                while (req := read_request(conn)) and self.answer(conn, req):
+                    pass
+            except OSError:
+                return
+
+
+def make_route(service: str, kind: str) -> dict[str, Any]:
+    """Return a route of `/SERVICE/` without keys."""
+    return {
+        "Host": HOST,
+        "PathPrefix": f"/{service}/",
+        "Kind": kind,
+        "Timeout": "2s",
+        "TargetLatency": "1s",
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "AuthExempt": True,
+    }
+
+
+@define(kw_only=True, eq=False)
+class GatewayFleet:
+    """Manage gateways before servers; `kinds` maps each service to its kind."""
+
+    folder: Path
+    kinds: dict[str, str]
+    memory_mib: int = 300
+    network: str = field(factory=find_free_network)
+    app: StoreApplication = field(factory=StoreApplication)
+    processes: list[subprocess.Popen[bytes]] = field(factory=list)
+    server_count: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start the store with a configuration of all services."""
+        start_server(listen=f"{self.network}.0.1:8500", app=self.app)
+        cfg = {
+            "Version": "00000001",
+            "Routes": {
+                name: make_route(name, kind) for name, kind in self.kinds.items()
+            },
+            "Services": {
+                name: {"HealthPath": "/health", "MaxConns": 330} for name in self.kinds
+            },
+            "Limits": {},
+        }
+        self._create("config", "main", cfg)
+
+    def add_server(self, service: str, answer: Answerer) -> None:
+        """Start a server and register it."""
+        self.server_count += 1
+        ip = f"{self.network}.2.{self.server_count}"
+        ScriptedServer(ip=ip, answer=answer)
+        entry = {
+            "Service": service,
+            "Address": f"{ip}:{BACKEND_PORT}",
+            "Zone": "a",
+            "Slots": 3,
+            "State": "ready",
+            "WarmupLeft": "0ms",
+            "born": 1767390266000,
+        }
+        self._create("servers", f"i-{self.server_count}", entry)
+
+    def start_gateway(self) -> None:
+        """Start a gateway and wait until it is ready."""
+        number = len(self.processes) + 1
+        ip, path = f"{self.network}.1.{number}", self.folder / f"host-{number}.yaml"
+        settings = {
+            "host": {"id": f"host-{number}", "domain": "a", "region": "r"},
+            "listen": {
+                "callers": f"{ip}:8080",
+                "readiness": f"{ip}:8081",
+                "directory": f"{ip}:8082",
+                "peers": f"{ip}:7100",
+                "operators": f"{ip}:7101",
+            },
+            "callers": {"memory": f"{self.memory_mib}MiB"},
+            "platform": {"store": f"{self.network}.0.1:8500"},
+        }
+        path.write_text(yaml.safe_dump(settings))
+        with (self.folder / f"host-{number}.log").open("wb") as log:
+            command = [sys.executable, "-m", "snipespring", "gateway", "-s", str(path)]
+            self.processes.append(subprocess.Popen(command, stdout=log, stderr=log))
+        ready = f"{ip}:8081"
+        wait_until(
+            lambda: call(ready, "GET", "/v1/ready").status == 200, f"host {number}"
+        )
+
+    def send(self, method: str, target: str, request_id: str) -> Answer | None:
+        """Send a request to the first gateway; return None without an answer."""
+        headers = {
+            "Host": HOST,
+            "Snipespring-Request-Id": request_id,
+            "Snipespring-Deadline-Ms": "2000",
+        }
+        address = f"{self.network}.1.1:8080"
+        try:
+            return call(address, method, target, headers=headers, timeout_s=4.0)
+        except (OSError, HTTPException):
+            return None
+
+    def read_peak_mib(self) -> float:
+        """Return the most memory that the first gateway has had resident."""
+        status = Path(f"/proc/{self.processes[0].pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def close(self) -> None:
+        """Kill the gateways that this fleet started."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+    def _create(self, kind: str, name: str, spec: Any) -> None:
+        key = ObjectKey(kind=kind, name=name)
+        self.app.controller.call(CreateObject(key=key, spec=spec))
