--- a/benchmarks/chunks.py
+++ b/benchmarks/chunks.py
@@ -4,11 +4,11 @@
 """
 
 import time
-from http.client import HTTPException
 from io import BufferedReader, BytesIO
 from typing import Any
 
 from snipespring.frontends.backends.bodies import BodyBuffer, ChunkedBody, read_body
+from snipespring.frontends.backends.heads import MalformedAnswerError
 from snipespring.frontends.http_bodies import UnlimitedBodies
 
 __all__ = ["main"]
@@ -30,7 +30,7 @@
         started_s, end = time.process_time(), "whole"
         try:
             read_body(reader, ChunkedBody(), body, max_bytes=MAX_BODY_BYTES)
-        except HTTPException as exc:
+        except MalformedAnswerError as exc:
             end = f"broken: {exc}"
         took_ms = (time.process_time() - started_s) * MS_PER_S
         print(f"{size_bytes} | {took_ms:.1f} | {len(body.content)} | {end}")
--- a/snipespring/frontends/tests/test_http_server.py
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -101,6 +101,28 @@
         assert post(address, b"x" * 90_000).status == 200
 
 
+def test_the_rest_of_a_refused_body_is_not_read_as_a_request() -> None:
+    # Guards against a request that runs though its caller was told otherwise (REFUSED).
+    targets: list[str] = []
+
+    def app(environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        targets.append(environ["REQUEST_URI"])
+        return echo(environ, start_response)
+
+    inner = b"POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"
+    head = b"POST /outer HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+    with run_server(app, limit_bytes=100_000) as (address, _):
+        with socket.create_connection((address.ip, address.port), TIMEOUT_S) as sock:
+            sock.sendall(head + b"x" * 150_000 + inner + inner)
+            answer = b""
+            while part := sock.recv(65536):
+                answer += part
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert post(address, b"x").status == 200
+    assert targets == ["/"]
+
+
 def test_body_of_a_disconnected_caller_is_released() -> None:
     with run_server(echo) as (address, board):
         sub = board.subscribe((BUFFERED_BODIES,))
