--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field, frozen
 
-from ..http_bodies import BodyBudget
+from ..http_bodies import BodyBudget, is_mostly_framing
 from .heads import AnswerHead, MalformedAnswerError
 
 __all__ = [
@@ -23,10 +23,6 @@
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 16384
 MAX_TRAILER_FIELDS = 100
-# Chunk heads and line ends cost more to read than content does: beyond the first bytes,
-# they are limited to a share of the content.
-FREE_FRAMING_BYTES = 65536
-MAX_FRAMING_SHARE = 0.125
 CRLF = b"\r\n"
 BODILESS_STATUSES = frozenset({204, 304})
 # Content up to this size is not counted in the budget for bodies in memory.
@@ -158,7 +154,7 @@
             _read_exactly(reader, size_bytes, body)
             if reader.read(len(CRLF)) != CRLF:
                 raise MalformedAnswerError("a chunk is longer than it states")
-        if framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_SHARE * len(body.content):
+        if is_mostly_framing(framing_bytes, len(body.content)):
             raise MalformedAnswerError(
                 f"the chunks have {framing_bytes} bytes of framing for "
                 f"{len(body.content)} bytes of content"
--- a/snipespring/frontends/backends/tests/test_bodies.py
+++ b/snipespring/frontends/backends/tests/test_bodies.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 
 from snipespring.frontends.backends.bodies import (
-    FREE_FRAMING_BYTES,
     BodyBuffer,
     ChunkedBody,
     CloseDelimitedBody,
@@ -20,7 +19,7 @@
     read_body,
 )
 from snipespring.frontends.backends.heads import MalformedAnswerError
-from snipespring.frontends.http_bodies import UnlimitedBodies
+from snipespring.frontends.http_bodies import FREE_FRAMING_BYTES, UnlimitedBodies
 
 MAX_BYTES = 1 << 20
 CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(;[^\r\n]*)?\r\n")
--- a/snipespring/frontends/http_bodies.py
+++ b/snipespring/frontends/http_bodies.py
@@ -3,13 +3,23 @@
 from typing import Any, Protocol
 
 from waitress.parser import HTTPRequestParser, ParsingError, get_header_lines
-from waitress.utilities import Error
+from waitress.utilities import BadRequest, Error
 
 from ..records import Header
 
-__all__ = ["BodyBudget", "BudgetedParser", "RawFieldsParser", "UnlimitedBodies"]
+__all__ = [
+    "BodyBudget",
+    "BudgetedParser",
+    "RawFieldsParser",
+    "UnlimitedBodies",
+    "is_mostly_framing",
+]
 
 RETRY_AFTER_S = "1"
+# Chunk heads and line ends cost more to read than content does: beyond the first bytes,
+# they are limited to a share of the content.
+FREE_FRAMING_BYTES = 65536
+MAX_FRAMING_SHARE = 0.125
 
 
 class BodyBudget(Protocol):
@@ -33,6 +43,11 @@
         """Do nothing, since no reservation is counted."""
 
 
+def is_mostly_framing(framing_bytes: int, content_bytes: int) -> bool:
+    """Return whether a body in chunks has too many bytes that are not content."""
+    return framing_bytes > FREE_FRAMING_BYTES + MAX_FRAMING_SHARE * content_bytes
+
+
 class _BodyBudgetExceededError(Error):  # type: ignore[misc]
     code = 503
     reason = "Service Unavailable"
@@ -44,7 +59,7 @@
 
 
 class BudgetedParser(HTTPRequestParser):  # type: ignore[misc]
-    """Refuse a request whose body would exceed the memory budget for bodies."""
+    """Refuse a body that would exceed the memory budget or is mostly framing."""
 
     reserved_bytes = 0
     error: Any = None
@@ -55,6 +70,15 @@
         added_bytes = self.body_bytes_received - self.reserved_bytes
         if added_bytes <= 0 or self.error:
             return consumed
+        content_bytes = len(self.body_rcv)
+        framing_bytes = self.body_bytes_received - content_bytes
+        if is_mostly_framing(framing_bytes, content_bytes):
+            self.error = BadRequest(
+                f"the chunks have {framing_bytes} bytes of framing for {content_bytes} "
+                "bytes of content"
+            )
+            self.completed = True
+            return consumed
         if self.adj.body_budget.reserve(added_bytes):
             self.reserved_bytes += added_bytes
         else:
--- a/snipespring/frontends/tests/test_http_server.py
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -19,9 +19,11 @@
     StartResponse,
     WsgiApp,
 )
+from snipespring.frontends.sockets import is_readable
 from snipespring.records import Address
 
 TIMEOUT_S = 30.0
+PIECE_BYTES = 8192
 LARGE_BODY = bytes(range(256)) * 16384  # 4 MiB
 
 
@@ -101,6 +103,39 @@
         assert post(address, b"x" * 90_000).status == 200
 
 
+CHUNKED_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def send_chunks(address: Address, chunk: bytes, count: int) -> bytes:
+    """Return the first bytes of the answer; send no more once it has arrived."""
+    content = (b"%x\r\n%s\r\n" % (len(chunk), chunk)) * count + b"0\r\n\r\n"
+    with socket.create_connection((address.ip, address.port), TIMEOUT_S) as sock:
+        sock.sendall(CHUNKED_HEAD)
+        for start in range(0, len(content), PIECE_BYTES):
+            if is_readable(sock):
+                break
+            sock.sendall(content[start : start + PIECE_BYTES])
+        return sock.recv(32)
+
+
+@pytest.mark.parametrize(
+    ("chunk", "count", "status"),
+    [
+        (b"x", 1000, b"200"),
+        (b"x" * 64, 20_000, b"200"),
+        (b"x", 50_000, b"400"),
+        (b"x" * 16, 50_000, b"400"),
+    ],
+)
+def test_a_body_that_is_mostly_framing_is_refused(
+    chunk: bytes, count: int, status: bytes
+) -> None:
+    # Guards against one caller whose tiny chunks occupy the thread of all connections.
+    with run_server(echo) as (address, _):
+        assert send_chunks(address, chunk, count).startswith(b"HTTP/1.1 " + status)
+        assert post(address, b"x").status == 200
+
+
 def test_the_rest_of_a_refused_body_is_not_read_as_a_request() -> None:
     # Guards against a request that runs though its caller was told otherwise (REFUSED).
     targets: list[str] = []
