--- a/snipespring/cli/start_gateway.py
+++ b/snipespring/cli/start_gateway.py
@@ -1,18 +1,11 @@
-"""Load the settings and run a gateway host.
+"""Start a gateway host.
 
 `python -m snipespring.cli.start_gateway` starts a host without loading the other
 commands, which saves time at each restart.
 """
 
-import os
+import signal
 import sys
-from pathlib import Path
-
-from ..daemons.gateway import run_gateway
-from ..daemons.logs import configure_logs
-from ..platform.settings import SETTINGS_PATH, SETTINGS_VARIABLE
-from ..settings import GatewaySettings, SettingsProblems, load_gateway_settings
-from .exits import BAD_INPUT, SUCCESS, UNREACHABLE
 
 __all__ = ["start_gateway"]
 
@@ -22,24 +15,12 @@
 
     Without `file`, the path is the one that the platform provides.
     """
-    path = Path(file or os.environ.get(SETTINGS_VARIABLE) or SETTINGS_PATH)
-    match load_gateway_settings(path):
-        case SettingsProblems(problems=problems):
-            for problem in problems:
-                print(problem, file=sys.stderr)
-            return BAD_INPUT
-        case GatewaySettings() as settings:
-            return _run_with(settings, path)
-
-
-def _run_with(settings: GatewaySettings, path: Path) -> int:
-    configure_logs(settings.log.level, settings.host.id)
-    try:
-        run_gateway(settings, path)
-    except OSError as exc:
-        print(f"cannot listen: {exc}", file=sys.stderr)
-        return UNREACHABLE
-    return SUCCESS
+    # By default SIGHUP ends the process. A host handles it only once it has loaded its
+    # modules, which is most of its start.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .gateway_host import run_host
+
+    return run_host(file)
 
 
 if __name__ == "__main__":
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -1,5 +1,6 @@
 """Run gateway processes before a store and scripted servers on one network."""
 
+import os
 import socket
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 import yaml
 from attrs import define, field, frozen
 
+from snipespring.platform.settings import SETTINGS_VARIABLE
 from standins.harness import Answer, call, find_free_network, wait_until
 from standins.http import start_server
 from standins.store import StoreApplication
@@ -144,6 +146,15 @@
 
     def start_gateway(self) -> None:
         """Start a gateway and wait until it is ready."""
+        self.spawn_gateway()
+        number = len(self.processes)
+        ready = f"{self.network}.1.{number}:8081"
+        wait_until(
+            lambda: call(ready, "GET", "/v1/ready").status == 200, f"host {number}"
+        )
+
+    def spawn_gateway(self) -> subprocess.Popen[bytes]:
+        """Start a gateway as the deploy file does, without waiting for it."""
         number = len(self.processes) + 1
         ip, path = f"{self.network}.1.{number}", self.folder / f"host-{number}.yaml"
         settings = {
@@ -159,13 +170,12 @@
             "platform": {"store": f"{self.network}.0.1:8500"},
         }
         path.write_text(yaml.safe_dump(settings))
+        command = [sys.executable, "-m", "snipespring.cli.start_gateway"]
+        env = {**os.environ, SETTINGS_VARIABLE: str(path)}
         with (self.folder / f"host-{number}.log").open("wb") as log:
-            command = [sys.executable, "-m", "snipespring", "gateway", "-s", str(path)]
-            self.processes.append(subprocess.Popen(command, stdout=log, stderr=log))
-        ready = f"{ip}:8081"
-        wait_until(
-            lambda: call(ready, "GET", "/v1/ready").status == 200, f"host {number}"
-        )
+            process = subprocess.Popen(command, stdout=log, stderr=log, env=env)
+        self.processes.append(process)
+        return process
 
     def send(self, method: str, target: str, request_id: str) -> Answer | None:
         """Send a request to the first gateway; return None without an answer."""
