--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -60,6 +60,7 @@
     RUNNING_ATTEMPTS,
     SERVER_LOADS,
     SERVER_SUBSETS,
+    SERVICE_CONCURRENCY,
 )
 
 __all__ = [
@@ -102,6 +103,7 @@
     "SERVER_LOADS",
     "SERVER_STATES",
     "SERVER_SUBSETS",
+    "SERVICE_CONCURRENCY",
     "SETTINGS",
     "SHARE_LEDGER",
     "STOP_STATE",
--- a/snipespring/blackboard/regions/routing.py
+++ b/snipespring/blackboard/regions/routing.py
@@ -8,6 +8,7 @@
     RunningAttempts,
     ServerLoads,
     ServerSubsets,
+    ServiceConcurrency,
 )
 from ..region import Region
 
@@ -19,6 +20,7 @@
     "RUNNING_ATTEMPTS",
     "SERVER_LOADS",
     "SERVER_SUBSETS",
+    "SERVICE_CONCURRENCY",
 ]
 
 BUFFERED_BODIES = Region[BufferedBodies](
@@ -42,3 +44,8 @@
 SERVER_SUBSETS = Region[ServerSubsets](
     name="server_subsets", writer="subset_keeper", initial=ServerSubsets()
 )
+SERVICE_CONCURRENCY = Region[ServiceConcurrency](
+    name="service_concurrency",
+    writer="concurrency_limiter",
+    initial=ServiceConcurrency(),
+)
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -6,6 +6,7 @@
 from .claim_handover_sender import ClaimHandoverSender
 from .claim_owner import ClaimOwner
 from .claimant import Claimant
+from .concurrency_limiter import ConcurrencyLimiter
 from .configurator import Configurator
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_address_lister import DomainAddressLister
@@ -69,6 +70,7 @@
     "ClaimOwner",
     "Claimant",
     "ClaimControl",
+    "ConcurrencyLimiter",
     "ConfigurationFollower",
     "Configurator",
     "StoreLeaseManager",
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -12,6 +12,7 @@
     LEASE,
     STOP_STATE,
 )
+from ..decisions.bulkheads import HasRoom, NoRoom
 from ..decisions.claims import strips_claim_key
 from ..decisions.keys import Authenticated, KeyRefused, authenticate, strip_key
 from ..decisions.replies import cap_retry_after, make_outcome_reply
@@ -42,6 +43,7 @@
 )
 from ..utils import Clock
 from .admission import AdmissionControl, ClaimControl
+from .concurrency_limiter import ConcurrencyLimiter
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
 from .request_log import RequestLog
@@ -69,6 +71,7 @@
     limiter: AdmissionControl
     claimant: ClaimControl
     sender: Sender
+    concurrency_limiter: ConcurrencyLimiter
     rng: Random = field(factory=Random)
     request_log: RequestLog = field(init=False)
 
@@ -126,7 +129,25 @@
                     deadline_at_s=deadline_at_s,
                     received_s=started_s,
                 )
-                return self._admit(cfg, admitted, is_disconnected)
+                return self._admit_with_room(cfg, admitted, is_disconnected)
+
+    def _admit_with_room(
+        self,
+        cfg: Configuration,
+        admitted: AdmittedRequest,
+        is_disconnected: Callable[[], bool],
+    ) -> HandledRequest:
+        service = admitted.route.service
+        with self.concurrency_limiter.begin(service) as room:
+            match room:
+                case HasRoom():
+                    return self._admit(cfg, admitted, is_disconnected)
+                case NoRoom(reason=reason):
+                    return evolve(
+                        self._refuse_temporarily(admitted.request, reason, "bulkhead"),
+                        organisation=admitted.organisation,
+                        service=service,
+                    )
 
     def _admit(
         self,
--- a/snipespring/controllers/tests/test_forwarder.py
+++ b/snipespring/controllers/tests/test_forwarder.py
@@ -1,4 +1,5 @@
 import logging
+from contextlib import ExitStack
 from unittest.mock import Mock
 
 import pytest
@@ -11,16 +12,19 @@
     LEASE,
     SERVER_STATES,
     SERVER_SUBSETS,
+    SERVICE_CONCURRENCY,
     STOP_STATE,
 )
 from snipespring.controllers import (
     Claimant,
+    ConcurrencyLimiter,
     EventRecorder,
     Forwarder,
     Limiter,
     MetricsRecorder,
     Sender,
 )
+from snipespring.decisions.bulkheads import HasRoom
 from snipespring.decisions.keys import digest_key
 from snipespring.decisions.rules import (
     ParsedRules,
@@ -40,6 +44,7 @@
     Request,
     ServerStates,
     ServerSuspected,
+    ServiceName,
     Unknown,
 )
 from snipespring.utils import ManualClock
@@ -47,6 +52,7 @@
 from .routing_fakes import SERVICE, make_board, make_server_id
 
 API_KEY = "the-test-key-of-valeters"
+THREADS = 9
 RULES = f"""
 service ledger deadline=9s  # Aoife
 server ledger 127.0.0.1:9001 domain=a  # Aoife
@@ -67,6 +73,7 @@
         limiter=Mock(spec=Limiter),
         claimant=Mock(spec=Claimant),
         sender=Mock(spec=Sender),
+        concurrency_limiter=ConcurrencyLimiter(board=board, threads=THREADS),
     )
 
 
@@ -151,6 +158,32 @@
     forwarder.limiter.admit.assert_not_called()  # type: ignore[attr-defined]
 
 
+def test_a_service_that_holds_many_threads_is_refused_before_it_costs_a_rate(
+    forwarder: Forwarder,
+) -> None:
+    # Guards against a service without answers that holds all threads of a host.
+    configure(forwarder)
+    over = OverLimit(reason="begun", retry_after_s=0.5)
+    forwarder.limiter.admit.return_value = over  # type: ignore[attr-defined]
+    limiter, ledger = forwarder.concurrency_limiter, ServiceName("ledger")
+    with ExitStack() as stack:
+        for _ in range(6):
+            assert stack.enter_context(limiter.begin(ledger)) == HasRoom()
+        reply = post(forwarder)
+        assert (reply.status, reply.outcome) == (
+            503,
+            NotRun(
+                reason="service ledger holds 6 of 9 threads, 3 are free",
+                retry_after_s=0.2,
+            ),
+        )
+        forwarder.limiter.admit.assert_not_called()  # type: ignore[attr-defined]
+        with limiter.begin(ServiceName("histories")) as room:
+            assert room == HasRoom()
+    assert post(forwarder).status == 429
+    assert forwarder.board.read(SERVICE_CONCURRENCY).by_service == Map()
+
+
 def test_request_over_the_limit_is_never_claimed(forwarder: Forwarder) -> None:
     configure(forwarder)
     over = OverLimit(reason="over 9/s", retry_after_s=0.5)
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -157,6 +157,7 @@
         ),
         claimant=NoClaimControl(),
         max_queued=threads,
+        threads=threads,
         floor_share=settings.servers.floor,
     )
     store_followers = build_store_followers(context)
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -120,6 +120,7 @@
         limiter=limits.limiter,
         claimant=claims.claimant,
         max_queued=settings.callers.queue,
+        threads=settings.callers.threads + settings.callers.queue,
     )
     controllers = (
         *membership.controllers,
--- a/snipespring/daemons/requests.py
+++ b/snipespring/daemons/requests.py
@@ -6,6 +6,7 @@
     AdmissionControl,
     Canceller,
     ClaimControl,
+    ConcurrencyLimiter,
     Controller,
     Dispatcher,
     Forwarder,
@@ -42,10 +43,12 @@
     limiter: AdmissionControl,
     claimant: ClaimControl,
     max_queued: int,
+    threads: int,
     floor_share: float = 0.0,
 ) -> RequestPart:
     """Build the request controllers; at most `max_queued` requests wait for a slot.
 
+    `threads` is the number of requests that the host handles at the same time.
     While a service fails, at least `floor_share` of its servers get requests.
     """
     canceller = Canceller(board=process.board, clock=process.clock, transport=transport)
@@ -74,6 +77,7 @@
         limiter=limiter,
         claimant=claimant,
         sender=sender,
+        concurrency_limiter=ConcurrencyLimiter(board=process.board, threads=threads),
         rng=process.rng,
     )
     return RequestPart(
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -263,6 +263,7 @@
     QueuedRequest,
     RequestQueue,
     RequestQueues,
+    ServiceConcurrency,
     SlotRequest,
 )
 from .requests import (
@@ -573,6 +574,7 @@
     "ShedByServer",
     "SlotLimit",
     "SlotRequest",
+    "ServiceConcurrency",
     "StatusAges",
     "StopState",
     "RelayNotice",
--- a/snipespring/records/queues.py
+++ b/snipespring/records/queues.py
@@ -1,4 +1,4 @@
-"""Define the queues of requests that wait on this host for a slot of a service."""
+"""Define the requests in progress on this host and those that wait for a slot."""
 
 from attrs import frozen
 from immutables import Map
@@ -6,7 +6,13 @@
 from .identity import OrganisationName, ServiceName
 from .routing import Placement
 
-__all__ = ["RequestQueue", "RequestQueues", "SlotRequest", "QueuedRequest"]
+__all__ = [
+    "QueuedRequest",
+    "RequestQueue",
+    "RequestQueues",
+    "ServiceConcurrency",
+    "SlotRequest",
+]
 
 
 @frozen(kw_only=True)
@@ -51,3 +57,10 @@
 
     next_ticket: int = 0
     by_service: Map[ServiceName, RequestQueue] = Map()
+
+
+@frozen(kw_only=True)
+class ServiceConcurrency:
+    """Count the requests of each service that this host handles now."""
+
+    by_service: Map[ServiceName, int] = Map()
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -22,6 +22,8 @@
 HOST = "hulo84.example"
 BACKEND_PORT = 9001
 BACKLOG = 256
+DEADLINE_S = 2.0
+PATIENCE_S = 4.0
 LENGTH_FIELD = "content-length"
 
 
@@ -177,16 +179,26 @@
         self.processes.append(process)
         return process
 
-    def send(self, method: str, target: str, request_id: str) -> Answer | None:
-        """Send a request to the first gateway; return None without an answer."""
+    def send(
+        self,
+        method: str,
+        target: str,
+        request_id: str,
+        *,
+        patience_s: float = PATIENCE_S,
+    ) -> Answer | None:
+        """Send a request to the first gateway; return None without an answer in time.
+
+        The request itself states a deadline of `DEADLINE_S`.
+        """
         headers = {
             "Host": HOST,
             "Snipespring-Request-Id": request_id,
-            "Snipespring-Deadline-Ms": "2000",
+            "Snipespring-Deadline-Ms": str(int(DEADLINE_S * 1000)),
         }
         address = f"{self.network}.1.1:8080"
         try:
-            return call(address, method, target, headers=headers, timeout_s=4.0)
+            return call(address, method, target, headers=headers, timeout_s=patience_s)
         except (OSError, HTTPException):
             return None
 
