--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -4,10 +4,11 @@
 import socket
 import subprocess
 import sys
+import uuid
 from collections.abc import Callable
 from http.client import HTTPException
 from pathlib import Path
-from threading import Thread
+from threading import Event, Thread
 from typing import Any
 
 import yaml
@@ -202,6 +203,49 @@
         except (OSError, HTTPException):
             return None
 
+    def send_until(
+        self, stopping: Event, service: str, pause_s: float, patience_s: float
+    ) -> list[int | None]:
+        """Send requests to a service; return their statuses, None if out of time."""
+        method = "GET" if self.kinds[service] == "safe" else "POST"
+        statuses: list[int | None] = []
+        while not stopping.wait(pause_s):
+            answer = self.send(
+                method, f"/{service}/x", uuid.uuid4().hex, patience_s=patience_s
+            )
+            statuses.append(None if answer is None else answer.status)
+        return statuses
+
+    def load(
+        self,
+        callers: dict[str, int],
+        duration_s: float,
+        *,
+        pauses_s: dict[str, float],
+        patience_s: float = PATIENCE_S,
+    ) -> dict[str, list[int | None]]:
+        """Let callers of each service send for a time; return the statuses."""
+        stopping = Event()
+        statuses: dict[str, list[int | None]] = {service: [] for service in callers}
+
+        def run(service: str) -> None:
+            pause_s = pauses_s[service]
+            found = self.send_until(stopping, service, pause_s, patience_s)
+            statuses[service].extend(found)
+
+        threads = [
+            Thread(target=run, args=(service,))
+            for service, count in callers.items()
+            for _ in range(count)
+        ]
+        for thread in threads:
+            thread.start()
+        stopping.wait(duration_s)
+        stopping.set()
+        for thread in threads:
+            thread.join()
+        return statuses
+
     def read_peak_mib(self) -> float:
         """Return the most memory that the first gateway has had resident."""
         status = Path(f"/proc/{self.processes[0].pid}/status").read_text()
--- a/tests/test_bulkheads.py
+++ b/tests/test_bulkheads.py
@@ -1,9 +1,7 @@
 """Drive a gateway process while all servers of one service are at fault."""
 
 import socket
-import threading
 import time
-import uuid
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -55,18 +53,6 @@
     running.close()
 
 
-def load(
-    fleet: GatewayFleet, service: str, pause_s: float, stopping: threading.Event
-) -> list[int | None]:
-    """Send requests until stopped; return their statuses, None if out of time."""
-    method, statuses = ("GET" if service == "histories" else "POST"), []
-    while not stopping.wait(pause_s):
-        request_id = uuid.uuid4().hex
-        found = fleet.send(method, f"/{service}/x", request_id, patience_s=DEADLINE_S)
-        statuses.append(None if found is None else found.status)
-    return statuses
-
-
 @pytest.mark.parametrize("fault", list(FAULTS))
 @pytest.mark.parametrize("faulty", [["ledger"], ["ledger", "stock"]])
 def test_services_at_fault_leave_a_host_to_the_others(
@@ -77,22 +63,13 @@
         for _ in range(2):
             fleet.add_server(service, FAULTS[fault] if service in faulty else answer)
     fleet.start_gateway()
-    stopping, statuses = threading.Event(), []
-
-    def load_sound() -> None:
-        statuses.extend(load(fleet, "histories", 0.05, stopping))
-
-    threads = [
-        threading.Thread(target=load, args=(fleet, service, 0.02, stopping))
-        for service in faulty
-        for _ in range(CALLERS // len(faulty))
-    ]
-    threads += [threading.Thread(target=load_sound) for _ in range(4)]
-    for thread in threads:
-        thread.start()
-    time.sleep(LOAD_S)
-    stopping.set()
-    for thread in threads:
-        thread.join()
+    callers = {service: CALLERS // len(faulty) for service in faulty}
+    pauses_s = dict.fromkeys(faulty, 0.02)
+    statuses = fleet.load(
+        {**callers, "histories": 4},
+        LOAD_S,
+        pauses_s={**pauses_s, "histories": 0.05},
+        patience_s=DEADLINE_S,
+    )["histories"]
     assert len(statuses) > 4
     assert statuses.count(200) >= SERVED_SHARE * len(statuses)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,9 +1,7 @@
 """Drive a gateway process whose servers send bytes without end."""
 
 import socket
-import threading
 import time
-import uuid
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
@@ -85,24 +83,12 @@
     fleet: GatewayFleet, trouble: Trouble, form: str
 ) -> None:
     # Guards against a host that keeps what faulty servers send until it has no memory.
-    stopping = threading.Event()
-    statuses: list[int | None] = []
-
-    def load(method: str, service: str, pause_s: float, kept: list[int | None]) -> None:
-        while not stopping.wait(pause_s):
-            answer = fleet.send(method, f"/{service}/x", uuid.uuid4().hex)
-            kept.append(None if answer is None else answer.status)
-
     trouble.form = form
-    loads = [("POST", "ledger", 0.0, [])] * CALLERS
-    loads += [("GET", "histories", 0.1, statuses)] * 4
-    threads = [threading.Thread(target=load, args=args) for args in loads]
-    for thread in threads:
-        thread.start()
-    time.sleep(TROUBLE_S)
-    stopping.set()
-    for thread in threads:
-        thread.join()
+    statuses = fleet.load(
+        {"ledger": CALLERS, "histories": 4},
+        TROUBLE_S,
+        pauses_s={"ledger": 0.0, "histories": 0.1},
+    )["histories"]
     trouble.form = None
     assert fleet.processes[0].poll() is None
     assert fleet.read_peak_mib() < MEMORY_MIB
