Complete stale first reads by the relay and leave outages to probes

They are not in force before a hub has completed and confirmed them; a query of a first listing may be answered with a complete list. `host.bootstrap` marks a first start, whose listings wait until the list has stopped growing. The second hub watches if the first one does not reach the store. Other hosts probe before they call, and after an outage leave the reads to their hubs. Calls are counted by pages and purpose.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -52,6 +52,12 @@
     make_server_query,
     record_server_mark,
 )
+from ..decisions.store_calls import (
+    WatchDuty,
+    WatchRank,
+    choose_watch_duty,
+    is_relay_old,
+)
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
@@ -125,6 +131,7 @@
     _silent_since_s: dict[HostId, float] = field(factory=dict, init=False)
     _sent: dict[int | None, _SentReport] = field(factory=dict, init=False)
     _last_sent_serving: tuple[HostId, ...] | None = field(default=None, init=False)
+    _watch_duty: WatchDuty = field(factory=WatchDuty, init=False)
 
     def step(self) -> float:
         """Report to the hubs; as the first hub, send a summary to the other domains."""
@@ -150,15 +157,15 @@
                 now_s=now_s,
             )
             is_due = request is not None or self._sequence % BACKUP_REPORT_ROUNDS == 0
+            # The second hub may reach the store while the first one does not.
+            is_due = is_due or is_relay_old(self.board.read(STORE_RELAY), now_s=now_s)
             if hub.host_id != self.own_host.host_id:
                 if is_due:
                     self._send_report(hub, evolve(report, request=request), now_s)
             elif request is not None:
                 self._update_own_view(now_s)
         is_first = bool(hubs) and hubs[0].host_id == self.own_host.host_id
-        # Before the first listing every host takes itself for the only one.
-        is_listed = self.board.read(HOST_FEED).confirmed_s is not None
-        is_watcher = is_first and is_listed
+        is_watcher = self._update_duty(hubs, now_s)
         self._update_relay(lambda relay: set_watcher(relay, is_watcher=is_watcher))
         if is_first:
             self._send_summary(now_s)
@@ -196,6 +203,24 @@
         """Report at once, because this host begins to leave."""
         self.step()
 
+    def _update_duty(self, hubs: tuple[PublishedHost, ...], now_s: float) -> bool:
+        """Return whether this host watches the store for its failure domain."""
+        own_id = self.own_host.host_id
+        # Before the first listing every host takes itself for the only one.
+        is_listed = self.board.read(HOST_FEED).confirmed_s is not None
+        rank = WatchRank.NONE
+        if is_listed and is_hub(hubs, own_id):
+            is_first = hubs[0].host_id == own_id
+            rank = WatchRank.FIRST if is_first else WatchRank.SECOND
+        self._watch_duty = choose_watch_duty(
+            self._watch_duty,
+            rank,
+            self.board.read(STORE_RELAY),
+            self.board.read(STORE_REACH),
+            now_s=now_s,
+        )
+        return self._watch_duty.is_watcher
+
     def _update_hubs(self, hubs: DomainHubs) -> None:
         self.board.update(
             DOMAIN_HUBS, lambda old: old if old == hubs else hubs, writer=self.name
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -11,7 +11,7 @@
 from attrs import define, evolve, field
 
 from ..blackboard import Board, Region
-from ..blackboard.regions import RELAY_NOTICE, STORE_RELAY
+from ..blackboard.regions import HOST_FEED, RELAY_NOTICE, STORE_REACH, STORE_RELAY
 from ..decisions.confirmations import (
     QueryStore,
     ReadNewerVersion,
@@ -20,7 +20,21 @@
     adopt_stale_listing,
     check_relay,
 )
-from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
+from ..decisions.feeds import (
+    SkippedItem,
+    adopt_stale_items,
+    apply_listing,
+    apply_watch_answer,
+    confirm_view,
+)
+from ..decisions.first_reads import (
+    AwaitFirstRelay,
+    ConfirmFirstRead,
+    FirstReadLimits,
+    check_first_configuration,
+    check_first_servers,
+    latest_fresh_read_s,
+)
 from ..decisions.membership import draw_backoff_s
 from ..decisions.outages import extend_span
 from ..decisions.server_relay import (
@@ -28,6 +42,7 @@
     apply_server_changes,
     check_server_relay,
 )
+from ..decisions.store_calls import earliest_call_s, find_reach_s
 from ..records import (
     Configuration,
     FeedChanges,
@@ -37,19 +52,37 @@
     FeedView,
     PublishedServer,
     ServerChanges,
+    StoreRelay,
     StoreStep,
 )
 from ..utils import Clock
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
 
-__all__ = ["ConfigurationFollower", "Feed", "FeedFollower", "ServerFollower"]
+__all__ = [
+    "ConfigurationFollower",
+    "Feed",
+    "FeedFollower",
+    "ServerFollower",
+    "count_listing",
+]
 
 T = TypeVar("T")
 
 MAX_BACKOFF_S = 0.5  # limits the time until a recovered store is queried again
 # Pause after a change, so that the next answer carries several changes.
 CHANGE_BATCH_PAUSE_S = 0.4
+# After this many failed calls in a row, only probes, which cost less, test the store.
+PROMPT_RETRIES = 2
+# A host asks again after this time even if no probe was answered. A stale read costs as
+# little as a probe.
+RETRY_INTERVAL_S = 10.0
+STALE_RETRY_S = 2.0
+# How often a host checks whether the store has answered a probe or the relay is back.
+RECHECK_INTERVAL_S = 0.25
+# A watching host whose confirmation is older than this share of the limit has just
+# begun to watch, and reads the configuration instead of waiting for a change.
+LATE_CONFIRMATION_SHARE = 0.6
 
 
 class Feed(Protocol[T]):
@@ -86,9 +119,14 @@
     wait_s: float
     outage_s: float
     lists_when_behind: bool = False
+    first_reads: FirstReadLimits = field(factory=FirstReadLimits)
     watches: tuple[Region[Any], ...] = field(default=(), init=False)
     _next_step_s: float = field(default=0.0, init=False)
     _failures: int = field(default=0, init=False)
+    _failed_s: float = field(default=0.0, init=False)
+    _retry_s: float = field(default=0.0, init=False)
+    _started_s: float | None = field(default=None, init=False)
+    _spread_share: float = field(default=0.0, init=False)
 
     @property
     def name(self) -> str:
@@ -100,9 +138,9 @@
         known = self.board.read(self.region)
         sent_s = self.clock.monotonic_s()
         is_behind = is_behind or self._failures > 0
-        if known.revision is None or (self.lists_when_behind and is_behind):
-            self.metrics.count("store_calls", f"{self.name}_list")
-            listed = self.feed.list_items()
+        is_unknown = known.revision is None or known.is_stale
+        if is_unknown or (self.lists_when_behind and is_behind):
+            listed = self.list_items("list")
             match listed:
                 case FeedListing():
                     now_s = self.clock.monotonic_s()
@@ -114,7 +152,7 @@
                 case FeedUnavailable():
                     return self._handle_failure(listed)
         self.metrics.count("store_calls", f"{self.name}_watch")
-        answer = self.feed.watch(after=known.revision, wait_s=self.wait_s)
+        answer = self.feed.watch(after=known.revision or 0, wait_s=self.wait_s)
         match answer:
             case FeedUnavailable():
                 return self._handle_failure(answer)
@@ -127,18 +165,96 @@
                 )
                 return CHANGE_BATCH_PAUSE_S if _has_changes(answer) else pause_s
 
+    def list_items(
+        self, purpose: str, *, may_be_stale: bool = False
+    ) -> FeedListing[T] | FeedUnavailable:
+        """List the items and count the calls by their purpose."""
+        listed = self.feed.list_items(may_be_stale=may_be_stale)
+        count_listing(self.metrics, f"{self.name}_{purpose}", listed)
+        return listed
+
     def is_due(self) -> bool:
         """Return whether the pause after the last step is over."""
-        return self.clock.monotonic_s() >= self._next_step_s
+        return self.clock.monotonic_s() >= self._find_due_s()
+
+    def is_unread(self) -> bool:
+        """Return whether nothing has been read since the start, even if stale."""
+        known = self.board.read(self.region)
+        return known.revision is None and known.confirmed_s is None
+
+    def read_stale_when_due(self) -> float:
+        """Read a first listing that may be stale; return seconds to wait."""
+        now_s = self.clock.monotonic_s()
+        if self._started_s is None:
+            self._started_s, self._spread_share = now_s, self.rng.random()
+        if now_s < self._next_step_s:
+            return self._next_step_s - now_s
+        match self.list_items("first", may_be_stale=True):
+            case FeedUnavailable() as failure:
+                self._handle_failure(failure)
+                pause_s = draw_backoff_s(
+                    self._failures, max_s=STALE_RETRY_S, rng=self.rng
+                )
+                self._next_step_s = self.clock.monotonic_s() + pause_s
+                return pause_s
+            case FeedListing() as listing:
+                view = adopt_stale_items(listing)
+                self.board.write(self.region, view, writer=self.name)
+                self._failures = 0
+                return 0.0
+
+    def find_fresh_read_s(self) -> float:
+        """Return until when a hub may complete the first listing."""
+        return latest_fresh_read_s(
+            self.board.read(HOST_FEED),
+            self.first_reads,
+            started_s=self._started_s or 0.0,
+            share=self._spread_share,
+        )
+
+    def confirm_first_read(self, sent_s: float) -> None:
+        """Put the first listing in force, which a hub has completed."""
+        self.board.update(
+            self.region,
+            lambda view: confirm_view(view, sent_s=sent_s),
+            writer=self.name,
+        )
+        self.metrics.count("store_relayed", f"{self.name}_first")
 
     def step_when_due(self, *, is_behind: bool = False) -> float:
         """Do one step unless the pause after the last one lasts; return seconds."""
         if not self.is_due():
-            return self._next_step_s - self.clock.monotonic_s()
+            wait_s = self._find_due_s() - self.clock.monotonic_s()
+            is_gated = self._failures >= PROMPT_RETRIES
+            return min(wait_s, RECHECK_INTERVAL_S) if is_gated else wait_s
         pause_s = self.step(is_behind=is_behind)
         self._next_step_s = self.clock.monotonic_s() + pause_s
         return pause_s
 
+    def query_when_allowed(self, *, is_behind: bool = False) -> float:
+        """Query the store unless a probe or the hubs come first; return seconds."""
+        now_s = self.clock.monotonic_s()
+        call_s = earliest_call_s(
+            self.board.read(STORE_RELAY),
+            self.board.read(STORE_REACH),
+            now_s=now_s,
+        )
+        if call_s is None:
+            return RECHECK_INTERVAL_S
+        if now_s < call_s:
+            return min(call_s - now_s, RECHECK_INTERVAL_S)
+        return self.step_when_due(is_behind=is_behind)
+
+    def _find_due_s(self) -> float:
+        if self._failures < PROMPT_RETRIES:
+            return self._next_step_s
+        reached_s = find_reach_s(
+            self.board.read(STORE_RELAY), self.board.read(STORE_REACH)
+        )
+        if reached_s is not None and reached_s > self._failed_s:
+            return self._next_step_s
+        return max(self._next_step_s, self._failed_s + self._retry_s)
+
     def _update_view(
         self,
         change: Callable[[FeedView[T]], tuple[FeedView[T], tuple[SkippedItem, ...]]],
@@ -162,6 +278,8 @@
         if self._failures == 0:
             self._record(f"store unavailable: {failure.reason}")
         self._failures += 1
+        self._failed_s = self.clock.monotonic_s()
+        self._retry_s = RETRY_INTERVAL_S * self.rng.uniform(0.75, 1.25)
         self.metrics.count("store_failures", self.name)
         return draw_backoff_s(self._failures, max_s=MAX_BACKOFF_S, rng=self.rng)
 
@@ -172,6 +290,17 @@
         self.event_recorder.record(event)
 
 
+def count_listing(
+    metrics: MetricsRecorder, label: str, listed: FeedListing[Any] | FeedUnavailable
+) -> None:
+    """Count the calls of a listing, one for each page."""
+    match listed:
+        case FeedListing(calls=calls):
+            metrics.count("store_calls", label, calls)
+        case FeedUnavailable():
+            metrics.count("store_calls", label)
+
+
 def _has_changes(answer: FeedChanges[T] | FeedGap) -> bool:
     match answer:
         case FeedChanges(changes=changes):
@@ -190,7 +319,9 @@
     feed_follower: FeedFollower[Configuration]
     limits: RelayLimits
     _tried_version: int = field(default=0, init=False)
-    watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
+    watches: tuple[Region[Any], ...] = field(
+        default=(RELAY_NOTICE, STORE_REACH), init=False
+    )
 
     @property
     def name(self) -> str:
@@ -203,6 +334,10 @@
         now_s = follower.clock.monotonic_s()
         known = board.read(follower.region)
         relay = board.read(STORE_RELAY)
+        if follower.is_unread() and not relay.is_watcher:
+            return follower.read_stale_when_due()
+        if known.is_stale:
+            return self._complete_first_read(known, relay, now_s)
         match check_relay(known, relay, self.limits, now_s=now_s):
             case ReadNewerVersion(version=version) if (
                 follower.is_due() and self._read_version(version)
@@ -211,12 +346,42 @@
             case ReadNewerVersion():
                 return follower.step_when_due(is_behind=True)
             case QueryStore():
-                return follower.step_when_due()
+                is_late = known.confirmed_s is not None and (
+                    now_s - known.confirmed_s
+                    > LATE_CONFIRMATION_SHARE * self.limits.confirmed_s
+                )
+                return follower.query_when_allowed(
+                    is_behind=is_late and relay.is_watcher
+                )
             case UseRelayedConfirmation(view=view, next_query_s=next_query_s):
                 if view != known:
                     board.write(follower.region, view, writer=self.name)
                 return next_query_s - now_s
 
+    def _complete_first_read(
+        self, known: FeedView[Configuration], relay: StoreRelay, now_s: float
+    ) -> float:
+        follower = self.feed_follower
+        decision = check_first_configuration(
+            known,
+            relay,
+            limit_s=self.limits.confirmed_s,
+            latest_s=follower.find_fresh_read_s(),
+            now_s=now_s,
+        )
+        match decision:
+            case ReadNewerVersion(version=version) if (
+                follower.is_due() and self._read_version(version)
+            ):
+                return 0.0
+            case ReadNewerVersion() | QueryStore():
+                return follower.step_when_due()
+            case AwaitFirstRelay(next_check_s=next_check_s):
+                return next_check_s - now_s
+            case ConfirmFirstRead(sent_s=sent_s):
+                follower.confirm_first_read(sent_s)
+                return 0.0
+
     def _read_version(self, version: int) -> bool:
         """Read a version by a stale read, which costs least; return whether it has it.
 
@@ -226,8 +391,7 @@
             return False
         self._tried_version = version
         follower = self.feed_follower
-        follower.metrics.count("store_calls", f"{self.name}_stale")
-        match follower.feed.list_items(may_be_stale=True):
+        match follower.list_items("stale", may_be_stale=True):
             case FeedUnavailable():
                 return False
             case FeedListing() as listing:
@@ -250,7 +414,9 @@
 
     feed_follower: FeedFollower[PublishedServer]
     limit_s: float
-    watches: tuple[Region[Any], ...] = field(default=(RELAY_NOTICE,), init=False)
+    watches: tuple[Region[Any], ...] = field(
+        default=(RELAY_NOTICE, STORE_REACH), init=False
+    )
 
     @property
     def name(self) -> str:
@@ -262,12 +428,36 @@
         follower, board = self.feed_follower, self.feed_follower.board
         now_s = follower.clock.monotonic_s()
         known, relay = board.read(follower.region), board.read(STORE_RELAY)
+        if follower.is_unread() and not relay.is_watcher:
+            return follower.read_stale_when_due()
+        if known.is_stale:
+            return self._complete_first_read(known, relay, now_s)
         match check_server_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
             case QueryStore():
-                return follower.step_when_due()
+                return follower.query_when_allowed()
             case AwaitRelay(next_check_s=next_check_s):
                 return next_check_s - now_s
 
+    def _complete_first_read(
+        self, known: FeedView[PublishedServer], relay: StoreRelay, now_s: float
+    ) -> float:
+        follower = self.feed_follower
+        decision = check_first_servers(
+            known,
+            relay,
+            limit_s=self.limit_s,
+            latest_s=follower.find_fresh_read_s(),
+            now_s=now_s,
+        )
+        match decision:
+            case QueryStore():
+                return follower.step_when_due()
+            case AwaitFirstRelay(next_check_s=next_check_s):
+                return next_check_s - now_s
+            case ConfirmFirstRead(sent_s=sent_s):
+                follower.confirm_first_read(sent_s)
+                return 0.0
+
     def receive_changes(self, changes: ServerChanges) -> None:
         """Apply changes to servers that another host has relayed."""
         follower = self.feed_follower
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -24,6 +24,7 @@
 from ..decisions.catalog import RetryBounds
 from ..decisions.confirmations import RelayLimits
 from ..decisions.domains import AddressListLimits
+from ..decisions.first_reads import FirstReadLimits
 from ..decisions.outages import shortest_outage_s
 from ..frontends.http_server import HttpServer, WsgiApp
 from ..frontends.operators import OperatorsApp
@@ -57,7 +58,8 @@
 NOTICE_FRACTION = 0.4
 # Longest watch, as a fraction of the time in which a revoked key has to be refused. A
 # watch confirms the configuration as of the time when the watch began, so that the age
-# of a confirmation reaches twice the length of a watch.
+# of a confirmation reaches twice the length of a watch. With 0.28, all hosts called the
+# store at the beginning of an outage, because their confirmations were too old.
 WATCH_FRACTION = 0.24
 # A host queries the store itself after this fraction of that time without a newer
 # confirmation,
@@ -70,6 +72,8 @@
 # Longest watch of the list of servers. It may be long, since keep-alive probes detect
 # a dead connection sooner.
 SERVER_WATCH_TIMEOUT_S = 20.0
+# At the first start of a fleet, its hosts are known after 5 to 10 s.
+FIRST_START_READS = FirstReadLimits(hosts_s=8.0, relay_s=1.5)
 # The lease ends this long before the last time when a revoked key may be used.
 LEASE_MARGIN_S = 0.5
 # Safety factor: each host enforces the retry budget by itself, at this fraction of it.
@@ -166,6 +170,8 @@
             host_id=context.own_host.host_id,
             interval_s=PROBE_FRACTION * notice_s,
             outage_s=context.outage_s,
+            relay_limit_s=limits.reached_s,
+            rng=process.rng,
         ),
         _build_registrar(context),
         CatalogBuilder(
@@ -227,6 +233,9 @@
         wait_s=wait_s,
         outage_s=context.outage_s,
         lists_when_behind=lists_when_behind,
+        first_reads=FIRST_START_READS
+        if context.settings.host.bootstrap
+        else FirstReadLimits(),
     )
 
 
@@ -241,6 +250,7 @@
         registry=registry,
         feed=registry.feed(),
         own_host=context.own_host,
+        is_first_start=context.settings.host.bootstrap,
     )
 
 
--- a/snipespring/decisions/catalog.py
+++ b/snipespring/decisions/catalog.py
@@ -29,8 +29,13 @@
 def select_newest_configuration(
     current: Configuration, view: FeedView[Configuration]
 ) -> Configuration:
-    """Return the newest of the current and the published configurations."""
+    """Return the newest of the current and the published configurations.
+
+    A stale view puts nothing in force.
+    """
     newest = current
+    if view.is_stale:
+        return newest
     for published in view.items.values():
         if published.version > newest.version:
             newest = published
--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -5,6 +5,7 @@
 from typing import TypeVar
 
 from attrs import evolve, frozen
+from immutables import Map
 
 from ..records import (
     FeedChanges,
@@ -18,8 +19,10 @@
 
 __all__ = [
     "SkippedItem",
+    "adopt_stale_items",
     "apply_watch_answer",
     "apply_listing",
+    "confirm_view",
     "list_active_servers",
     "next_removal_s",
 ]
@@ -44,7 +47,7 @@
     that is older than the feed only confirms that the store answers.
     """
     if view.revision is not None and listing.revision < view.revision:
-        return _mark_confirmed(view, sent_s=sent_s), ()
+        return confirm_view(view, sent_s=sent_s), ()
     items = view.items
     listed = {item.name for item in listing.items}
     missing = tuple(
@@ -57,7 +60,15 @@
     view, skipped = _apply_items(
         view, (*missing, *listing.items), listing.revision, now_s
     )
-    return _mark_confirmed(view, sent_s=sent_s), skipped
+    return confirm_view(view, sent_s=sent_s), skipped
+
+
+def adopt_stale_items(listing: FeedListing[T]) -> FeedView[T]:
+    """Return the feed from a first listing that may be stale and confirms nothing."""
+    view: FeedView[T] = FeedView(
+        revision=listing.revision, complete_after=listing.revision, is_stale=True
+    )
+    return _apply_items(view, listing.items, listing.revision, 0.0)[0]
 
 
 def apply_watch_answer(
@@ -71,11 +82,11 @@
     match answer:
         case FeedChanges(revision=revision) if revision < (view.revision or 0):
             # Another host has relayed these changes and later ones meanwhile.
-            return _mark_confirmed(view, sent_s=sent_s), ()
+            return confirm_view(view, sent_s=sent_s), ()
         case FeedChanges(changes=changes, revision=revision):
             view, skipped = _apply_items(view, changes, revision, now_s)
             view = evolve(view, revision=revision)
-            return _mark_confirmed(view, sent_s=sent_s), skipped
+            return confirm_view(view, sent_s=sent_s), skipped
         case FeedGap():
             return evolve(view, revision=None), ()
 
@@ -91,8 +102,11 @@
 
     A server found missing within `grace_s` seconds after the store recovered from an
     outage, at `recovered_s`, stays active until the end of that time: during an outage,
-    the entry of a running server can expire because it cannot be renewed.
+    the entry of a running server can expire because it cannot be renewed. A stale view
+    gives none, since its servers may have left.
     """
+    if view.is_stale:
+        return ()
     return tuple(
         server
         for name, server in view.items.items()
@@ -156,5 +170,16 @@
     return view, tuple(skipped)
 
 
-def _mark_confirmed(view: FeedView[T], *, sent_s: float) -> FeedView[T]:
+def confirm_view(view: FeedView[T], *, sent_s: float) -> FeedView[T]:
+    """Return the feed as confirmed by a request that was sent at `sent_s`.
+
+    Items of a stale view that have left since are dropped, so that they get no grace.
+    """
+    if view.is_stale:
+        kept = {
+            name: item
+            for name, item in view.items.items()
+            if name not in view.removed_s
+        }
+        view = evolve(view, items=Map(kept), removed_s=Map(), is_stale=False)
     return evolve(view, confirmed_s=max(sent_s, view.confirmed_s or sent_s))
--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -61,8 +61,10 @@
 
 
 def make_server_mark(view: FeedView[PublishedServer]) -> ServerMark | None:
-    """Return up to which revision the servers are known, None before a listing."""
-    return None if view.revision is None else ServerMark(revision=view.revision)
+    """Return up to which revision the servers are known, None before a confirmation."""
+    if view.revision is None or view.is_stale:
+        return None
+    return ServerMark(revision=view.revision)
 
 
 def make_server_query(
@@ -71,7 +73,7 @@
     """Return the query for changes that another host knows, None if there are none."""
     if mark is None or view.revision is None or mark.revision <= view.revision:
         return None
-    return ServerQuery(sender=own_id, after=view.revision)
+    return ServerQuery(sender=own_id, after=view.revision, is_first=view.is_stale)
 
 
 def record_server_mark(
@@ -83,6 +85,8 @@
 ) -> StoreRelay:
     """Return the relay state after a digest; the same object if nothing changes."""
     awaited, known = relay.awaited, view.revision or 0
+    if mark is not None and mark != relay.servers:
+        relay = evolve(relay, servers=mark)
     if awaited is not None and awaited.revision > known:
         return relay
     if mark is not None and mark.revision > known:
@@ -101,18 +105,24 @@
 ) -> ServerChanges | None:
     """Return the changes after a revision, None if there are none or too many.
 
-    None is returned too if changes are asked for that this host may not know.
+    None is returned too if changes are asked for that this host may not know, unless a
+    complete list serves the sender.
     """
-    if view.revision is None or view.revision <= query.after:
+    if view.revision is None or view.revision <= query.after or view.is_stale:
         return None
-    if view.complete_after is None or query.after < view.complete_after:
+    is_known = view.complete_after is not None and query.after >= view.complete_after
+    if not is_known and not query.is_first:
         return None
+    if is_known:
+        names = [name for name, rev in view.changed.items() if rev > query.after]
+    else:
+        names = [name for name in view.items if name not in view.removed_s]
     changes = tuple(
         ServerChange(
-            name=name, server=None if name in view.removed_s else view.items[name]
+            name=name,
+            server=None if name in view.removed_s else view.items.get(name),
         )
-        for name, revision in view.changed.items()
-        if revision > query.after
+        for name in names
     )
     if len(changes) > MAX_CHANGES:
         return None
@@ -122,6 +132,7 @@
         until=view.revision,
         recovered_age_s=recovered_age_s,
         changes=changes,
+        is_complete=not is_known,
     )
 
 
@@ -132,6 +143,11 @@
     if view.revision is None or not received.after <= view.revision < received.until:
         return view
     items, removed, changed = view.items, view.removed_s, view.changed
+    if received.is_complete:
+        listed = {change.name for change in received.changes}
+        for name in set(items) - listed - set(removed):
+            removed = removed.set(name, now_s)
+            changed = changed.set(name, received.until)
     for change in received.changes:
         name = change.name
         match change.server:
@@ -147,4 +163,5 @@
         removed_s=removed,
         changed=changed,
         revision=received.until,
+        complete_after=received.until if received.is_complete else view.complete_after,
     )
--- a/snipespring/decisions/tests/test_server_relay.py
+++ b/snipespring/decisions/tests/test_server_relay.py
@@ -8,7 +8,13 @@
 from hypothesis import strategies as st
 
 from snipespring.decisions.confirmations import QueryStore
-from snipespring.decisions.feeds import apply_listing, apply_watch_answer
+from snipespring.decisions.feeds import (
+    adopt_stale_items,
+    apply_listing,
+    apply_watch_answer,
+    confirm_view,
+    list_active_servers,
+)
 from snipespring.decisions.server_relay import (
     MAX_CHANGES,
     AwaitRelay,
@@ -161,6 +167,25 @@
     assert set(active(catch_up(caught_up, started_again))) == {"b", "c"}
 
 
+def test_a_complete_list_replaces_a_first_listing_of_any_age() -> None:
+    # Guards against a stale first listing that is completed without the servers that
+    # left or came before the hub began to watch, or that gives them a grace time.
+    hub = watch(list_all(["b", "c"], 5), 6, item("d", 6, server("d")))
+    names = [item(name, 2, server(name)) for name in "abx"]
+    own = adopt_stale_items(FeedListing(items=tuple(names), revision=2))
+    at_s = {"grace_s": 2.0, "now_s": 3.0}
+    assert list_active_servers(own, recovered_s=2.5, **at_s) == ()
+    assert make_server_mark(own) is None
+    assert answer(own, ServerQuery(sender=OWN, after=1, is_first=True)) is None
+    own = catch_up(own, hub)
+    assert (own.revision, own.complete_after) == (6, 6)
+    own = confirm_view(own, sent_s=2.0)
+    assert set(active(own)) == {"b", "c", "d"}
+    assert {
+        entry.instance for entry in list_active_servers(own, recovered_s=2.5, **at_s)
+    } == {"b", "c", "d"}
+
+
 def test_a_server_that_came_and_left_unseen_is_passed_on_as_removed() -> None:
     hub = watch(list_all([], 1), 3, item("a", 3, None))
     middle = catch_up(list_all([], 1), hub)
--- a/snipespring/frontends/outer_names.py
+++ b/snipespring/frontends/outer_names.py
@@ -17,6 +17,7 @@
     "EjectionListCopy": "HeldList",
     "EvidencePool": "Pool",
     "EvidencePools": "PoolBoard",
+    "GatewayHostSettings": "HostSettings",
     "HostContacts": "HeardHosts",
     "ObservedObject": "Sighting",
     "ObservedRoster": "RosterSeen",
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -56,9 +56,9 @@
         match self.store.list_objects(self.kind, may_be_stale=may_be_stale):
             case PlatformUnavailable(reason=reason):
                 return FeedUnavailable(reason=reason)
-            case ObjectListing(objects=objects, revision=revision):
+            case ObjectListing(objects=objects, revision=revision, pages=pages):
                 items = tuple(self._make_item(obj) for obj in objects)
-                return FeedListing(items=items, revision=revision)
+                return FeedListing(items=items, revision=revision, calls=pages)
 
     def watch(
         self, *, after: int, wait_s: float
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -56,10 +56,14 @@
 
 @frozen(kw_only=True)
 class ObjectListing:
-    """Represent the objects of a kind and the revision from which to watch."""
+    """Represent the objects of a kind and the revision from which to watch.
+
+    The store was called once for each of the `pages`.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    pages: int = 1
 
 
 @frozen(kw_only=True)
@@ -113,8 +117,10 @@
         """Return all objects of a kind, maybe seconds old with `may_be_stale`."""
         objects: list[StoredObject] = []
         revision: int | None = None
+        pages = 0
         query: dict[str, object] = {"AllowStale": 1} if may_be_stale else {}
         while True:
+            pages += 1
             response = self._call(
                 "GET", _make_path(kind, "", query), None, self.timeout_s
             )
@@ -128,10 +134,14 @@
             if page is None:
                 return PlatformUnavailable(reason="malformed listing")
             objects += page.objects
-            # A watch from the first page's revision reports changes between pages.
-            revision = page.revision if revision is None else revision
+            # A watch from the oldest page's revision reports changes between pages. A
+            # later page may be the older one if both may be stale.
+            if revision is None or page.revision < revision:
+                revision = page.revision
             if not content.get("HasMore") or not page.objects:
-                return ObjectListing(objects=tuple(objects), revision=revision)
+                return ObjectListing(
+                    objects=tuple(objects), revision=revision, pages=pages
+                )
             query["after"] = page.objects[-1].name
 
     def watch(
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -88,10 +88,11 @@
 
 @frozen(kw_only=True)
 class FeedListing(Generic[T]):
-    """List all items at one revision of the store."""
+    """List all items at one revision of the store, read by some `calls`."""
 
     items: tuple[FeedItem[T], ...]
     revision: int
+    calls: int = 1
 
 
 @frozen(kw_only=True)
@@ -133,7 +134,9 @@
     holds every item that changed after `complete_after`. Times are local monotonic
     ones. `confirmed_s` is the time at which the latest answered request was sent,
     `removed_s` the time at which an item was found missing, and `available` the span
-    in which the store answered the calls of this feed.
+    in which the store answered the calls of this feed. A view with `is_stale` is from a
+    listing that may be seconds old; it is not in force before a host that reaches the
+    store has confirmed it.
     """
 
     items: Map[str, T] = field(default=Map(), repr=False)
@@ -143,6 +146,7 @@
     complete_after: int | None = None
     confirmed_s: float | None = None
     available: AvailableSpan | None = None
+    is_stale: bool = False
 
 
 @frozen(kw_only=True)
@@ -162,11 +166,13 @@
 class StoreReach:
     """Record when the latest probe that the store answered was sent.
 
-    `available` is the span in which the store answered probes.
+    `available` is the span in which the store answered probes, `recovered_s` the time
+    of the latest answer after probes that had failed.
     """
 
     reached_s: float | None = None
     available: AvailableSpan | None = None
+    recovered_s: float | None = None
 
 
 @frozen(kw_only=True)
@@ -186,10 +192,14 @@
 
 @frozen(kw_only=True)
 class ServerQuery:
-    """Ask a host for the changes to servers after a revision of the store."""
+    """Ask a host for the changes to servers after a revision of the store.
+
+    With `is_first`, the sender has a stale listing only, and a complete list will do.
+    """
 
     sender: HostId
     after: int
+    is_first: bool = False
 
 
 @frozen(kw_only=True)
@@ -206,6 +216,7 @@
 
     `recovered_age_s` is the time in seconds since the store recovered from an outage as
     far as the sender knows, None before its first answer. Older builds rely on it.
+    With `is_complete`, all servers are listed, whatever changed.
     """
 
     sender: HostId
@@ -213,6 +224,7 @@
     until: int
     recovered_age_s: float | None
     changes: tuple[ServerChange, ...] = ()
+    is_complete: bool = False
 
 
 @frozen(kw_only=True)
@@ -221,13 +233,15 @@
 
     A host that does not query the store uses what a watching host relays to it.
     `awaited` is None while this host knows all changes to servers that it heard of.
-    `available` is the span in which other hosts are known to have reached the store.
+    `available` is the span in which other hosts are known to have reached the store,
+    `servers` the latest mark that a host which knows the servers has relayed.
     """
 
     is_watcher: bool = False
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
     available: AvailableSpan | None = None
+    servers: ServerMark | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -36,6 +36,7 @@
     read_amount,
     read_byte_count,
     read_count,
+    read_flag,
     read_log_level,
     read_seconds,
     read_secret_source,
@@ -53,6 +54,7 @@
 _SECRET_ENV = "secret_env"
 _READERS: tuple[tuple[Any, Callable[[Any], object]], ...] = (
     (str, read_text),
+    (bool, read_flag),
     (Address, read_address),
     (AddressList, read_address_list),
     (Seconds, read_seconds),
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -12,6 +12,7 @@
     "ByteCount",
     "CallerSettings",
     "Count",
+    "GatewayHostSettings",
     "HostSettings",
     "GatewayCallerSettings",
     "GatewayListenSettings",
@@ -76,6 +77,13 @@
     region: str
 
 
+@frozen(kw_only=True)
+class GatewayHostSettings(HostSettings):
+    """Identify a gateway host; `bootstrap` marks the first start of the whole fleet."""
+
+    bootstrap: bool = False
+
+
 @frozen(kw_only=True)
 class ListenSettings:
     """Set the addresses that this host listens on."""
@@ -239,7 +247,7 @@
 class GatewaySettings:
     """Represent the settings of one gateway process on the users' platform."""
 
-    host: HostSettings
+    host: GatewayHostSettings
     listen: GatewayListenSettings
     platform: GatewayPlatformSettings
     callers: GatewayCallerSettings = field(factory=GatewayCallerSettings)
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -26,6 +26,7 @@
     "Ip": "10.1.0.24",
     "Zone": "eire-east-a",
     "Region": "eire-east",
+    "Bootstrap": True,
     "InternalPorts": [7100, 7115],
     "Listen": {
         "Front": "10.1.0.24:8045",
@@ -120,6 +121,20 @@
     assert any(problem.field.startswith(field_prefix) for problem in problems.problems)
 
 
+@pytest.mark.parametrize("given", [None, False])
+def test_a_start_is_a_restart_unless_the_platform_marks_it(
+    tmp_path: Path, given: bool | None
+) -> None:
+    # Guards against settings without the mark that no longer load, or that delay the
+    # first listing of hosts after each restart.
+    marked = load(tmp_path, render(FIELDS))
+    assert isinstance(marked, GatewaySettings)
+    assert marked.host.bootstrap
+    settings = load(tmp_path, render({**FIELDS, "Bootstrap": given}))
+    assert isinstance(settings, GatewaySettings)
+    assert not settings.host.bootstrap
+
+
 def test_bounds_may_be_fractions(tmp_path: Path) -> None:
     bounds = {**FIELDS["Bounds"], "RetryBudgetSlack": 20.476, "QuotaSlack": 1e-05}
     settings = load(tmp_path, render({**FIELDS, "Bounds": bounds}))
--- a/snipespring/settings/values.py
+++ b/snipespring/settings/values.py
@@ -35,6 +35,7 @@
     "read_amount",
     "read_byte_count",
     "read_count",
+    "read_flag",
     "read_log_level",
     "read_seconds",
     "read_secret_source",
@@ -118,6 +119,13 @@
     return ByteCount(int(Decimal(size[1]) * _BYTES_BY_UNIT[size[2]]))
 
 
+def read_flag(raw: object) -> bool:
+    """Read true or false."""
+    if not isinstance(raw, bool):
+        raise SettingsError(f"expected true or false, got {raw!r}")
+    return raw
+
+
 def read_address(raw: object) -> Address:
     """Read an IP address and a port."""
     expected = f"expected IP:PORT, got {raw!r}"
