--- a/snipespring/controllers/tests/domain_fleet.py
+++ b/snipespring/controllers/tests/domain_fleet.py
@@ -1,5 +1,7 @@
 """Simulate the domain links of a small fleet over datagrams."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 from immutables import Map
 
@@ -78,7 +80,7 @@
             items=Map({entry.host_id: entry for entry in hosts}), confirmed_s=0.0
         )
         for own_host in hosts:
-            self.links[own_host.peers] = self._make_link(own_host, registry)
+            self._make_link(own_host, registry)
 
     def _make_link(
         self, own_host: PublishedHost, registry: FeedView[PublishedHost]
@@ -88,6 +90,16 @@
         board.write(CONFIGURATION, Configuration(version=1), writer="configurator")
         board.write(LEASE, LeaseHeld(until_s=1e9), writer="lease_keeper")
         board.write(SERVER_FEED, FeedView(confirmed_s=1.0), writer="server_feed")
+        changes = self.changes.setdefault(own_host.host_id, [])
+        return self.make_bare_link(own_host, board, changes.append)
+
+    def make_bare_link(
+        self,
+        own_host: PublishedHost,
+        board: Board,
+        on_server_changes: Callable[[ServerChanges], None],
+    ) -> DomainLink:
+        """Return the link of a host that knows nothing yet, which gets datagrams."""
         instances = self.outcomes.setdefault(own_host.host_id, [])
         datagrams = FakeDatagrams(fleet=self, own_host=own_host)
         outcome_relay = OutcomeRelay(
@@ -97,7 +109,7 @@
             own_host=own_host,
             on_outcome=lambda outcome: instances.append(outcome.instance),
         )
-        return DomainLink(
+        link = DomainLink(
             board=board,
             clock=self.clock,
             datagrams=datagrams,
@@ -106,8 +118,10 @@
             window_s=5.0,
             outage_s=3.0,
             outcome_relay=outcome_relay,
-            on_server_changes=self.changes.setdefault(own_host.host_id, []).append,
+            on_server_changes=on_server_changes,
         )
+        self.links[own_host.peers] = link
+        return link
 
     def deliver(
         self, sender: PublishedHost, address: Address, message: DomainMessage
