Name the ranks of hubs by data classes; test listings of unequal age

Cause: behaviour that varies is matched on data classes in this code base, and no test guarded the revision of a stale listing whose pages differ in age.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -53,6 +53,9 @@
     record_server_mark,
 )
 from ..decisions.store_calls import (
+    FirstHub,
+    NoHub,
+    SecondHub,
     WatchDuty,
     WatchRank,
     choose_watch_duty,
@@ -208,10 +211,10 @@
         own_id = self.own_host.host_id
         # Before the first listing every host takes itself for the only one.
         is_listed = self.board.read(HOST_FEED).confirmed_s is not None
-        rank = WatchRank.NONE
+        rank: WatchRank = NoHub()
         if is_listed and is_hub(hubs, own_id):
             is_first = hubs[0].host_id == own_id
-            rank = WatchRank.FIRST if is_first else WatchRank.SECOND
+            rank = FirstHub() if is_first else SecondHub()
         self._watch_duty = choose_watch_duty(
             self._watch_duty,
             rank,
--- a/snipespring/decisions/store_calls.py
+++ b/snipespring/decisions/store_calls.py
@@ -5,7 +5,6 @@
 one; what the store holds is then read by the hosts that watch for their domains.
 """
 
-from enum import Enum, auto
 from random import Random
 
 from attrs import frozen
@@ -13,6 +12,9 @@
 from ..records import StoreReach, StoreRelay
 
 __all__ = [
+    "FirstHub",
+    "NoHub",
+    "SecondHub",
     "WatchDuty",
     "WatchRank",
     "choose_watch_duty",
@@ -36,12 +38,22 @@
 PAUSE_SPREAD = (0.75, 1.25)
 
 
-class WatchRank(Enum):
-    """Name the place of a host among the hubs of its failure domain."""
+@frozen(kw_only=True)
+class FirstHub:
+    """Name the hub that watches the store for its failure domain."""
+
+
+@frozen(kw_only=True)
+class SecondHub:
+    """Name the hub that watches while the first one is cut off from the store."""
+
+
+@frozen(kw_only=True)
+class NoHub:
+    """Name a host that never watches for others, or does not know the hosts yet."""
+
 
-    FIRST = auto()
-    SECOND = auto()
-    NONE = auto()
+WatchRank = FirstHub | SecondHub | NoHub
 
 
 @frozen(kw_only=True)
@@ -66,9 +78,9 @@
     """
     relayed_s = None if relay.relayed is None else relay.relayed.reached_s
     match rank:
-        case WatchRank.NONE:
+        case NoHub():
             return WatchDuty()
-        case WatchRank.FIRST:
+        case FirstHub():
             is_replaced = (
                 relayed_s is not None
                 and reach.reached_s is not None
@@ -76,7 +88,7 @@
                 and reach.reached_s + TAKEOVER_S <= relayed_s
             )
             return WatchDuty(is_watcher=not is_replaced)
-        case WatchRank.SECOND:
+        case SecondHub():
             if duty.is_watcher and now_s < duty.until_s:
                 return duty
             if relayed_s is None or not is_relay_old(relay, now_s=now_s):
--- a/snipespring/platform/tests/test_store.py
+++ b/snipespring/platform/tests/test_store.py
@@ -203,6 +203,32 @@
         return Response(status=200, body=self.body)
 
 
+@define(kw_only=True)
+class StalePages(FixedPage):
+    """Return the same page twice, the second time from an older copy of the store."""
+
+    revisions: list[int]
+
+    def answer(self, req: Request, conn: socket.socket) -> Response:
+        page = json.loads(self.body)
+        page |= {"StoreRevision": self.revisions.pop(0)}
+        page |= {"HasMore": bool(self.revisions)}
+        return Response(status=200, body=json.dumps(page).encode())
+
+
+def test_stale_listing_has_the_revision_of_its_oldest_page() -> None:
+    # Guards against changes between the ages of two pages that no watch and no relay
+    # reports, since the listing states the revision of the newer page.
+    app = StalePages(body=make_page("{}"), revisions=[12, 9])
+    server = start_server(listen="127.0.0.1:0", app=app)
+    address = Address(ip="127.0.0.1", port=server.server_port)
+    store = ObjectStoreClient(address=address, timeout_s=5.0)
+    listing = store.list_objects(KIND, may_be_stale=True)
+    server.server_close()
+    assert isinstance(listing, ObjectListing)
+    assert (listing.revision, listing.pages) == (9, 2)
+
+
 def make_page(odd_entry: str) -> bytes:
     healthy = json.dumps({"Metadata": {"Name": "i-2", "Revision": 2}, "Spec": SERVER})
     return f'{{"items": [{odd_entry}, {healthy}], "StoreRevision": 9}}'.encode()
