Count answers in the budget for bodies until they have left the host

Cause: the body of an answer counted only until it had been read from the server, so answers to callers that read slowly filled memory uncounted. Change: each connection counts its unsent bytes in steps of 64 KiB; a ready answer is always delivered, further bodies are refused instead.

--- a/snipespring/controllers/body_memory_limiter.py
+++ b/snipespring/controllers/body_memory_limiter.py
@@ -1,4 +1,4 @@
-"""Limit the memory that buffered request bodies use."""
+"""Limit the memory that buffered bodies of requests and answers use."""
 
 from attrs import define
 
@@ -11,7 +11,7 @@
 
 @define(kw_only=True, eq=False)
 class BodyMemoryLimiter:
-    """Write the region with the total size of the request bodies in memory."""
+    """Write the region with the total size of the bodies in memory."""
 
     board: Board
     max_bytes: int
@@ -21,14 +21,20 @@
         """Reserve memory for a body; return False if it would exceed the limit."""
 
         def add(buffered: BufferedBodies) -> tuple[BufferedBodies, bool]:
-            size = buffered.size_bytes + size_bytes
-            if size > self.max_bytes:
+            if buffered.size_bytes + size_bytes > self.max_bytes:
                 return buffered, False
-            peak = max(buffered.peak_bytes, size)
-            return BufferedBodies(size_bytes=size, peak_bytes=peak), True
+            return _add_bytes(buffered, size_bytes), True
 
         return self.board.transact(BUFFERED_BODIES, add, writer=self.name)
 
+    def add(self, size_bytes: int) -> None:
+        """Count bytes that are in memory already, even beyond the limit."""
+        self.board.update(
+            BUFFERED_BODIES,
+            lambda buffered: _add_bytes(buffered, size_bytes),
+            writer=self.name,
+        )
+
     def release(self, size_bytes: int) -> None:
         """Free the memory of a body that is no longer buffered."""
 
@@ -37,3 +43,9 @@
             return BufferedBodies(size_bytes=size, peak_bytes=buffered.peak_bytes)
 
         self.board.update(BUFFERED_BODIES, remove, writer=self.name)
+
+
+def _add_bytes(buffered: BufferedBodies, size_bytes: int) -> BufferedBodies:
+    size = buffered.size_bytes + size_bytes
+    peak = max(buffered.peak_bytes, size)
+    return BufferedBodies(size_bytes=size, peak_bytes=peak)
--- a/snipespring/frontends/http_bodies.py
+++ b/snipespring/frontends/http_bodies.py
@@ -23,22 +23,28 @@
 
 
 class BodyBudget(Protocol):
-    """Limit the bytes of request bodies in memory."""
+    """Limit the bytes of bodies in memory."""
 
     def reserve(self, size_bytes: int) -> bool:
         """Reserve more bytes; return False if they would exceed the budget."""
 
+    def add(self, size_bytes: int) -> None:
+        """Count bytes that are in memory already, even beyond the budget."""
+
     def release(self, size_bytes: int) -> None:
         """Return reserved bytes to the budget."""
 
 
 class UnlimitedBodies:
-    """Set no limit on the bytes of request bodies in memory."""
+    """Set no limit on the bytes of bodies in memory."""
 
     def reserve(self, size_bytes: int) -> bool:
         """Accept any reservation."""
         return True
 
+    def add(self, size_bytes: int) -> None:
+        """Do nothing, since no bytes are counted."""
+
     def release(self, size_bytes: int) -> None:
         """Do nothing, since no reservation is counted."""
 
--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -36,6 +36,9 @@
 # After the last answer, this long is waited for the caller to close the connection.
 LINGER_S = 0.5
 LOOKAHEAD_REQUESTS = 16  # reading ahead detects that a caller has disconnected
+# Unsent bytes of a connection are counted in steps of this size, so that small answers
+# cost nothing.
+UNSENT_STEP_BYTES = 65536
 
 log = logging.getLogger(__name__)
 
@@ -89,6 +92,29 @@
     request: Any = None
     linger_until_s: float | None = None
     _is_writing = False
+    _unsent_bytes = 0
+    _counted_bytes = 0
+
+    @property
+    def total_outbufs_len(self) -> int:
+        """Return the bytes of answers that have not left this host."""
+        return self._unsent_bytes
+
+    @total_outbufs_len.setter
+    def total_outbufs_len(self, size_bytes: int) -> None:
+        """Count large answers in the budget for bodies until the caller has read them.
+
+        A caller that reads slowly leaves its answers in memory. They are ready and are
+        delivered, so they are counted even if they exceed the budget; it is other
+        bodies that are refused then.
+        """
+        self._unsent_bytes = size_bytes
+        counted = size_bytes - size_bytes % UNSENT_STEP_BYTES
+        change, self._counted_bytes = counted - self._counted_bytes, counted
+        if change > 0:
+            self.adj.body_budget.add(change)
+        elif change < 0:
+            self.adj.body_budget.release(-change)
 
     def readable(self) -> bool:
         """Return whether to read, also to discard what follows the last answer."""
--- a/snipespring/frontends/tests/test_http_server.py
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -3,7 +3,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from http.client import HTTPConnection, HTTPResponse
 from typing import Any
@@ -214,3 +214,31 @@
     server.close()
     assert server._thread is not None
     assert not server._thread.is_alive()
+
+
+def wait_for_size(board: Board, accept: Callable[[int], bool]) -> None:
+    until_s = time.monotonic() + TIMEOUT_S
+    while not accept(board.read(BUFFERED_BODIES).size_bytes):
+        assert time.monotonic() < until_s
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_answer_counts_in_the_budget_until_the_caller_has_read_it(leaves: bool) -> None:
+    # Guards against callers that read slowly filling a host's memory with answers that
+    # no budget counts.
+    answer_bytes = 4 * len(LARGE_BODY)
+
+    def send_large(_: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        start_response("200 OK", [("Content-Length", str(answer_bytes))])
+        return [bytes(answer_bytes)]
+
+    with run_server(send_large) as (address, board):
+        conn = HTTPConnection(address.ip, address.port, timeout=TIMEOUT_S)
+        conn.request("GET", "/")
+        # The buffers of the connection hold less than half of the answer.
+        wait_for_size(board, lambda size: size > answer_bytes // 2)
+        if not leaves:
+            assert len(conn.getresponse().read()) == answer_bytes
+        conn.close()
+        wait_for_size(board, lambda size: size == 0)
--- a/snipespring/platform/tests/test_faulty_servers.py
+++ b/snipespring/platform/tests/test_faulty_servers.py
@@ -62,6 +62,10 @@
             self.peak_bytes = max(self.peak_bytes, self.size_bytes)
             return True
 
+    def add(self, size_bytes: int) -> None:
+        with self.lock:
+            self.size_bytes += size_bytes
+
     def release(self, size_bytes: int) -> None:
         with self.lock:
             self.size_bytes -= size_bytes
--- a/snipespring/records/bodies.py
+++ b/snipespring/records/bodies.py
@@ -1,4 +1,4 @@
-"""Count the memory that the bodies of callers' requests take."""
+"""Count the memory that the bodies of requests and answers take."""
 
 from attrs import frozen
 
@@ -7,7 +7,7 @@
 
 @frozen(kw_only=True)
 class BufferedBodies:
-    """Count the bytes of the request bodies that this host has in memory.
+    """Count the bytes of the bodies that this host has in memory.
 
     `peak_bytes` is the largest total since the process started.
     """
