Send a second attempt beside one that a server leaves without an answer

Cause: a gray server that accepts requests and never answers cost an idempotent request its whole time, and other hosts learned of it only when attempts ended. Change: an attempt is overdue after 2.5 times the mean service time, or half of the objective before any answer is known. It then counts as a failure of its server, once, and an idempotent request with retry budget gets a second attempt on another server; the first good answer ends the other. Not while the service's slots are busy, and only for routes that state an objective.

--- a/snipespring/controllers/canceller.py
+++ b/snipespring/controllers/canceller.py
@@ -1,8 +1,12 @@
-"""Cancel attempts that exceed their timeout or whose caller has disconnected."""
+"""Cancel attempts that exceed their timeout or whose caller has disconnected.
+
+Report attempts whose answer is overdue.
+"""
 
 import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from math import inf
 from typing import Any
 
 from attrs import define, evolve, field
@@ -29,6 +33,7 @@
     name: str = "canceller"
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _disconnect_checks: dict[str, Callable[[], bool]] = field(factory=dict, init=False)
+    _overdue_callbacks: dict[str, Callable[[], None]] = field(factory=dict, init=False)
 
     @property
     def watches(self) -> tuple[Region[Any], ...]:
@@ -37,13 +42,26 @@
 
     @contextmanager
     def watch(
-        self, attempt_id: str, *, timeout_s: float, is_disconnected: Callable[[], bool]
+        self,
+        attempt_id: str,
+        *,
+        timeout_s: float,
+        is_disconnected: Callable[[], bool],
+        overdue_after_s: float = inf,
+        on_overdue: Callable[[], None] = lambda: None,
     ) -> Iterator[None]:
-        """Cancel the attempt at its timeout or when its caller disconnects."""
-        end_s = self.clock.monotonic_s() + timeout_s
-        self._add_attempt(
-            RunningAttempt(attempt_id=attempt_id, end_s=end_s), is_disconnected
+        """Cancel the attempt at its timeout or when its caller disconnects.
+
+        Call `on_overdue`, which must not block, once if it is still under way after
+        `overdue_after_s` seconds.
+        """
+        now_s = self.clock.monotonic_s()
+        running = RunningAttempt(
+            attempt_id=attempt_id,
+            end_s=now_s + timeout_s,
+            overdue_s=now_s + overdue_after_s,
         )
+        self._add_attempt(running, is_disconnected, on_overdue)
         try:
             yield
         finally:
@@ -64,13 +82,27 @@
         for attempt in running:
             if now_s >= attempt.end_s or disconnect_checks[attempt.attempt_id]():
                 self.transport.cancel(attempt.attempt_id)
-        remaining_s = [
-            attempt.end_s - now_s for attempt in running if attempt.end_s > now_s
+            elif now_s >= attempt.overdue_s:
+                self._report_overdue(attempt.attempt_id)
+        times_s = [
+            time_s
+            for attempt in running
+            for time_s in (attempt.end_s, attempt.overdue_s)
         ]
+        remaining_s = [time_s - now_s for time_s in times_s if time_s > now_s]
         return max(MIN_STEP_DELAY_S, min([CHECK_INTERVAL_S, *remaining_s]))
 
+    def _report_overdue(self, attempt_id: str) -> None:
+        with self._lock:
+            on_overdue = self._overdue_callbacks.pop(attempt_id, None)
+        if on_overdue is not None:
+            on_overdue()
+
     def _add_attempt(
-        self, attempt: RunningAttempt, is_disconnected: Callable[[], bool]
+        self,
+        attempt: RunningAttempt,
+        is_disconnected: Callable[[], bool],
+        on_overdue: Callable[[], None],
     ) -> None:
         attempt_id = attempt.attempt_id
 
@@ -79,6 +111,7 @@
 
         with self._lock:
             self._disconnect_checks[attempt_id] = is_disconnected
+            self._overdue_callbacks[attempt_id] = on_overdue
             self.board.update(RUNNING_ATTEMPTS, add, writer=self.name)
             self._set_active(True)
 
@@ -88,6 +121,7 @@
 
         with self._lock:
             del self._disconnect_checks[attempt_id]
+            self._overdue_callbacks.pop(attempt_id, None)
             self.board.update(RUNNING_ATTEMPTS, remove, writer=self.name)
 
     def _set_active(self, is_active: bool) -> None:
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -129,6 +129,14 @@
             self._dispatch(slot_request.service)
         return self._wait(future, ticket, slot_request)
 
+    def place_at_once(self, slot_request: SlotRequest) -> Placed | NotPlaced:
+        """Reserve a slot that is free now, without queueing the request."""
+        with self._lock:
+            placed = self._place_without_waiting(slot_request)
+        if placed is None:
+            return NotPlaced(reason="no slot is free", retry_after_s=RETRY_AFTER_S)
+        return placed
+
     def release(
         self, server: ServerId, result: BackendResult, *, started_s: float
     ) -> None:
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -227,7 +227,8 @@
         may_send = partial(self.claimant.may_send, claim)
         delivery = self.sender.deliver(service, admitted, is_disconnected, may_send)
         total_s = self.clock.monotonic_s() - admitted.received_s
-        self.metrics.observe_added_latency(total_s - delivery.backend_s)
+        # Two attempts at the same time may take longer together than the request.
+        self.metrics.observe_added_latency(max(0.0, total_s - delivery.backend_s))
         reply = self._complete_reply(admitted, delivery.reply, delivery.rule)
         return evolve(
             _make_handled_request(admitted, reply, delivery.rule),
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -2,7 +2,9 @@
 
 import threading
 from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
 from itertools import count
+from math import inf
 from random import Random
 
 from attrs import define, evolve, field, frozen
@@ -14,6 +16,8 @@
     HOST_FEED,
     RETRY_BUDGETS,
     ROSTER,
+    SERVER_LOADS,
+    SERVER_SUBSETS,
 )
 from ..decisions.attempts import (
     Finish,
@@ -31,15 +35,22 @@
     reached_no_server,
     retry_delay_s,
 )
-from ..decisions.health import record_attempt_end, record_attempt_start
+from ..decisions.health import (
+    record_attempt_end,
+    record_attempt_start,
+    record_overdue_attempt,
+)
 from ..decisions.queueing import urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
     BudgetExhausted,
     earn_retry,
+    hedge_delay_s,
     max_balance_per_host,
+    overdue_delay_s,
     spend_retry,
 )
+from ..decisions.routing import service_load_of
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
@@ -61,6 +72,7 @@
     RunOnce,
     RunPolicy,
     ServerId,
+    ServiceLoad,
     ServiceRule,
     ShedByServer,
     SlotRequest,
@@ -68,11 +80,13 @@
 from ..utils import Clock
 from .canceller import Canceller
 from .dispatcher import Dispatcher, NotPlaced, Placed
+from .hedges import Hedge
 from .metrics_recorder import MetricsRecorder
 
 __all__ = ["Delivery", "Sender"]
 
 MIN_ATTEMPT_TIMEOUT_S = 0.005
+MAX_HEDGES = 8  # second attempts that run at the same time
 CLAIM_EXPIRED_REASON = "the permission to run expired before the request was sent"
 
 
@@ -113,6 +127,10 @@
     name: str = "sender"
     # Callers may choose the ids of their requests, and may use one twice.
     _attempt_ids: Iterator[int] = field(factory=count, init=False)
+    _hedges: ThreadPoolExecutor = field(
+        factory=lambda: ThreadPoolExecutor(MAX_HEDGES, thread_name_prefix="hedge"),
+        init=False,
+    )
 
     def deliver(
         self,
@@ -143,10 +161,8 @@
                     )
                 case Placed(server=server, tag=tag):
                     self._earn_retry(service, completed)
-                    completed.append(
-                        self._run_attempt(
-                            admitted, server, len(completed), is_disconnected
-                        )
+                    completed += self._run_with_hedge(
+                        service, admitted, server, completed, is_disconnected
                     )
             match decide_after_attempt(completed[-1].result, admitted.route.run):
                 case Retry() if self._prepare_retry(
@@ -184,20 +200,112 @@
         name = admitted.organisation
         return urgency_of(admitted.route, None if name is None else rules.get(name))
 
-    def _run_attempt(
+    def _run_with_hedge(
+        self,
+        service: ServiceRule,
+        admitted: AdmittedRequest,
+        server: ServerId,
+        completed: list[_CompletedAttempt],
+        is_disconnected: Callable[[], bool],
+    ) -> list[_CompletedAttempt]:
+        """Run an attempt, and a second one beside it if the answer is overdue.
+
+        The first good answer ends the other attempt. Return the attempts that ended,
+        the one to decide on last.
+        """
+        number = len(completed)
+        first = self._make_backend_request(admitted, number)
+        second = self._make_backend_request(admitted, number + 1)
+
+        def run_second() -> _CompletedAttempt | None:
+            hedged = self._run_hedge(
+                service, admitted, second, server, completed, is_disconnected
+            )
+            if hedged is not None and _is_final(hedged, admitted):
+                self.transport.cancel(first.request_id)
+            return hedged
+
+        hedge = Hedge(
+            executor=self._hedges,
+            run=run_second,
+            cancel=lambda: self.transport.cancel(second.request_id),
+        )
+        load, slots = self._read_load(service)
+        overdue_s = overdue_delay_s(admitted.route, load, slots=slots)
+        is_hedged = overdue_s == hedge_delay_s(
+            admitted.route, load, slots=slots, remaining_s=self._remaining_s(admitted)
+        )
+
+        def on_overdue() -> None:
+            self._record_overdue(server, first.request_id)
+            if is_hedged:
+                hedge.start()
+
+        ended = self._run_attempt(
+            first,
+            server,
+            is_disconnected,
+            overdue_after_s=overdue_s,
+            on_overdue=on_overdue,
+        )
+        hedged = hedge.finish(is_needed=not _is_final(ended, admitted))
+        if hedged is None:
+            return [ended]
+        return [ended, hedged]
+
+    def _run_hedge(
         self,
+        service: ServiceRule,
         admitted: AdmittedRequest,
+        attempt: BackendRequest,
+        first_server: ServerId,
+        completed: list[_CompletedAttempt],
+        is_disconnected: Callable[[], bool],
+    ) -> _CompletedAttempt | None:
+        """Run a second attempt on another server if the retry budget allows one."""
+        results = [attempt.result for attempt in completed]
+        overdue = AnswerLate(waited_s=0.0)
+        if is_disconnected() or not may_attempt_again(
+            admitted.route, [*results, overdue]
+        ):
+            return None
+        under_way = _CompletedAttempt(result=overdue, server=first_server, took_s=0.0)
+        slot_request = self._make_slot_request(admitted, [*completed, under_way], None)
+        match self.dispatcher.place_at_once(slot_request):
+            case NotPlaced():
+                return None
+            case Placed(server=server) if not self._spend_retry(service):
+                self.dispatcher.cancel(server)
+                return None
+            case Placed(server=server):
+                self.metrics.count("hedges", service.name)
+                timeout_s = max(MIN_ATTEMPT_TIMEOUT_S, self._remaining_s(admitted))
+                attempt = evolve(attempt, timeout_s=timeout_s)
+                return self._run_attempt(attempt, server, is_disconnected)
+
+    def _read_load(self, service: ServiceRule) -> tuple[ServiceLoad, int]:
+        """Return a service's load and the slots of each of its servers."""
+        load = service_load_of(self.board.read(SERVER_LOADS), service.name)
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service.name)
+        return load, service.slots if subset is None else subset.slots
+
+    def _run_attempt(
+        self,
+        attempt: BackendRequest,
         server: ServerId,
-        attempt_number: int,
         is_disconnected: Callable[[], bool],
+        *,
+        overdue_after_s: float = inf,
+        on_overdue: Callable[[], None] = lambda: None,
     ) -> _CompletedAttempt:
-        attempt = self._make_backend_request(admitted, attempt_number)
         started_s = self.clock.monotonic_s()
         self._record_start(server, attempt.request_id)
         with self.canceller.watch(
             attempt.request_id,
             timeout_s=attempt.timeout_s,
             is_disconnected=is_disconnected,
+            overdue_after_s=overdue_after_s,
+            on_overdue=on_overdue,
         ):
             result = self.transport.send(server, attempt)
         match result:
@@ -322,6 +430,13 @@
             writer=self.name,
         )
 
+    def _record_overdue(self, server: ServerId, attempt_id: str) -> None:
+        self.board.update(
+            EVIDENCE,
+            lambda evidence: record_overdue_attempt(evidence, server, attempt_id),
+            writer=self.name,
+        )
+
     def _record_end(
         self, server: ServerId, attempt_id: str, result: BackendResult
     ) -> None:
@@ -335,6 +450,15 @@
         )
 
 
+def _is_final(attempt: _CompletedAttempt, admitted: AdmittedRequest) -> bool:
+    """Return whether the request needs no other attempt."""
+    match decide_after_attempt(attempt.result, admitted.route.run):
+        case Finish():
+            return True
+        case Retry():
+            return False
+
+
 def _excluded_servers(
     run: RunPolicy, completed: list[_CompletedAttempt]
 ) -> frozenset[ServerId]:
--- a/snipespring/decisions/health/__init__.pyi
+++ b/snipespring/decisions/health/__init__.pyi
@@ -16,6 +16,7 @@
     make_server_reports,
     record_attempt_end,
     record_attempt_start,
+    record_overdue_attempt,
 )
 from .floors import (
     list_unusable,
@@ -106,6 +107,7 @@
     "receive_ejection_list",
     "record_attempt_end",
     "record_attempt_start",
+    "record_overdue_attempt",
     "remove_services",
     "renew_pool",
     "required_servers",
--- a/snipespring/decisions/tallies.py
+++ b/snipespring/decisions/tallies.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 from immutables import Map
 
-from ..records import Evidence, Histogram, OutcomeCounts, ServerId
+from ..records import Evidence, Histogram, ServerEvidence, ServerId
 from .health import bucket_of, count_at_least
 
 __all__ = ["OutcomeTally", "count_outcomes", "list_new_outcomes"]
@@ -15,7 +15,8 @@
 class OutcomeTally:
     """Count good answers, failures and attempts that reached no server.
 
-    `late` contains the waiting times of attempts that got no answer in time.
+    An attempt whose answer is overdue counts as a failure before it ends. `late`
+    contains the waiting times of attempts that got no answer in time.
     """
 
     good: int
@@ -28,7 +29,7 @@
     """Return the outcomes on each server since the process started."""
     return Map(
         {
-            server: _sum_counts(server_evidence.counts)
+            server: _sum_counts(server_evidence)
             for server, server_evidence in evidence.by_server.items()
         }
     )
@@ -59,10 +60,11 @@
             )
 
 
-def _sum_counts(counts: OutcomeCounts) -> OutcomeTally:
+def _sum_counts(server_evidence: ServerEvidence) -> OutcomeTally:
+    counts = server_evidence.counts
     return OutcomeTally(
         good=sum(counts.answered.counts),
-        bad=counts.errors + counts.broken,
+        bad=counts.errors + counts.broken + server_evidence.overdue_count,
         connect_failures=counts.unreachable,
         late=counts.late,
     )
--- a/snipespring/records/attempts.py
+++ b/snipespring/records/attempts.py
@@ -1,5 +1,7 @@
 """Define attempts that wait for a backend server's answer."""
 
+from math import inf
+
 from attrs import frozen
 from immutables import Map
 
@@ -10,11 +12,13 @@
 class RunningAttempt:
     """Describe an attempt that waits for a server.
 
-    `end_s` is the monotonic time at which the attempt must end.
+    `end_s` is the monotonic time at which the attempt must end, `overdue_s` the one
+    from which its answer is overdue.
     """
 
     attempt_id: str
     end_s: float
+    overdue_s: float = inf
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/health.py
+++ b/snipespring/records/health.py
@@ -52,11 +52,14 @@
 class ServerEvidence:
     """Collect the outcomes of attempts on one server.
 
-    `started_s` contains the monotonic start times of attempts under way.
+    `started_s` contains the monotonic start times of attempts under way, `overdue` the
+    ids of those whose answer is overdue, and `overdue_count` counts all that were.
     """
 
     counts: OutcomeCounts = OutcomeCounts()
     started_s: Map[str, float] = Map()
+    overdue: frozenset[str] = frozenset()
+    overdue_count: int = 0
 
 
 @frozen(kw_only=True)
