Count the floor over the sound servers, not over all of a service

Trials of avoided servers began only once more than 30 % of all 55 were avoided (16), though 24 of them were not sound and 30 % of the sound ones are 9. Ruled out: chance alone, as the service got over 170 requests a second. Change: the servers in use and the avoided ones that are due for a trial count as the sound ones; a margin of 0.05 covers servers left out by chance.

--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -155,7 +155,8 @@
         [member.rule.server for member in avoided],
         states,
         outcomes,
-        max_untried=int((1.0 - floor_share) * len(subset.members)),
+        usable=len(available) - len(avoided),
+        floor_share=floor_share,
         now_s=now_s,
         rng=rng,
     )
--- a/snipespring/decisions/routing/tests/test_trials.py
+++ b/snipespring/decisions/routing/tests/test_trials.py
@@ -1,8 +1,10 @@
 from random import Random
 
+from attrs import evolve
 from immutables import Map
 
 from snipespring.decisions.routing import Chosen, choose_server
+from snipespring.decisions.routing.trials import draw_trial
 from snipespring.records import (
     Placement,
     RecentOutcomes,
@@ -58,5 +60,35 @@
     assert count_trials(FAILING, failed_s=NOW_S - 4.1, avoided=1) == 0
 
 
+def test_floor_counts_the_sound_servers_only() -> None:
+    # Guards against leaving a third of the sound servers without requests while many
+    # others of the service are not sound (FLOOR).
+    servers = [f"s{number}" for number in range(55)]
+    sound, failing = servers[:10], servers[10:34]
+    suspected = ServerSuspected(risk=0.9, at_s=NOW_S - 4.0, failed_s=NOW_S - 4.0)
+    recent = evolve(suspected, at_s=NOW_S, failed_s=NOW_S)
+    ids = {name: evolve(SERVERS[0], instance=name) for name in servers}
+    states = ServerStates(
+        by_server=Map(
+            {ids[name]: suspected for name in sound}
+            | {ids[name]: recent for name in failing}
+        )
+    )
+    rng = Random(2)
+    trials = [
+        draw_trial(
+            [ids[name] for name in (*sound, *failing)],
+            states,
+            evolve(FAILING, good_per_s=60.0, failed_per_s=20.0),
+            usable=21,
+            floor_share=0.7,
+            now_s=NOW_S,
+            rng=rng,
+        )
+        for _ in range(500)
+    ]
+    assert set(trials) - {None} == {ids[name] for name in sound}
+
+
 def test_server_that_failed_just_now_is_not_tried() -> None:
     assert count_trials(FAILING, failed_s=NOW_S - 1.9) == 0
--- a/snipespring/decisions/routing/trials.py
+++ b/snipespring/decisions/routing/trials.py
@@ -33,6 +33,9 @@
 # Trials of each such server per second, by all hosts together.
 TRIALS_PER_S = 4.0
 MAX_TRIAL_SHARE = 0.4  # of a service's requests
+# Added to the floor, since some sound servers that are not avoided get no request for
+# some seconds by chance.
+FLOOR_MARGIN = 0.05
 
 
 def count_recent_outcomes(
@@ -71,17 +74,20 @@
     states: ServerStates,
     outcomes: RecentOutcomes,
     *,
-    max_untried: int,
+    usable: int,
+    floor_share: float,
     now_s: float,
     rng: Random,
 ) -> ServerId | None:
     """Return the avoided server that a request is to try, None for no trial.
 
-    Up to `max_untried` servers may be avoided without trials.
+    Besides the `usable` servers, the avoided ones that are due for a trial are likely
+    to be sound. `floor_share` of the sound servers have to get requests.
     """
-    if len(avoided) <= max_untried or not _is_failing(outcomes):
-        return None
     due = [server for server in avoided if _is_due(states, server, now_s)]
+    max_untried = (1.0 - floor_share - FLOOR_MARGIN) * (usable + len(due))
+    if len(due) <= max_untried or not _is_failing(outcomes):
+        return None
     rate_per_s = outcomes.good_per_s + outcomes.failed_per_s
     share = min(MAX_TRIAL_SHARE, len(due) * TRIALS_PER_S / rate_per_s)
     return rng.choice(due) if due and rng.random() < share else None
