Bound the requests that cold servers get from all hosts

Cause: a server crashes if it gets more than a few requests a second while it is cold, and hosts sent it its full share. A server that turned cold again kept its earlier warm-up time.

Change: a service may name WarmupPerS. An entry that says again that the server is cold counts from its revision on. Without the bounds nothing changes.

--- a/snipespring/controllers/catalog_builder.py
+++ b/snipespring/controllers/catalog_builder.py
@@ -10,13 +10,17 @@
 from ..decisions.catalog import (
     RetryBounds,
     apply_retry_bounds,
+    apply_warmup_bounds,
     group_servers_by_service,
+    list_new_cold,
     select_newest_configuration,
 )
 from ..decisions.feeds import list_active_servers, next_removal_s
+from ..decisions.routing import WarmupBounds
 from ..records import Configuration, ConfigurationStep, PublishedServer, ServerStep
 from ..utils import Clock
 from .historian import EventRecorder
+from .metrics_recorder import MetricsRecorder
 from .store_availability import read_recovery_s
 
 __all__ = ["CatalogBuilder"]
@@ -34,9 +38,11 @@
     board: Board
     clock: Clock
     event_recorder: EventRecorder
+    metrics: MetricsRecorder
     grace_s: float
     outage_s: float
     retries: RetryBounds
+    warmups: WarmupBounds | None = None
     name: str = "configurator"
     watches = (CONFIGURATION_FEED, SERVER_FEED)
     _published: dict[str, PublishedServer] = field(factory=dict, init=False)
@@ -50,12 +56,15 @@
         )
         if newest is not previous:
             newest = apply_retry_bounds(newest, self.retries)
+            newest = apply_warmup_bounds(newest, self.warmups)
         view = self.board.read(SERVER_FEED)
         recovered_s = read_recovery_s(self.board, outage_s=self.outage_s)
         servers = list_active_servers(
             view, recovered_s=recovered_s, grace_s=self.grace_s, now_s=now_s
         )
-        grouped = group_servers_by_service(servers, previous.servers, now_s=now_s)
+        grouped = group_servers_by_service(
+            servers, previous.servers, now_s=now_s, revisions=view.changed
+        )
         new = evolve(newest, servers=grouped)
         if new != previous:
             self.board.write(CONFIGURATION, new, writer=self.name)
@@ -78,6 +87,7 @@
                 evidence=f"active, after version {previous.version}",
             )
             self.event_recorder.record(step)
+        self._record_warmups(previous, new)
         published = {server.instance: server for server in servers}
         if published == self._published:
             return
@@ -86,6 +96,20 @@
             self._record_server(server, is_listed=instance in published)
         self._published = published
 
+    def _record_warmups(self, previous: Configuration, new: Configuration) -> None:
+        """Record which servers of services with a bound have become cold."""
+        now_s = self.clock.monotonic_s()
+        for server, rate_per_s, left_s in list_new_cold(previous, new, now_s=now_s):
+            step = ServerStep(
+                at_wall_s=self.clock.wall_s(),
+                server=server,
+                state="cold",
+                rule="warmup",
+                evidence=f"cold for {left_s:.1f} s; gets {rate_per_s:.1f} requests/s",
+            )
+            self.event_recorder.record(step)
+            self.metrics.count("cold_servers", server.service)
+
     def _record_server(self, server: PublishedServer, *, is_listed: bool) -> None:
         rule = next(
             iter(group_servers_by_service((server,), Map(), now_s=0.0).values())
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 from concurrent.futures import Future
+from functools import partial
 from math import inf
 from random import Random
 from typing import Any
@@ -34,6 +35,7 @@
     Chosen,
     NoServer,
     ServersBusy,
+    begin_warmups,
     cancel_reservation,
     choose_server,
     count_recent_outcomes,
@@ -107,7 +109,7 @@
     def step(self) -> float | None:
         """Place queued requests; return seconds until the next may be placed."""
         with self._lock:
-            self._remove_unused_servers()
+            self._adopt_subsets()
             queues = self.board.read(REQUEST_QUEUES).by_service
             services = [name for name, queue in queues.items() if queue.queued]
             free_at_s = min((self._dispatch(name) for name in services), default=inf)
@@ -155,7 +157,8 @@
             self._change_loads(lambda loads: cancel_reservation(loads, server))
             self._dispatch(server.service)
 
-    def _remove_unused_servers(self) -> None:
+    def _adopt_subsets(self) -> None:
+        """Drop the loads of unused servers and begin the warm-ups of cold ones."""
         subsets = self.board.read(SERVER_SUBSETS)
         if subsets is self._known_subsets:
             return
@@ -170,6 +173,26 @@
         self._change_loads(
             lambda loads: remove_unused_servers(loads, used_servers, now_s=now_s)
         )
+        self._begin_warmups(subsets, now_s)
+
+    def _begin_warmups(self, subsets: ServerSubsets, now_s: float) -> None:
+        services = self.board.read(CONFIGURATION).services
+        listed_hosts = len(self.board.read(HOST_FEED).items)
+        hosts = self._count_hosts() if listed_hosts else None
+        for name, subset in subsets.by_service.items():
+            service = services.get(name)
+            if service is None or service.cold_per_s is None:
+                continue
+            self._change_loads(
+                partial(
+                    begin_warmups,
+                    rate_per_s=service.cold_per_s,
+                    members=subset.members,
+                    hosts=hosts,
+                    phase=self.rng.random(),
+                    now_s=now_s,
+                )
+            )
 
     def _place_without_waiting(
         self, slot_request: SlotRequest
@@ -297,6 +320,7 @@
         self._futures.pop(request.ticket).set_result(result)
 
     def _reserve(self, slot_request: SlotRequest) -> Chosen | NoServer | ServersBusy:
+        self._adopt_subsets()  # a server that has become cold is limited at once
         service = slot_request.service
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
         if subset is None:
--- a/snipespring/controllers/tests/test_platform_followers.py
+++ b/snipespring/controllers/tests/test_platform_followers.py
@@ -119,6 +119,7 @@
             board=self.board,
             clock=self.clock,
             event_recorder=event_recorder,
+            metrics=MetricsRecorder(board=self.board),
             grace_s=1.8,
             outage_s=3.0,
             retries=RetryBounds(share=0.16, reserve=44.0),
--- a/snipespring/controllers/tests/test_store_outages.py
+++ b/snipespring/controllers/tests/test_store_outages.py
@@ -115,6 +115,7 @@
             board=self.board,
             clock=self.clock,
             event_recorder=recorder,
+            metrics=metrics,
             grace_s=GRACE_S,
             outage_s=OUTAGE_S,
             retries=RetryBounds(share=0.16, reserve=44.0),
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -25,6 +25,7 @@
 from ..decisions.confirmations import RelayLimits
 from ..decisions.domains import AddressListLimits
 from ..decisions.outages import shortest_outage_s
+from ..decisions.routing import WarmupBounds
 from ..frontends.http_server import HttpServer, WsgiApp
 from ..frontends.operators import OperatorsApp
 from ..platform.callers import PlatformCallersApp
@@ -32,7 +33,7 @@
 from ..platform.feeds import HostRegistry, configuration_feed, server_feed
 from ..platform.store import ObjectStoreClient
 from ..records import Address, FeedView, Host, HostCapacity, Incarnation, PublishedHost
-from ..settings import GatewaySettings
+from ..settings import GatewayServerSettings, GatewaySettings
 from .process_context import ProcessContext, make_process_context
 
 __all__ = [
@@ -48,6 +49,7 @@
     "build_auxiliary_servers",
     "compute_thread_count",
     "make_gateway_context",
+    "make_warmup_bounds",
 ]
 
 T = TypeVar("T")
@@ -172,12 +174,14 @@
             board=process.board,
             clock=process.clock,
             event_recorder=process.event_recorder,
+            metrics=process.metrics,
             grace_s=platform.drain_s - DRAIN_MARGIN_S,
             outage_s=context.outage_s,
             retries=RetryBounds(
                 share=RETRY_BUDGET_FRACTION * context.settings.retries.share,
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
             ),
+            warmups=make_warmup_bounds(context.settings.servers),
         ),
         StoreLeaseManager(
             board=process.board,
@@ -188,6 +192,15 @@
     )
 
 
+def make_warmup_bounds(servers: GatewayServerSettings) -> WarmupBounds | None:
+    """Return the bounds for cold servers, None if the settings name neither."""
+    match servers:
+        case GatewayServerSettings(warmup_overshoot=None, warmup_slack=None):
+            return None
+        case GatewayServerSettings(warmup_overshoot=overshoot, warmup_slack=slack):
+            return WarmupBounds(overshoot=overshoot or 0.0, slack=slack or 0.0)
+
+
 def build_server_follower(context: GatewayContext) -> ServerFollower:
     """Build the controller that follows the registered servers."""
     follower = _build_feed_follower(
--- a/snipespring/decisions/catalog.py
+++ b/snipespring/decisions/catalog.py
@@ -1,6 +1,6 @@
 """Build the active configuration from the configurations and servers in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import evolve, frozen
 from immutables import Map
@@ -13,16 +13,23 @@
     ServerRule,
     ServiceName,
 )
+from .routing import WarmupBounds, cold_rate_per_s
 
 __all__ = [
     "RetryBounds",
     "apply_retry_bounds",
+    "apply_warmup_bounds",
     "group_servers_by_service",
+    "list_new_cold",
     "select_newest_configuration",
 ]
 
 ASKED_BY = "the server itself"
 
+# Stands for the revision of an entry whose revision is not known.
+FIRST_REVISION = 1
+NO_REVISIONS: Mapping[str, int] = Map()
+
 ServersByService = Map[ServiceName, tuple[ServerRule, ...]]
 
 
@@ -57,12 +64,36 @@
     return evolve(cfg, services=Map(services))
 
 
+def apply_warmup_bounds(
+    cfg: Configuration, bounds: WarmupBounds | None
+) -> Configuration:
+    """Return the configuration with the rates for the cold servers of each service.
+
+    Without bounds, or for services that name no rate, cold servers are not bounded.
+    """
+    if bounds is None:
+        return cfg
+    services = {
+        name: evolve(rule, cold_per_s=cold_rate_per_s(rule.warmup_per_s, bounds))
+        if rule.warmup_per_s > 0.0
+        else rule
+        for name, rule in cfg.services.items()
+    }
+    return evolve(cfg, services=Map(services))
+
+
 def group_servers_by_service(
-    servers: Iterable[PublishedServer], current: ServersByService, *, now_s: float
+    servers: Iterable[PublishedServer],
+    current: ServersByService,
+    *,
+    now_s: float,
+    revisions: Mapping[str, int] = NO_REVISIONS,
 ) -> ServersByService:
     """Return the servers by service; known servers keep their warm-up time.
 
-    A server that restarted under the same instance name counts as a new server.
+    A server that restarted under the same instance name counts as a new server. One
+    whose entry says again that it is cold, at a later one of the `revisions`, is cold
+    from now on.
     """
     known = {rule.server: rule for rules in current.values() for rule in rules}
     grouped: dict[ServiceName, list[ServerRule]] = {}
@@ -77,8 +108,45 @@
             server=server_id,
             domain=server.domain,
             slots=server.slots,
-            warm_at_s=now_s + server.warmup_s if server.warmup_s else 0.0,
             asked_by=ASKED_BY,
         )
+        rule = _set_warm_time(
+            rule, server, revisions.get(server.instance, FIRST_REVISION), now_s
+        )
         grouped.setdefault(server.service, []).append(rule)
     return Map({name: tuple(rules) for name, rules in grouped.items()})
+
+
+def list_new_cold(
+    previous: Configuration, new: Configuration, *, now_s: float
+) -> list[tuple[ServerId, float, float]]:
+    """Return the servers that have become cold, with their requests/s and seconds left.
+
+    Only servers whose service bounds cold servers are listed.
+    """
+    cold_until_s = {
+        rule.server: rule.warm_at_s
+        for rules in previous.servers.values()
+        for rule in rules
+    }
+    return [
+        (rule.server, service.cold_per_s, rule.warm_at_s - now_s)
+        for name, rules in new.servers.items()
+        if (service := new.services.get(name)) and service.cold_per_s is not None
+        for rule in rules
+        if cold_until_s.get(rule.server, 0.0) <= now_s < rule.warm_at_s
+    ]
+
+
+def _set_warm_time(
+    rule: ServerRule, server: PublishedServer, revision: int, now_s: float
+) -> ServerRule:
+    """Return the rule with when the server is warm, according to a new entry.
+
+    An entry that is warm ends a warm-up at once.
+    """
+    if server.warmup_s <= 0.0:
+        return evolve(rule, warm_at_s=min(rule.warm_at_s, now_s))
+    if revision == rule.cold_revision:
+        return rule
+    return evolve(rule, warm_at_s=now_s + server.warmup_s, cold_revision=revision)
--- a/snipespring/decisions/routing/choice.py
+++ b/snipespring/decisions/routing/choice.py
@@ -31,6 +31,7 @@
     service_load_of,
 )
 from .trials import draw_trial
+from .warmup import find_turn_s, is_cold, is_new_cold
 
 __all__ = [
     "Chosen",
@@ -104,8 +105,9 @@
 EXCLUDED = _Excluded()
 PREFERRED = _Preferred()
 RAMPING = _Fallback(rank=1)
-AVOIDED = _Fallback(rank=2)
-OVER_TRIAL_SHARE = _Fallback(rank=3)
+COLD = _Fallback(rank=2)
+AVOIDED = _Fallback(rank=3)
+OVER_TRIAL_SHARE = _Fallback(rank=4)
 
 
 @frozen(kw_only=True)
@@ -131,6 +133,7 @@
     """Return the least busy server, or an avoided one that is due for a trial.
 
     Servers of the attempt's failure domain are preferred, fallbacks are used last.
+    Cold servers get what warm ones have no free slots for.
     While the service is failing by its `outcomes`, `floor_share` of its servers are
     used.
     """
@@ -161,6 +164,13 @@
     )
     if trial is not None:
         return Chosen(server=trial)
+    new_cold = [
+        candidate.member
+        for candidate in available
+        if candidate.rank == COLD.rank and is_new_cold(candidate.member, now_s)
+    ]
+    if new_cold:
+        return Chosen(server=rng.choice(new_cold).rule.server)
     mean_others = min(
         subset.slots, mean_busy_of_others(loads, _list_servers(subset), now_s)
     )
@@ -175,6 +185,9 @@
         candidate.member for candidate in available if candidate.rank == lowest_rank
     ]
     best = _least_busy(members, placement, busy_slots, subset.slots, rng)
+    cold = [candidate.member for candidate in available if candidate.rank == COLD.rank]
+    if cold and busy_slots(best) >= subset.slots:
+        best = _least_busy(cold, placement, busy_slots, subset.slots, rng)
     if busy_slots(best) >= subset.slots + SPILLOVER_QUEUE:
         best = _least_risky(avoided, states, now_s) or best
     return Chosen(server=best.rule.server)
@@ -213,6 +226,8 @@
         return "full"
     if load.limit is not None and load.limit.next_at_s > now_s:
         return "limited"
+    if use == COLD:
+        return "cold"
     match use:
         case _Preferred():
             return "preferred"
@@ -241,6 +256,10 @@
         if rank is None:
             continue
         room_at_s = _available_at_s(load, subset.in_flight_cap, now_s)
+        if load.warmup is not None and is_cold(member.rule, load, now_s):
+            # A server that becomes warm between two turns is available then.
+            turn_s = min(find_turn_s(load.warmup, now_s), member.rule.warm_at_s)
+            room_at_s = max(room_at_s, turn_s)
         candidates.append(
             _Candidate(member=member, rank=rank, available_at_s=room_at_s)
         )
@@ -297,6 +316,10 @@
             load_of(loads, server), now_s, repeatable=placement.repeatable
         ):
             return AVOIDED
+        case ServerHealthy() | ServerSuspected() if is_cold(
+            member.rule, load_of(loads, server), now_s
+        ):
+            return COLD
         case ServerHealthy() | ServerSuspected():
             ramp_start_s = max(member.since_s, load_of(loads, server).ramp_from_s)
             return (
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -26,6 +26,7 @@
 )
 from .limits import record_result
 from .server_limits import record_limit, spend_limit
+from .warmup import spend_turn
 
 __all__ = [
     "cancel_reservation",
@@ -135,9 +136,13 @@
     """
     loads = _add_in_flight(loads, server, 1)
     load = load_of(loads, server)
-    if load.limit is None:
+    if load.limit is None and load.warmup is None:
         return loads
-    load = evolve(load, limit=spend_limit(load.limit, hosts=hosts, now_s=now_s))
+    load = evolve(
+        load,
+        limit=spend_limit(load.limit, hosts=hosts, now_s=now_s),
+        warmup=spend_turn(load.warmup, now_s=now_s),
+    )
     return evolve(loads, by_server=loads.by_server.set(server, load))
 
 
--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -222,6 +222,7 @@
         name=ServiceName(name),
         connections=_read_positive(service, "MaxConns"),
         deadline_s=inf,
+        warmup_per_s=_read_rate_per_s(service, "WarmupPerS"),
         asked_by=ASKED_BY,
     )
 
@@ -278,6 +279,14 @@
     return number
 
 
+def _read_rate_per_s(spec: Spec, name: str) -> float:
+    """Return a rate, 0 if it is absent."""
+    rate_per_s = float(spec.get(name) or 0.0)
+    if not (isfinite(rate_per_s) and rate_per_s >= 0.0):
+        raise _InvalidContentError(f"{name}: {rate_per_s:g} is not a rate")
+    return rate_per_s
+
+
 def _read_duration_s(spec: Spec, name: str) -> float:
     text = _read_text(spec, name)
     match parse_duration_s(text):
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -158,6 +158,14 @@
     assert cfg.organisations[OrganisationName("free")].rate_per_s == inf
 
 
+def test_rate_of_cold_servers_is_read_and_absent_for_no_bound() -> None:
+    services = {"a": {"MaxConns": 330, "WarmupPerS": 4.9}, "b": {"MaxConns": 330}}
+    cfg = decode_configuration(spec({**CONFIGURATION, "Services": services}))
+    assert isinstance(cfg, Configuration)
+    rates = {name: rule.warmup_per_s for name, rule in cfg.services.items()}
+    assert rates == {"a": 4.9, "b": 0.0}
+
+
 @pytest.mark.parametrize(
     ("kind", "run"),
     [
@@ -195,6 +203,8 @@
         {"Routes": {"r": {**ROUTE, "Split": [7]}}},
         {"Routes": {"r": {**ROUTE, "Split": 7}}},
         {"Services": {"s": []}},
+        {"Services": {"s": {"MaxConns": 330, "WarmupPerS": -1}}},
+        {"Services": {"s": {"MaxConns": 330, "WarmupPerS": "many"}}},
         {"Tenants": [1]},
         {"Tenants": {"t": 1}},
         {"Tenants": {"t": {"ApiKeys": [1]}}},
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -24,6 +24,7 @@
     ServerLoad,
     ServerLoads,
     ServerNotices,
+    ServerWarmup,
     ServiceLoad,
     ShedByServer,
 )
@@ -561,6 +562,7 @@
     "ServerSubset",
     "ServerSubsets",
     "ServerSuspected",
+    "ServerWarmup",
     "ServiceLoad",
     "ServiceName",
     "ServiceRule",
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -25,6 +25,7 @@
     "ServerLoad",
     "ServerLoads",
     "ServerNotices",
+    "ServerWarmup",
     "ServiceLoad",
     "ShedByServer",
 ]
@@ -190,6 +191,19 @@
     next_at_s: float
 
 
+@frozen(kw_only=True)
+class ServerWarmup:
+    """Record this host's turns for single requests to a cold server.
+
+    A turn begins at `next_at_s` and every `interval_s` seconds after it. The server is
+    warm at `warm_at_s`. Times are monotonic.
+    """
+
+    warm_at_s: float
+    interval_s: float
+    next_at_s: float
+
+
 @frozen(kw_only=True)
 class ServerLoad:
     """Describe one server's use of its slots as this host knows it.
@@ -214,6 +228,7 @@
     avoid_until_s: float = 0.0
     drain: DrainReport | None = None
     limit: ServerLimit | None = None
+    warmup: ServerWarmup | None = None
     is_leaving: bool = False
     pause_until_s: float = 0.0
     noticed_s: float = 0.0
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -88,7 +88,9 @@
     """Set the limits of one service; `floor` is the share of servers kept in use.
 
     Retries stay below `retry_share` of the first attempts plus a reserve, which is
-    `retry_reserve` for the whole fleet if set.
+    `retry_reserve` for the whole fleet if set. A cold server tolerates `warmup_per_s`
+    requests a second, 0 for any number, and the fleet sends it `cold_per_s`, None for
+    no bound.
     """
 
     name: ServiceName
@@ -98,6 +100,8 @@
     deadline_s: float = 2.0
     retry_share: float = 0.1
     retry_reserve: float | None = None
+    warmup_per_s: float = 0.0
+    cold_per_s: float | None = None
     ejection: EjectionPreference = field(factory=EjectCarefully)
     asked_by: str
 
@@ -106,7 +110,8 @@
 class ServerRule:
     """Assign a backend server to a service and a failure domain.
 
-    A server that has just started is slow until the local time `warm_at_s`.
+    The server is cold until the local time `warm_at_s`, as its entry of the store's
+    revision `cold_revision` says.
     """
 
     server: ServerId
@@ -114,6 +119,7 @@
     asked_by: str
     slots: int | None = None
     warm_at_s: float = 0.0
+    cold_revision: int = 0
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -223,9 +223,14 @@
     """Set the use of each service's servers.
 
     While the service fails, at least the share `floor` of its servers get requests.
+    In any second, a cold server gets at most `warmup_overshoot` times the rate that its
+    service names, plus `warmup_slack` requests. If only one of them is set, the other
+    is 0; if neither is set, cold servers are not bounded.
     """
 
     floor: Share = Share(0.7)
+    warmup_overshoot: Share | None = None
+    warmup_slack: Amount | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from snipespring.daemons.gateway_parts import make_warmup_bounds
+from snipespring.decisions.routing import WarmupBounds
 from snipespring.records import Address
 from snipespring.settings import (
     GatewayLimitSettings,
@@ -20,6 +22,7 @@
 from snipespring.settings.load import HEARTBEAT_VARIABLE
 
 TEMPLATE = Path(__file__).parents[3] / "deploy" / "host.yaml"
+SECTION = re.compile(r"\{\{#([A-Za-z.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 PLACEHOLDER = re.compile(r"\{\{([A-Za-z0-9_.]+)(\|json)?\}\}")
 FIELDS: dict[str, Any] = {
     "NodeName": "front-eire-east-a-1",
@@ -58,7 +61,25 @@
 
 def render(fields: dict[str, Any]) -> str:
     """Fill the template in as the platform does."""
-    return PLACEHOLDER.sub(lambda found: fill(found, fields), TEMPLATE.read_text())
+    text = SECTION.sub(lambda found: expand(found, fields), TEMPLATE.read_text())
+    return PLACEHOLDER.sub(lambda found: fill(found, fields), text)
+
+
+def expand(found: re.Match[str], fields: dict[str, Any]) -> str:
+    """Return a section's text: once for a value, for each row of a table, or none."""
+    value: Any = fields
+    for part in found[1].split("."):
+        value = value.get(part) if isinstance(value, dict) else None
+    match value:
+        case None:
+            return ""
+        case dict():
+            return "".join(
+                found[2].replace("{{@}}", key).replace("{{.}}", str(row))
+                for key, row in value.items()
+            )
+        case _:
+            return found[2]
 
 
 def fill(found: re.Match[str], fields: dict[str, Any]) -> str:
@@ -90,6 +111,18 @@
     assert settings.servers.floor == 0.65
 
 
+def test_bounds_of_cold_servers_are_off_unless_they_are_named(tmp_path: Path) -> None:
+    # A deployment without these bounds has to be served as before.
+    settings = load(tmp_path, render(FIELDS))
+    assert isinstance(settings, GatewaySettings)
+    assert make_warmup_bounds(settings.servers) is None
+    bounds = {**FIELDS["Bounds"], "WarmupOvershoot": 1.5, "WarmupSlack": 8}
+    settings = load(tmp_path, render({**FIELDS, "Bounds": bounds}))
+    assert isinstance(settings, GatewaySettings)
+    expected = WarmupBounds(overshoot=1.5, slack=8.0)
+    assert make_warmup_bounds(settings.servers) == expected
+
+
 def test_heartbeat_of_the_platform_overrides_the_default(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -129,7 +162,8 @@
 
 
 def test_bounds_without_a_value_take_their_defaults(tmp_path: Path) -> None:
-    text = re.sub(r"\{\{Bounds\.[^}]*\}\}", "", TEMPLATE.read_text())
+    text = SECTION.sub("", TEMPLATE.read_text())
+    text = re.sub(r"\{\{Bounds\.[^}]*\}\}", "", text)
     settings = load(tmp_path, PLACEHOLDER.sub(lambda found: fill(found, FIELDS), text))
     assert isinstance(settings, GatewaySettings)
     assert settings.limits == GatewayLimitSettings()
