Send nothing to the servers of evacuated failure domains

Cause: an operator had no way to take the servers of a failure domain out of use at once.

Change: objects of the kind evacuations name domains whose servers get no request. A host that no digest confirms within the relay limit asks the store itself, and one that starts places no request before it knows the list, for at most 2 s. Servers are used again 1 s after the end, so that the news of cold servers arrives first. The choice of servers, the queue, retries and trials see the remaining servers only. Without the bound Evacuate nothing is watched.

The fleet of the domain link tests passes the new callback.

--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -15,6 +15,8 @@
 )
 from .feeds import (
     CONFIGURATION_FEED,
+    EVACUATION_FEED,
+    EVACUATIONS,
     HOST_FEED,
     RELAY_NOTICE,
     SERVER_FEED,
@@ -75,6 +77,8 @@
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "EJECTION_LISTS",
+    "EVACUATIONS",
+    "EVACUATION_FEED",
     "EVENTS",
     "EVIDENCE",
     "FAILURE_LOG",
--- a/snipespring/blackboard/regions/feeds.py
+++ b/snipespring/blackboard/regions/feeds.py
@@ -2,6 +2,9 @@
 
 from ...records import (
     Configuration,
+    Evacuation,
+    EvacuationsState,
+    EvacuationsUnused,
     FeedView,
     PublishedHost,
     PublishedServer,
@@ -13,6 +16,8 @@
 
 __all__ = [
     "CONFIGURATION_FEED",
+    "EVACUATIONS",
+    "EVACUATION_FEED",
     "HOST_FEED",
     "SERVER_FEED",
     "RELAY_NOTICE",
@@ -26,6 +31,12 @@
 SERVER_FEED = Region[FeedView[PublishedServer]](
     name="server_feed", writer="server_feed", initial=FeedView()
 )
+EVACUATION_FEED = Region[FeedView[Evacuation]](
+    name="evacuation_feed", writer="evacuation_feed", initial=FeedView()
+)
+EVACUATIONS = Region[EvacuationsState](
+    name="evacuations", writer="evacuation_feed", initial=EvacuationsUnused()
+)
 HOST_FEED = Region[FeedView[PublishedHost]](
     name="host_feed", writer="host_feed", initial=FeedView()
 )
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -11,6 +11,7 @@
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_address_lister import DomainAddressLister
 from .domain_link import DomainLink
+from .evacuation_follower import EvacuationFollower
 from .feed_follower import (
     ConfigurationFollower,
     Feed,
@@ -28,6 +29,7 @@
 from .metrics_recorder import MetricsRecorder
 from .observations import read_newest_configuration, read_newest_roster
 from .outcome_relay import OutcomeRelay
+from .place_reporter import PlaceReporter
 from .puller import Puller
 from .responder import Responder
 from .roster_manager import RosterManager
@@ -80,6 +82,7 @@
     "DamagedRules",
     "Delivery",
     "Dispatcher",
+    "EvacuationFollower",
     "Feed",
     "FeedFollower",
     "ServerFollower",
@@ -98,6 +101,7 @@
     "NoRules",
     "OutcomeRelay",
     "Placed",
+    "PlaceReporter",
     "Puller",
     "Responder",
     "RosterManager",
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -14,6 +14,8 @@
 from ..blackboard.regions import (
     ANSWER_LOG,
     CONFIGURATION,
+    EVACUATION_FEED,
+    EVACUATIONS,
     FAILURE_LOG,
     FLEET_VIEW,
     HOST_FEED,
@@ -22,6 +24,12 @@
     SERVER_STATES,
     SERVER_SUBSETS,
 )
+from ..decisions.places import (
+    NoUsableServer,
+    find_known_s,
+    list_evacuated,
+    select_usable_servers,
+)
 from ..decisions.queueing import (
     Enqueued,
     EnqueueRefused,
@@ -104,7 +112,7 @@
     @property
     def watches(self) -> tuple[Region[Any], ...]:
         """Return the regions whose writes wake the controller."""
-        return (REQUEST_QUEUES, SERVER_SUBSETS)
+        return (REQUEST_QUEUES, SERVER_SUBSETS, EVACUATION_FEED)
 
     def step(self) -> float | None:
         """Place queued requests; return seconds until the next may be placed."""
@@ -325,6 +333,20 @@
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
         if subset is None:
             return self._wait_for_subset(service)
+        now_s = self.clock.monotonic_s()
+        known_s = find_known_s(self.board.read(EVACUATIONS), now_s=now_s)
+        if known_s > now_s:
+            return ServersBusy(free_at_s=min(known_s, now_s + SUBSET_SELECTION_DELAY_S))
+        evacuated = list_evacuated(self.board.read(EVACUATION_FEED), now_s=now_s)
+        match select_usable_servers(subset, evacuated=evacuated):
+            case NoUsableServer(reason=reason):
+                return NoServer(reason=reason)
+            case ServerSubset() as usable:
+                return self._choose(usable, slot_request)
+
+    def _choose(
+        self, subset: ServerSubset, slot_request: SlotRequest
+    ) -> Chosen | NoServer | ServersBusy:
         choice = choose_server(
             subset,
             self.board.read(SERVER_LOADS),
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -16,6 +16,8 @@
     CONFIGURATION_FEED,
     DOMAIN_HUBS,
     DOMAIN_REPORTS,
+    EVACUATION_FEED,
+    EVACUATIONS,
     FLEET_VIEW,
     HOST_FEED,
     HUB_STATE,
@@ -46,6 +48,7 @@
     receive_summary,
 )
 from ..decisions.outages import record_relayed_reach
+from ..decisions.places import make_evacuation_mark
 from ..decisions.server_relay import (
     answer_server_query,
     make_server_mark,
@@ -55,10 +58,12 @@
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
+    Confirmation,
     DomainHubs,
     DomainMessage,
     DomainState,
     DomainSummary,
+    EvacuationMark,
     HostId,
     HostReport,
     HubState,
@@ -73,7 +78,7 @@
 )
 from ..utils import Clock
 from .outcome_relay import OutcomeRelay
-from .peers import is_sent_by, read_known_hosts
+from .peers import is_known_domain, is_sent_by, read_known_hosts
 from .readiness import is_ready
 from .store_availability import read_recovery_s
 
@@ -104,8 +109,9 @@
     """Write the domain hubs and reports, the hub state, the view and the relay.
 
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
-    with each reply to a query for changes to servers. After `outage_s` seconds in which
-    no host reached the store, it counts as having been away.
+    with each reply to a query for changes to servers, `on_evacuations` with what each
+    digest states of evacuations and when its sender reached the store. After `outage_s`
+    seconds in which no host reached the store, it counts as having been away.
     """
 
     board: Board
@@ -117,6 +123,7 @@
     outage_s: float
     outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
+    on_evacuations: Callable[[EvacuationMark | None, float | None], None]
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -253,9 +260,22 @@
             now_s=now_s,
         )
         mark = make_server_mark(self.board.read(SERVER_FEED))
-        digest = evolve(digest, confirmation=confirmation, servers=mark)
+        digest = evolve(
+            digest,
+            confirmation=confirmation,
+            servers=mark,
+            evacuations=self._make_evacuation_mark(now_s),
+        )
         self.datagrams.send(sender, digest)
 
+    def _make_evacuation_mark(self, now_s: float) -> EvacuationMark | None:
+        return make_evacuation_mark(
+            self.board.read(EVACUATION_FEED),
+            self.board.read(EVACUATIONS),
+            lambda domain: is_known_domain(self.board, self.own_host, domain),
+            now_s=now_s,
+        )
+
     def _receive_digest(self, digest: ReportDigest, sender: Address) -> None:
         if digest.incarnation != self.incarnation:
             return
@@ -285,6 +305,8 @@
             return record_server_mark(relay, servers, mark, now_s=now_s)
 
         self._update_relay(record)
+        reached_s = _reached_s(digest.confirmation, sent_s)
+        self.on_evacuations(digest.evacuations, reached_s)
         query = make_server_query(servers, mark, self.own_host.host_id)
         if query is not None:
             self.datagrams.send(sender, query)
@@ -363,3 +385,8 @@
             self.own_host,
         )
         self.datagrams.send_all(tuple(hub.peers for hub in hubs), summary)
+
+
+def _reached_s(confirmation: Confirmation | None, sent_s: float) -> float | None:
+    """Return when the sender of a digest reached the store at the latest."""
+    return None if confirmation is None else sent_s - confirmation.reached_age_s
--- a/snipespring/controllers/request_log.py
+++ b/snipespring/controllers/request_log.py
@@ -4,17 +4,19 @@
 import threading
 from random import Random
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from ..blackboard import Board
 from ..blackboard.regions import (
     CONFIGURATION,
+    EVACUATION_FEED,
     FLEET_VIEW,
     LEASE,
     SERVER_LOADS,
     SERVER_STATES,
     SERVER_SUBSETS,
 )
+from ..decisions.places import list_evacuated
 from ..decisions.routing import count_server_uses
 from ..records import (
     AttemptRecord,
@@ -99,9 +101,13 @@
             self._servers_logged[service] = int(now_s)
         if subset is None or is_logged:
             return
+        evacuated = list_evacuated(self.board.read(EVACUATION_FEED), now_s=now_s)
+        members = [
+            member for member in subset.members if member.rule.domain not in evacuated
+        ]
         uses = {
             kind: count_server_uses(
-                subset,
+                evolve(subset, members=tuple(members)),
                 self.board.read(SERVER_LOADS),
                 self.board.read(SERVER_STATES),
                 Placement(domain=self.domain, repeatable=repeatable),
@@ -110,7 +116,8 @@
             )
             for kind, repeatable in (("repeatable", True), ("run_once", False))
         }
-        log.info("servers", extra={"service": service, **uses})
+        left_out = len(subset.members) - len(members)
+        log.info("servers", extra={"service": service, "evacuated": left_out, **uses})
 
     def _may_log_success(self, second: int) -> bool:
         with self._lock:
--- a/snipespring/controllers/tests/domain_fleet.py
+++ b/snipespring/controllers/tests/domain_fleet.py
@@ -107,6 +107,7 @@
             outage_s=3.0,
             outcome_relay=outcome_relay,
             on_server_changes=self.changes.setdefault(own_host.host_id, []).append,
+            on_evacuations=lambda mark, reached_s: None,
         )
 
     def deliver(
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -30,9 +30,12 @@
     build_auxiliary_servers,
     build_body_limiter,
     build_callers_server,
+    build_evacuation_follower,
+    build_place_reporter,
     build_server_follower,
     build_store_followers,
     compute_thread_count,
+    ignore_evacuations,
     make_gateway_context,
 )
 from .requests import build_requests
@@ -110,6 +113,7 @@
         on_message=lambda message, sender: domain_link.receive(message, sender),
     )
     server_follower = build_server_follower(context)
+    evacuation_follower = build_evacuation_follower(context)
     outcome_relay = OutcomeRelay(
         board=process.board,
         clock=process.clock,
@@ -127,6 +131,9 @@
         outage_s=context.outage_s,
         outcome_relay=outcome_relay,
         on_server_changes=server_follower.receive_changes,
+        on_evacuations=evacuation_follower.receive_mark
+        if evacuation_follower is not None
+        else ignore_evacuations,
     )
     suspicion_tracker = SuspicionTracker(
         board=process.board,
@@ -164,6 +171,8 @@
     controllers = (
         *store_followers,
         server_follower,
+        *([] if evacuation_follower is None else [evacuation_follower]),
+        build_place_reporter(context),
         domain_link,
         outcome_relay,
         suspicion_tracker,
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -6,17 +6,19 @@
 from attrs import define
 
 from ..blackboard import Region
-from ..blackboard.regions import CONFIGURATION_FEED, SERVER_FEED
+from ..blackboard.regions import CONFIGURATION_FEED, EVACUATION_FEED, SERVER_FEED
 from ..controllers import (
     BodyMemoryLimiter,
     CatalogBuilder,
     ConfigurationFollower,
     Controller,
     DomainAddressLister,
+    EvacuationFollower,
     Feed,
     FeedFollower,
     Forwarder,
     HostRegistrar,
+    PlaceReporter,
     ServerFollower,
     StoreLeaseManager,
     StoreProbe,
@@ -30,9 +32,22 @@
 from ..frontends.operators import OperatorsApp
 from ..platform.callers import PlatformCallersApp
 from ..platform.directory import DirectoryApp, ReadinessApp
-from ..platform.feeds import HostRegistry, configuration_feed, server_feed
+from ..platform.feeds import (
+    HostRegistry,
+    configuration_feed,
+    evacuation_feed,
+    server_feed,
+)
 from ..platform.store import ObjectStoreClient
-from ..records import Address, FeedView, Host, HostCapacity, Incarnation, PublishedHost
+from ..records import (
+    Address,
+    EvacuationMark,
+    FeedView,
+    Host,
+    HostCapacity,
+    Incarnation,
+    PublishedHost,
+)
 from ..settings import GatewayServerSettings, GatewaySettings
 from .process_context import ProcessContext, make_process_context
 
@@ -44,10 +59,13 @@
     "GatewayContext",
     "build_body_limiter",
     "build_callers_server",
+    "build_evacuation_follower",
+    "build_place_reporter",
     "build_server_follower",
     "build_store_followers",
     "build_auxiliary_servers",
     "compute_thread_count",
+    "ignore_evacuations",
     "make_gateway_context",
     "make_warmup_bounds",
 ]
@@ -214,6 +232,38 @@
     )
 
 
+def build_evacuation_follower(context: GatewayContext) -> EvacuationFollower | None:
+    """Build the controller that follows evacuations, None without a bound for them."""
+    evacuate_s = context.settings.platform.evacuate_s
+    if evacuate_s is None:
+        return None
+    follower = _build_feed_follower(
+        context,
+        evacuation_feed(context.store),
+        EVACUATION_FEED,
+        SERVER_WATCH_TIMEOUT_S,
+        lists_when_behind=True,
+    )
+    notice_s = min(NOTICE_FRACTION * evacuate_s, _compute_notice_s(context))
+    return EvacuationFollower(feed_follower=follower, limit_s=RELAY_FRACTION * notice_s)
+
+
+def ignore_evacuations(_mark: EvacuationMark | None, _reached_s: float | None) -> None:
+    """Ignore what digests state of evacuations."""
+
+
+def build_place_reporter(context: GatewayContext) -> PlaceReporter:
+    """Build the controller that reports the use of places."""
+    process = context.process
+    return PlaceReporter(
+        board=process.board,
+        clock=process.clock,
+        event_recorder=process.event_recorder,
+        metrics=process.metrics,
+        own_host=context.own_host,
+    )
+
+
 def _compute_notice_s(context: GatewayContext) -> float:
     """Return the time within which a host notices a change in the store."""
     platform = context.settings.platform
--- /dev/null
+++ b/snipespring/decisions/places.py
@@ -0,0 +1,211 @@
+"""Decide which failure domains are evacuated, and which servers a request may use.
+
+Answers load: an operator takes all servers of a domain out of use at a moment of full
+traffic, and brings them back while they may be cold. The hosts of a domain learn of
+both from the digests of the host that watches the store, without a call of their own.
+"""
+
+from collections.abc import Callable
+from math import inf
+
+from attrs import evolve, frozen
+
+from ..records import (
+    DomainName,
+    Evacuation,
+    EvacuationMark,
+    EvacuationsFollowed,
+    EvacuationsState,
+    EvacuationsUnused,
+    FeedView,
+    ServerSubset,
+    StoreRelay,
+)
+from .confirmations import QueryStore
+from .server_relay import AwaitRelay
+
+__all__ = [
+    "NoUsableServer",
+    "apply_evacuation_mark",
+    "check_evacuation_relay",
+    "confirm_evacuations",
+    "find_known_s",
+    "list_evacuated",
+    "make_evacuation_mark",
+    "next_resume_s",
+    "select_usable_servers",
+]
+
+# After the end of an evacuation the servers stay unused for this long, so that the news
+# of cold servers arrives first: it may take two batches of changes, 0.4 s each.
+RESUME_DELAY_S = 1.0
+# The hosts of a domain are told of the end of its last evacuation for this long.
+ENDED_NOTICE_S = 10.0
+# A host that starts waits this long for a digest before it reads the list itself,
+START_RELAY_S = 1.0
+# and sends no request for this long unless it knows the list.
+START_WAIT_S = 2.0
+
+View = FeedView[Evacuation]
+
+
+@frozen(kw_only=True)
+class NoUsableServer:
+    """Represent that no server of a service may be used, and why."""
+
+    reason: str
+
+
+def list_evacuated(view: View, *, now_s: float) -> frozenset[DomainName]:
+    """Return the domains that get no requests.
+
+    A domain is among them for some time after the end of its evacuation.
+    """
+    return frozenset(
+        evacuation.domain
+        for name, evacuation in view.items.items()
+        if evacuation.problem is None
+        and now_s < view.removed_s.get(name, inf) + RESUME_DELAY_S
+    )
+
+
+def next_resume_s(view: View, *, now_s: float) -> float:
+    """Return when the next ended evacuation lets requests through, or infinity."""
+    times = (removed_s + RESUME_DELAY_S for removed_s in view.removed_s.values())
+    return min((time_s for time_s in times if time_s > now_s), default=inf)
+
+
+def find_known_s(state: EvacuationsState, *, now_s: float) -> float:
+    """Return when requests may be placed as far as evacuations are known.
+
+    A host that hears nothing at its start serves after a short wait.
+    """
+    match state:
+        case EvacuationsFollowed(confirmed_s=None, since_s=since_s):
+            return max(now_s, since_s + START_WAIT_S)
+        case EvacuationsFollowed() | EvacuationsUnused():
+            return now_s
+
+
+def check_evacuation_relay(
+    state: EvacuationsState, relay: StoreRelay, *, limit_s: float, now_s: float
+) -> QueryStore | AwaitRelay:
+    """Return whether digests replace a query to the store.
+
+    They do while one has shown within `limit_s` seconds that the list is up to date.
+    """
+    match state:
+        case EvacuationsUnused():
+            return AwaitRelay(next_check_s=inf)
+        case EvacuationsFollowed() if relay.is_watcher:
+            return QueryStore()
+        case EvacuationsFollowed(confirmed_s=None, since_s=since_s):
+            until_s = since_s + START_RELAY_S
+        case EvacuationsFollowed(confirmed_s=float() as confirmed_s):
+            until_s = confirmed_s + limit_s
+    return QueryStore() if now_s >= until_s else AwaitRelay(next_check_s=until_s)
+
+
+def make_evacuation_mark(
+    view: View,
+    state: EvacuationsState,
+    is_known: Callable[[DomainName], bool],
+    *,
+    now_s: float,
+) -> EvacuationMark | None:
+    """Return what a digest states about evacuations, None if there are none.
+
+    Only known domains are listed, since any name may be written to the store.
+    """
+    match state:
+        case EvacuationsUnused():
+            return None
+        case EvacuationsFollowed(confirmed_s=None):
+            return EvacuationMark()
+        case EvacuationsFollowed():
+            pass
+    domains = [domain for domain in _list_active(view) if is_known(domain)]
+    ended_s = max(view.removed_s.values(), default=-inf)
+    if view.revision is None or not (domains or now_s < ended_s + ENDED_NOTICE_S):
+        return None
+    return EvacuationMark(revision=view.revision, domains=tuple(sorted(domains)))
+
+
+def apply_evacuation_mark(
+    view: View, mark: EvacuationMark | None, *, now_s: float
+) -> View:
+    """Return the list after a digest; the same object if the digest is not newer.
+
+    At the same revision domains are only added, as another host may know more of them.
+    """
+    known = view.revision or 0
+    if mark is None or mark.revision == 0 or mark.revision < known:
+        return view
+    active = _list_active(view)
+    added = frozenset(mark.domains) - active
+    ended = active - frozenset(mark.domains) if mark.revision > known else frozenset()
+    if mark.revision == known and not added:
+        return view
+    items, removed = view.items, view.removed_s
+    for domain in added:
+        items = items.set(domain, Evacuation(domain=domain))
+        removed = removed.delete(domain) if domain in removed else removed
+    for domain in ended:
+        removed = removed.set(domain, now_s)
+    return evolve(view, items=items, removed_s=removed, revision=mark.revision)
+
+
+def confirm_evacuations(
+    state: EvacuationsState,
+    view: View,
+    mark: EvacuationMark | None,
+    *,
+    reached_s: float,
+) -> EvacuationsState:
+    """Return the state after a digest whose sender reached the store at `reached_s`.
+
+    A digest without a mark confirms an empty list only. A host that missed the end of
+    an evacuation is not confirmed and reads the list itself.
+    """
+    match state, mark:
+        case EvacuationsUnused(), _:
+            return state
+        case EvacuationsFollowed() as followed, None:
+            is_confirmed = not _list_active(view)
+        case EvacuationsFollowed() as followed, EvacuationMark(
+            revision=revision
+        ) as mark:
+            is_confirmed = revision > 0 and (
+                (view.revision or 0) <= revision
+                or _list_active(view) == frozenset(mark.domains)
+            )
+    if not is_confirmed:
+        return followed
+    known_s = followed.confirmed_s
+    confirmed_s = reached_s if known_s is None else max(known_s, reached_s)
+    return evolve(followed, confirmed_s=confirmed_s)
+
+
+def select_usable_servers(
+    subset: ServerSubset, *, evacuated: frozenset[DomainName]
+) -> ServerSubset | NoUsableServer:
+    """Return the servers of a subset that a request may use."""
+    if not evacuated:
+        return subset
+    members = tuple(
+        member for member in subset.members if member.rule.domain not in evacuated
+    )
+    if members or not subset.members:
+        return evolve(subset, members=members)
+    names = ", ".join(sorted(evacuated))
+    return NoUsableServer(
+        reason=f"all {len(subset.members)} servers are in evacuated domains ({names})"
+    )
+
+
+def _list_active(view: View) -> frozenset[DomainName]:
+    return frozenset(
+        evacuation.domain
+        for name, evacuation in view.items.items()
+        if evacuation.problem is None and name not in view.removed_s
+    )
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -9,6 +9,7 @@
     DomainName,
     DomainState,
     DomainSummary,
+    EvacuationMark,
     HostCapacity,
     HostId,
     HostReport,
@@ -107,6 +108,12 @@
             Confirmation, version=counts, age_s=st.floats(min_value=0.0, max_value=9.0)
         ),
         servers=st.none() | st.builds(ServerMark, revision=counts),
+        evacuations=st.none()
+        | st.builds(
+            EvacuationMark,
+            revision=counts,
+            domains=st.lists(names.map(DomainName), max_size=3).map(tuple),
+        ),
     ),
     st.builds(
         DomainSummary,
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -7,6 +7,7 @@
 
 from ..records import (
     Configuration,
+    Evacuation,
     FeedChanges,
     FeedGap,
     FeedItem,
@@ -22,7 +23,13 @@
     PublishedServer,
     WriteUncertain,
 )
-from .objects import decode_configuration, decode_host, decode_server, encode_host
+from .objects import (
+    decode_configuration,
+    decode_evacuation,
+    decode_host,
+    decode_server,
+    encode_host,
+)
 from .store import (
     ObjectChange,
     ObjectChanges,
@@ -32,12 +39,19 @@
     StoreGap,
 )
 
-__all__ = ["HostRegistry", "ObjectFeed", "configuration_feed", "server_feed"]
+__all__ = [
+    "HostRegistry",
+    "ObjectFeed",
+    "configuration_feed",
+    "evacuation_feed",
+    "server_feed",
+]
 
 T = TypeVar("T")
 
 CONFIGURATION_KIND = "config"
 SERVER_KIND = "servers"
+EVACUATION_KIND = "evacuations"
 HOST_KIND = "snipespring-hosts"
 
 
@@ -157,3 +171,12 @@
         kind=SERVER_KIND,
         decode=lambda obj: decode_server(obj.name, obj.content),
     )
+
+
+def evacuation_feed(store: ObjectStoreClient) -> ObjectFeed[Evacuation]:
+    """Return the feed of evacuated failure domains."""
+    return ObjectFeed(
+        store=store,
+        kind=EVACUATION_KIND,
+        decode=lambda obj: decode_evacuation(obj.name, obj.content),
+    )
--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -14,6 +14,7 @@
     Address,
     Configuration,
     DomainName,
+    Evacuation,
     HostCapacity,
     HostId,
     InvalidItem,
@@ -34,6 +35,7 @@
 
 __all__ = [
     "decode_configuration",
+    "decode_evacuation",
     "decode_host",
     "decode_server",
     "encode_host",
@@ -70,6 +72,15 @@
     return _decode_or_invalid(lambda: _read_configuration(_read_spec(obj)))
 
 
+def decode_evacuation(name: str, obj: Spec) -> Evacuation:
+    """Return the evacuation of the domain `name`, with the problem if there is one."""
+    match _decode_or_invalid(lambda: _read_spec(obj)):
+        case InvalidItem(reason=reason):
+            return Evacuation(domain=DomainName(name), problem=reason)
+        case _:
+            return Evacuation(domain=DomainName(name))
+
+
 def encode_host(host: PublishedHost) -> dict[str, str]:
     """Return the content of the object that describes a host."""
     values = (
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -9,6 +9,7 @@
 from snipespring.decisions.keys import digest_key
 from snipespring.platform.objects import (
     decode_configuration,
+    decode_evacuation,
     decode_host,
     decode_server,
     encode_host,
@@ -183,6 +184,12 @@
     assert [rule.run for rule in cfg.host_routes["hulo84.example"]] == [run]
 
 
+@pytest.mark.parametrize("content", [None, [], "now", 7])
+def test_evacuation_that_cannot_be_read_has_a_problem(content: Any) -> None:
+    assert decode_evacuation("eire-east-a", spec(content)).problem
+    assert decode_evacuation("eire-east-a", spec({})).problem is None
+
+
 def test_without_tenants_every_route_is_open() -> None:
     cfg = decode_configuration(spec({**CONFIGURATION, "Tenants": {}}))
     assert isinstance(cfg, Configuration)
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -110,6 +110,7 @@
     GrantMoved,
     HostStep,
     LeaseStep,
+    PlaceStep,
     RequestRefused,
     ServerStep,
     StoreStep,
@@ -249,6 +250,13 @@
     Counters,
     LatencyBuckets,
 )
+from .places import (
+    Evacuation,
+    EvacuationMark,
+    EvacuationsFollowed,
+    EvacuationsState,
+    EvacuationsUnused,
+)
 from .platform import (
     ObjectAbsent,
     ObjectConflict,
@@ -405,6 +413,11 @@
     "EndedNotRun",
     "EndedRan",
     "EndedUnknown",
+    "Evacuation",
+    "EvacuationMark",
+    "EvacuationsFollowed",
+    "EvacuationsState",
+    "EvacuationsUnused",
     "Event",
     "Events",
     "Evidence",
@@ -492,6 +505,7 @@
     "PendingFence",
     "PendingReport",
     "PendingReports",
+    "PlaceStep",
     "Placement",
     "PlainKey",
     "PlatformUnavailable",
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -5,6 +5,7 @@
 
 from .feeds import PublishedHost, ServerChanges, ServerMark, ServerQuery
 from .identity import DomainName, HostId, Incarnation, OrganisationName
+from .places import EvacuationMark
 
 __all__ = [
     "AnswerLog",
@@ -116,6 +117,7 @@
 
     `incarnation` and `sequence` are those of the answered report. The sums in `state`
     include the receiver's report number `included_sequence`, or none of its reports.
+    Without `evacuations`, the sender knows of no evacuated domain.
     """
 
     sender: HostId
@@ -125,6 +127,7 @@
     state: DomainState | None = None
     confirmation: Confirmation | None = None
     servers: ServerMark | None = None
+    evacuations: EvacuationMark | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/events.py
+++ b/snipespring/records/events.py
@@ -15,6 +15,7 @@
     "GrantMoved",
     "HostStep",
     "LeaseStep",
+    "PlaceStep",
     "RequestRefused",
     "ServerStep",
     "StoreStep",
@@ -87,6 +88,16 @@
     evidence: str
 
 
+@frozen(kw_only=True)
+class PlaceStep:
+    """Record that the use of a failure domain or region changed."""
+
+    at_wall_s: float
+    place: str
+    state: str
+    evidence: str
+
+
 Event = (
     RequestRefused
     | ServerStep
@@ -95,6 +106,7 @@
     | LeaseStep
     | HostStep
     | StoreStep
+    | PlaceStep
 )
 
 
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -163,7 +163,7 @@
 
 
 def _yaml_name(item: "Attribute[Any]") -> str:
-    if item.type is Seconds:
+    if item.type in (Seconds, Seconds | None):
         return item.name.removesuffix("_s")
     if item.type is ByteCount:
         return item.name.removesuffix("_bytes")
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -163,7 +163,8 @@
 
     A revoked key is refused within `revoke_s`, a configuration is effective within
     `apply_s`, and a removed server gets no requests after `drain_s`. Each server renews
-    its entry every `heartbeat_s` seconds.
+    its entry every `heartbeat_s` seconds. The servers of an evacuated domain get no
+    requests after `evacuate_s`; without it, evacuations are not followed.
     """
 
     store: Address
@@ -172,6 +173,7 @@
     apply_s: Seconds = Seconds(2.0)
     drain_s: Seconds = Seconds(2.0)
     heartbeat_s: Seconds = Seconds(1.5)
+    evacuate_s: Seconds | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -111,16 +111,23 @@
     assert settings.servers.floor == 0.65
 
 
-def test_bounds_of_cold_servers_are_off_unless_they_are_named(tmp_path: Path) -> None:
+def test_features_are_off_unless_their_bounds_are_named(tmp_path: Path) -> None:
     # A deployment without these bounds has to be served as before.
     settings = load(tmp_path, render(FIELDS))
     assert isinstance(settings, GatewaySettings)
     assert make_warmup_bounds(settings.servers) is None
-    bounds = {**FIELDS["Bounds"], "WarmupOvershoot": 1.5, "WarmupSlack": 8}
+    assert settings.platform.evacuate_s is None
+    bounds = {
+        **FIELDS["Bounds"],
+        "WarmupOvershoot": 1.5,
+        "WarmupSlack": 8,
+        "Evacuate": "5000ms",
+    }
     settings = load(tmp_path, render({**FIELDS, "Bounds": bounds}))
     assert isinstance(settings, GatewaySettings)
     expected = WarmupBounds(overshoot=1.5, slack=8.0)
     assert make_warmup_bounds(settings.servers) == expected
+    assert settings.platform.evacuate_s == 5.0
 
 
 def test_heartbeat_of_the_platform_overrides_the_default(
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -18,7 +18,7 @@
 from standins.harness import Answer, call, find_free_network, wait_until
 from standins.http import start_server
 from standins.store import StoreApplication
-from standins.store.records import CreateObject, ObjectKey
+from standins.store.records import CreateObject, DeleteObject, ObjectKey
 
 HOST = "hulo84.example"
 BACKEND_PORT = 9001
@@ -106,11 +106,15 @@
 
 @define(kw_only=True, eq=False)
 class GatewayFleet:
-    """Manage gateways before servers; `kinds` maps each service to its kind."""
+    """Manage gateways before servers; `kinds` maps each service to its kind.
+
+    `bounds` are further settings of the gateways' section `platform`.
+    """
 
     folder: Path
     kinds: dict[str, str]
     memory_mib: int = 300
+    bounds: dict[str, str] = field(factory=dict)
     network: str = field(factory=find_free_network)
     app: StoreApplication = field(factory=StoreApplication)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
@@ -170,7 +174,7 @@
                 "operators": f"{ip}:7101",
             },
             "callers": {"memory": f"{self.memory_mib}MiB"},
-            "platform": {"store": f"{self.network}.0.1:8500"},
+            "platform": {"store": f"{self.network}.0.1:8500", **self.bounds},
         }
         path.write_text(yaml.safe_dump(settings))
         command = [sys.executable, "-m", "snipespring.cli.start_gateway"]
@@ -258,6 +262,15 @@
             process.kill()
             process.wait()
 
+    def evacuate(self, domain: str) -> None:
+        """Ask that the servers of a domain get no requests."""
+        self._create("evacuations", domain, {})
+
+    def end_evacuation(self, domain: str) -> None:
+        """Let the servers of a domain get requests again."""
+        key = ObjectKey(kind="evacuations", name=domain)
+        self.app.controller.call(DeleteObject(key=key))
+
     def _create(self, kind: str, name: str, spec: Any) -> None:
         key = ObjectKey(kind=kind, name=name)
         self.app.controller.call(CreateObject(key=key, spec=spec))
