Restrict requests to the regions that their route and organisation allow

Cause: a route or an organisation could not be kept to the servers of some regions.

Change: AllowedRegions of routes and organisations, and a table of the region of each failure domain in the settings. Where both name regions, both apply. A server of unknown region is excluded; an unknown name is logged with the configuration version.

--- a/snipespring/controllers/catalog_builder.py
+++ b/snipespring/controllers/catalog_builder.py
@@ -17,7 +17,13 @@
 )
 from ..decisions.feeds import list_active_servers, next_removal_s
 from ..decisions.routing import WarmupBounds
-from ..records import Configuration, ConfigurationStep, PublishedServer, ServerStep
+from ..records import (
+    Configuration,
+    ConfigurationStep,
+    PublishedServer,
+    RegionMap,
+    ServerStep,
+)
 from ..utils import Clock
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
@@ -43,6 +49,7 @@
     outage_s: float
     retries: RetryBounds
     warmups: WarmupBounds | None = None
+    regions: RegionMap = RegionMap()
     name: str = "configurator"
     watches = (CONFIGURATION_FEED, SERVER_FEED)
     _published: dict[str, PublishedServer] = field(factory=dict, init=False)
@@ -63,7 +70,11 @@
             view, recovered_s=recovered_s, grace_s=self.grace_s, now_s=now_s
         )
         grouped = group_servers_by_service(
-            servers, previous.servers, now_s=now_s, revisions=view.changed
+            servers,
+            previous.servers,
+            now_s=now_s,
+            revisions=view.changed,
+            regions=self.regions,
         )
         new = evolve(newest, servers=grouped)
         if new != previous:
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -338,7 +338,8 @@
         if known_s > now_s:
             return ServersBusy(free_at_s=min(known_s, now_s + SUBSET_SELECTION_DELAY_S))
         evacuated = list_evacuated(self.board.read(EVACUATION_FEED), now_s=now_s)
-        match select_usable_servers(subset, evacuated=evacuated):
+        regions = slot_request.placement.regions
+        match select_usable_servers(subset, evacuated=evacuated, regions=regions):
             case NoUsableServer(reason=reason):
                 return NoServer(reason=reason)
             case ServerSubset() as usable:
@@ -400,7 +401,7 @@
 
 def _accepts_any_server(request: QueuedRequest) -> bool:
     placement = request.slot_request.placement
-    return placement.repeatable and not placement.excluded
+    return placement.repeatable and not placement.excluded and placement.regions is None
 
 
 def _make_evicted_result() -> NotPlaced:
--- a/snipespring/controllers/place_reporter.py
+++ b/snipespring/controllers/place_reporter.py
@@ -1,11 +1,11 @@
-"""Report which failure domains are evacuated, and names that mean nothing."""
+"""Report which failure domains are evacuated, and unknown names of places."""
 
 from attrs import define, field
 
 from ..blackboard import Board
-from ..blackboard.regions import EVACUATION_FEED, SERVER_FEED
-from ..decisions.places import list_evacuated, next_resume_s
-from ..records import DomainName, Evacuation, PlaceStep, PublishedHost
+from ..blackboard.regions import CONFIGURATION, EVACUATION_FEED, SERVER_FEED
+from ..decisions.places import list_evacuated, list_unknown_regions, next_resume_s
+from ..records import DomainName, Evacuation, PlaceStep, PublishedHost, RegionMap
 from ..utils import Clock
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
@@ -25,13 +25,16 @@
     event_recorder: EventRecorder
     metrics: MetricsRecorder
     own_host: PublishedHost
+    regions: RegionMap
     name: str = "place_reporter"
-    watches = (EVACUATION_FEED,)
+    watches = (EVACUATION_FEED, CONFIGURATION)
     _evacuated: frozenset[DomainName] = field(default=frozenset(), init=False)
     _reported: set[Evacuation] = field(factory=set, init=False)
+    _unknown_regions: frozenset[str] = field(default=frozenset(), init=False)
 
     def step(self) -> float | None:
         """Record what has changed; return seconds until the next check."""
+        self._report_unknown_regions()
         now_s = self.clock.monotonic_s()
         view = self.board.read(EVACUATION_FEED)
         listed = list_evacuated(view, now_s=now_s)
@@ -63,9 +66,17 @@
         problem = evacuation.problem or "neither hosts nor servers are in such a domain"
         self._record(evacuation.domain, "ignored", problem)
 
-    def _record(self, domain: DomainName, state: str, evidence: str) -> None:
-        self.metrics.count("evacuations", state.replace(" ", "_"))
+    def _report_unknown_regions(self) -> None:
+        cfg = self.board.read(CONFIGURATION)
+        unknown = list_unknown_regions(cfg, self.regions)
+        for region in sorted(unknown - self._unknown_regions):
+            evidence = f"configuration version {cfg.version}: no domain is in it"
+            self._record(region, "unknown region", evidence)
+        self._unknown_regions = unknown
+
+    def _record(self, place: str, state: str, evidence: str) -> None:
+        self.metrics.count("place_steps", state.replace(" ", "_"))
         step = PlaceStep(
-            at_wall_s=self.clock.wall_s(), place=domain, state=state, evidence=evidence
+            at_wall_s=self.clock.wall_s(), place=place, state=state, evidence=evidence
         )
         self.event_recorder.record(step)
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -32,6 +32,7 @@
     retry_delay_s,
 )
 from ..decisions.health import record_attempt_end, record_attempt_start
+from ..decisions.places import allowed_regions
 from ..decisions.queueing import urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
@@ -52,6 +53,7 @@
     BackendResult,
     DomainName,
     NotRun,
+    OrganisationRule,
     Placement,
     Reply,
     RetryBudget,
@@ -169,6 +171,7 @@
             repeatable=not isinstance(run, RunOnce),
             local_queue_margin=local_queue_margin_of(admitted.route, body_bytes),
             local_risk_margin=local_risk_margin_of(admitted.route, body_bytes),
+            regions=allowed_regions(admitted.route, self._organisation_of(admitted)),
         )
         return SlotRequest(
             service=admitted.route.service,
@@ -180,9 +183,12 @@
         )
 
     def _urgency_of(self, admitted: AdmittedRequest) -> int:
+        return urgency_of(admitted.route, self._organisation_of(admitted))
+
+    def _organisation_of(self, admitted: AdmittedRequest) -> OrganisationRule | None:
         rules = self.board.read(CONFIGURATION).organisations
         name = admitted.organisation
-        return urgency_of(admitted.route, None if name is None else rules.get(name))
+        return None if name is None else rules.get(name)
 
     def _run_attempt(
         self,
--- a/snipespring/controllers/tests/test_evacuations.py
+++ b/snipespring/controllers/tests/test_evacuations.py
@@ -5,9 +5,11 @@
 
 import pytest
 from attrs import define, evolve, field
+from immutables import Map
 
 from snipespring.blackboard import Board
 from snipespring.blackboard.regions import (
+    CONFIGURATION,
     CONFIGURATION_FEED,
     EVACUATION_FEED,
     EVENTS,
@@ -26,6 +28,7 @@
 )
 from snipespring.decisions.places import RESUME_DELAY_S, list_evacuated
 from snipespring.records import (
+    Configuration,
     DomainName,
     Evacuation,
     FeedChanges,
@@ -35,11 +38,18 @@
     FeedView,
     HostId,
     PlaceStep,
+    RegionMap,
+    RunOnce,
 )
 from snipespring.utils import ManualClock
 
 from .domain_fleet import SmallFleet, host
-from .routing_fakes import LOCAL_DOMAIN, make_board, make_slot_request
+from .routing_fakes import (
+    LOCAL_DOMAIN,
+    make_admitted_request,
+    make_board,
+    make_slot_request,
+)
 
 LIMIT_S = 1.4
 DOMAIN = DomainName("b")
@@ -279,6 +289,16 @@
     assert isinstance(placing.place(), Placed)
 
 
+def test_request_without_a_server_in_its_regions_is_refused() -> None:
+    placing = Placing()
+    placing.follower.step()
+    request = make_slot_request(placing.clock.monotonic_s() + 9.0)
+    placement = evolve(request.placement, regions=frozenset({"east"}))
+    refused = placing.dispatcher.place(evolve(request, placement=placement))
+    assert isinstance(refused, NotPlaced)
+    assert refused.reason == "2 servers are outside the allowed regions (east)"
+
+
 def test_queued_requests_are_refused_when_their_servers_are_evacuated() -> None:
     # Guards against a request that was queued before and is sent after.
     placing = Placing()
@@ -327,10 +347,16 @@
         event_recorder=EventRecorder(board=board),
         metrics=MetricsRecorder(board=board),
         own_host=host("a", 0),
+        regions=RegionMap(),
     )
     view = FeedView[Evacuation](revision=3)
     view = evolve(view, items=view.items.set(evacuation.domain, evacuation))
     board.write(EVACUATION_FEED, view, writer="evacuation_feed")
+    route = evolve(
+        make_admitted_request(RunOnce(), 1.0).route, regions=frozenset({"atlantis"})
+    )
+    cfg = Configuration(version=3, host_routes=Map({"a.example": (route,)}))
+    board.write(CONFIGURATION, cfg, writer="configurator")
     for _ in range(3):
         reporter.step()
     removed = view.removed_s.set(evacuation.domain, -RESUME_DELAY_S)
@@ -338,4 +364,6 @@
     board.write(EVACUATION_FEED, ended, writer="evacuation_feed")
     reporter.step()
     events = [e for e in board.read(EVENTS).latest if isinstance(e, PlaceStep)]
-    assert [event.state for event in events] == states
+    assert [event.state for event in events] == ["unknown region", *states]
+    assert events[0].place == "atlantis"
+    assert "configuration version 3" in events[0].evidence
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -47,6 +47,7 @@
     HostCapacity,
     Incarnation,
     PublishedHost,
+    RegionMap,
 )
 from ..settings import GatewayServerSettings, GatewaySettings
 from .process_context import ProcessContext, make_process_context
@@ -200,6 +201,7 @@
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
             ),
             warmups=make_warmup_bounds(context.settings.servers),
+            regions=_make_region_map(context.settings),
         ),
         StoreLeaseManager(
             board=process.board,
@@ -261,6 +263,15 @@
         event_recorder=process.event_recorder,
         metrics=process.metrics,
         own_host=context.own_host,
+        regions=_make_region_map(context.settings),
+    )
+
+
+def _make_region_map(settings: GatewaySettings) -> RegionMap:
+    return RegionMap(
+        own_domain=settings.host.domain,
+        own_region=settings.host.region,
+        by_domain=settings.regions,
     )
 
 
--- a/snipespring/decisions/catalog.py
+++ b/snipespring/decisions/catalog.py
@@ -9,10 +9,12 @@
     Configuration,
     FeedView,
     PublishedServer,
+    RegionMap,
     ServerId,
     ServerRule,
     ServiceName,
 )
+from .places import region_of
 from .routing import WarmupBounds, cold_rate_per_s
 
 __all__ = [
@@ -29,6 +31,7 @@
 # Stands for the revision of an entry whose revision is not known.
 FIRST_REVISION = 1
 NO_REVISIONS: Mapping[str, int] = Map()
+NO_REGIONS = RegionMap()
 
 ServersByService = Map[ServiceName, tuple[ServerRule, ...]]
 
@@ -88,6 +91,7 @@
     *,
     now_s: float,
     revisions: Mapping[str, int] = NO_REVISIONS,
+    regions: RegionMap = NO_REGIONS,
 ) -> ServersByService:
     """Return the servers by service; known servers keep their warm-up time.
 
@@ -108,6 +112,7 @@
             server=server_id,
             domain=server.domain,
             slots=server.slots,
+            region=region_of(regions, server.domain),
             asked_by=ASKED_BY,
         )
         rule = _set_warm_time(
--- a/snipespring/decisions/places.py
+++ b/snipespring/decisions/places.py
@@ -11,6 +11,7 @@
 from attrs import evolve, frozen
 
 from ..records import (
+    Configuration,
     DomainName,
     Evacuation,
     EvacuationMark,
@@ -18,6 +19,9 @@
     EvacuationsState,
     EvacuationsUnused,
     FeedView,
+    OrganisationRule,
+    RegionMap,
+    RouteRule,
     ServerSubset,
     StoreRelay,
 )
@@ -26,13 +30,16 @@
 
 __all__ = [
     "NoUsableServer",
+    "allowed_regions",
     "apply_evacuation_mark",
     "check_evacuation_relay",
     "confirm_evacuations",
     "find_known_s",
+    "list_unknown_regions",
     "list_evacuated",
     "make_evacuation_mark",
     "next_resume_s",
+    "region_of",
     "select_usable_servers",
 ]
 
@@ -186,21 +193,61 @@
     return evolve(followed, confirmed_s=confirmed_s)
 
 
+def allowed_regions(
+    route: RouteRule, organisation: OrganisationRule | None
+) -> frozenset[str] | None:
+    """Return the regions whose servers a request may use, None for all."""
+    restricted = None if organisation is None else organisation.regions
+    if route.regions is None or restricted is None:
+        return restricted if route.regions is None else route.regions
+    return route.regions & restricted
+
+
+def region_of(regions: RegionMap, domain: DomainName) -> str:
+    """Return the region of a failure domain, empty if it is unknown."""
+    own_region = regions.own_region if domain == regions.own_domain else ""
+    return regions.by_domain.get(domain, own_region)
+
+
+def list_unknown_regions(cfg: Configuration, regions: RegionMap) -> frozenset[str]:
+    """Return the regions that routes or organisations name and no domain is in."""
+    routes = (
+        route
+        for table in (cfg.routes, cfg.host_routes)
+        for rules in table.values()
+        for route in rules
+    )
+    named = (rule.regions for rule in (*routes, *cfg.organisations.values()))
+    known = {regions.own_region, *regions.by_domain.values()}
+    return frozenset().union(*(names for names in named if names)) - known
+
+
 def select_usable_servers(
-    subset: ServerSubset, *, evacuated: frozenset[DomainName]
+    subset: ServerSubset,
+    *,
+    evacuated: frozenset[DomainName],
+    regions: frozenset[str] | None = None,
 ) -> ServerSubset | NoUsableServer:
     """Return the servers of a subset that a request may use."""
-    if not evacuated:
+    if not evacuated and regions is None:
         return subset
-    members = tuple(
-        member for member in subset.members if member.rule.domain not in evacuated
+    inside = tuple(
+        member
+        for member in subset.members
+        if regions is None or member.rule.region in regions
     )
+    members = tuple(member for member in inside if member.rule.domain not in evacuated)
     if members or not subset.members:
         return evolve(subset, members=members)
-    names = ", ".join(sorted(evacuated))
-    return NoUsableServer(
-        reason=f"all {len(subset.members)} servers are in evacuated domains ({names})"
-    )
+    reasons = []
+    if regions is not None:
+        outside = len(subset.members) - len(inside)
+        names = ", ".join(sorted(regions)) or "none in common"
+        reasons.append(f"{outside} servers are outside the allowed regions ({names})")
+    if inside:
+        names = ", ".join(sorted(evacuated))
+        reasons.append(f"all {len(inside)} servers are in evacuated domains ({names})")
+    return NoUsableServer(reason="; ".join(reasons))
 
 
 def _list_active(view: View) -> frozenset[DomainName]:
--- a/snipespring/decisions/tests/test_places.py
+++ b/snipespring/decisions/tests/test_places.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from immutables import Map
 
+from snipespring.controllers.tests.routing_fakes import make_admitted_request
 from snipespring.decisions.confirmations import QueryStore
 from snipespring.decisions.places import (
     ENDED_NOTICE_S,
@@ -14,24 +15,32 @@
     START_RELAY_S,
     START_WAIT_S,
     NoUsableServer,
+    allowed_regions,
     apply_evacuation_mark,
     check_evacuation_relay,
     confirm_evacuations,
     find_known_s,
     list_evacuated,
+    list_unknown_regions,
     make_evacuation_mark,
     next_resume_s,
+    region_of,
     select_usable_servers,
 )
 from snipespring.decisions.routing.tests.test_choice import FAR, NEAR, SUBSET
 from snipespring.decisions.server_relay import AwaitRelay
 from snipespring.records import (
+    Configuration,
     DomainName,
     Evacuation,
     EvacuationMark,
     EvacuationsFollowed,
     EvacuationsUnused,
     FeedView,
+    OrganisationName,
+    OrganisationRule,
+    RegionMap,
+    RunOnce,
     ServerSubset,
     StoreRelay,
 )
@@ -40,6 +49,7 @@
 FOLLOWED = EvacuationsFollowed(since_s=10.0)
 CONFIRMED = EvacuationsFollowed(since_s=10.0, confirmed_s=20.0)
 LIMIT_S = 1.4
+ROUTE = make_admitted_request(RunOnce(), 1.0).route
 domains = st.lists(st.sampled_from("abc").map(DomainName), unique=True).map(
     lambda names: tuple(sorted(names))
 )
@@ -161,3 +171,78 @@
     refused = select_usable_servers(SUBSET, evacuated=frozenset({NEAR, FAR}))
     reason = "all 4 servers are in evacuated domains (far, near)"
     assert refused == NoUsableServer(reason=reason)
+
+
+def make_regional_subset(regions: RegionMap) -> ServerSubset:
+    members = tuple(
+        evolve(
+            member,
+            rule=evolve(member.rule, region=region_of(regions, member.rule.domain)),
+        )
+        for member in SUBSET.members
+    )
+    return evolve(SUBSET, members=members)
+
+
+REGIONS = RegionMap(
+    own_domain=NEAR, own_region="east", by_domain=Map({FAR: "west", NEAR: "east"})
+)
+
+
+def test_request_reaches_servers_in_its_regions_only() -> None:
+    subset = make_regional_subset(REGIONS)
+    usable = select_usable_servers(
+        subset, evacuated=frozenset(), regions=frozenset({"west", "nowhere"})
+    )
+    assert isinstance(usable, ServerSubset)
+    assert {member.rule.domain for member in usable.members} == {FAR}
+    refused = select_usable_servers(
+        subset, evacuated=frozenset({FAR}), regions=frozenset({"west"})
+    )
+    reason = (
+        "2 servers are outside the allowed regions (west); "
+        "all 2 servers are in evacuated domains (far)"
+    )
+    assert refused == NoUsableServer(reason=reason)
+
+
+def test_server_in_a_domain_of_no_known_region_is_excluded() -> None:
+    # Guards against a missing row of the table that opens a restriction.
+    subset = make_regional_subset(RegionMap(own_domain=NEAR, own_region="east"))
+    usable = select_usable_servers(
+        subset, evacuated=frozenset(), regions=frozenset({"east", "west"})
+    )
+    assert isinstance(usable, ServerSubset)
+    assert {member.rule.domain for member in usable.members} == {NEAR}
+
+
+@pytest.mark.parametrize(
+    ("of_route", "of_organisation", "expected"),
+    [
+        (None, None, None),
+        (frozenset("a"), None, frozenset("a")),
+        (None, frozenset("b"), frozenset("b")),
+        (frozenset("ab"), frozenset("bc"), frozenset("b")),
+        (frozenset("a"), frozenset("b"), frozenset()),
+    ],
+)
+def test_restrictions_of_route_and_organisation_both_apply(
+    of_route: frozenset[str] | None,
+    of_organisation: frozenset[str] | None,
+    expected: frozenset[str] | None,
+) -> None:
+    route = evolve(ROUTE, regions=of_route)
+    organisation = OrganisationRule(
+        name=OrganisationName("valeters"),
+        rate_per_s=1.0,
+        burst=1.0,
+        asked_by="a test",
+        regions=of_organisation,
+    )
+    assert allowed_regions(route, organisation) == expected
+
+
+def test_region_that_no_domain_is_in_is_found() -> None:
+    route = evolve(ROUTE, regions=frozenset({"east", "atlantis"}))
+    cfg = Configuration(version=3, host_routes=Map({"a.example": (route,)}))
+    assert list_unknown_regions(cfg, REGIONS) == {"atlantis"}
--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -210,6 +210,7 @@
         objective_s=_read_duration_s(rule, "TargetLatency"),
         max_attempts=_read_positive(rule, "MaxAttempts"),
         priority=_read_field(rule, "Priority", int),
+        regions=_read_regions(rule),
         asked_by=ASKED_BY,
     )
     return _read_text(rule, "Host"), route
@@ -246,6 +247,7 @@
         rate_per_s=rate_per_s,
         burst=float(tenant.get("Burst") or 0.0),
         priority=tenant.get("Priority"),
+        regions=_read_regions(tenant),
         asked_by=ASKED_BY,
     )
 
@@ -290,6 +292,16 @@
     return number
 
 
+def _read_regions(spec: Spec) -> frozenset[str] | None:
+    """Return the allowed regions, None if the list is absent or empty."""
+    names = spec.get("AllowedRegions") or None
+    if names is None:
+        return None
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise _InvalidContentError("AllowedRegions: not a list of names")
+    return frozenset(names)
+
+
 def _read_rate_per_s(spec: Spec, name: str) -> float:
     """Return a rate, 0 if it is absent."""
     rate_per_s = float(spec.get(name) or 0.0)
--- a/snipespring/platform/tests/test_objects.py
+++ b/snipespring/platform/tests/test_objects.py
@@ -184,6 +184,23 @@
     assert [rule.run for rule in cfg.host_routes["hulo84.example"]] == [run]
 
 
+def test_allowed_regions_are_read_and_no_list_or_an_empty_one_allows_all() -> None:
+    routes = {"r": {**ROUTE, "AllowedRegions": ["east", "west"]}}
+    tenants = {
+        "a": {"ApiKeys": ["k"], "AllowedRegions": ["east"]},
+        "b": {"ApiKeys": ["l"], "AllowedRegions": []},
+        "c": {"ApiKeys": ["m"]},
+    }
+    cfg = decode_configuration(
+        spec({**CONFIGURATION, "Routes": routes, "Tenants": tenants})
+    )
+    assert isinstance(cfg, Configuration)
+    (route,) = cfg.host_routes["hulo84.example"]
+    assert route.regions == {"east", "west"}
+    regions = {name: rule.regions for name, rule in cfg.organisations.items()}
+    assert regions == {"a": frozenset({"east"}), "b": None, "c": None}
+
+
 @pytest.mark.parametrize("content", [None, [], "now", 7])
 def test_evacuation_that_cannot_be_read_has_a_problem(content: Any) -> None:
     assert decode_evacuation("eire-east-a", spec(content)).problem
@@ -217,6 +234,8 @@
         {"Tenants": {"t": {"ApiKeys": [1]}}},
         {"Tenants": {"t": {"RatePerS": "many"}}},
         {"Version": "xyz"},
+        {"Routes": {"r": {**ROUTE, "AllowedRegions": "east"}}},
+        {"Tenants": {"t": {"AllowedRegions": [7]}}},
     ],
 )
 def test_malformed_configuration_is_invalid(change: dict[str, Any]) -> None:
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -256,6 +256,7 @@
     EvacuationsFollowed,
     EvacuationsState,
     EvacuationsUnused,
+    RegionMap,
 )
 from .platform import (
     ObjectAbsent,
@@ -593,6 +594,7 @@
     "ServiceConcurrency",
     "StatusAges",
     "StopState",
+    "RegionMap",
     "RelayNotice",
     "StoreReach",
     "StoreRelay",
--- a/snipespring/records/places.py
+++ b/snipespring/records/places.py
@@ -1,6 +1,7 @@
-"""Define evacuated failure domains and what hosts relay about them."""
+"""Define evacuated failure domains, what hosts relay about them, and regions."""
 
 from attrs import frozen
+from immutables import Map
 
 from .identity import DomainName
 
@@ -10,6 +11,7 @@
     "EvacuationsFollowed",
     "EvacuationsState",
     "EvacuationsUnused",
+    "RegionMap",
 ]
 
 
@@ -53,3 +55,12 @@
 
 
 EvacuationsState = EvacuationsUnused | EvacuationsFollowed
+
+
+@frozen(kw_only=True)
+class RegionMap:
+    """Map failure domains to regions; `own_region` is that of this host's domain."""
+
+    own_domain: DomainName = DomainName("")
+    own_region: str = ""
+    by_domain: Map[DomainName, str] = Map()
--- a/snipespring/records/routing.py
+++ b/snipespring/records/routing.py
@@ -54,7 +54,8 @@
     servers on trial, and they accept servers with a higher risk of failure. The attempt
     stays in its failure domain while at most `local_queue_margin` requests beyond a
     server's slots would wait there. It accepts a risk of failure there that is up to
-    `local_risk_margin` higher than elsewhere.
+    `local_risk_margin` higher than elsewhere. Only servers in the `regions` are used,
+    in any region for None.
     """
 
     domain: DomainName
@@ -62,6 +63,7 @@
     repeatable: bool = False
     local_queue_margin: int = 0
     local_risk_margin: float = 0.0
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -111,7 +111,7 @@
     """Assign a backend server to a service and a failure domain.
 
     The server is cold until the local time `warm_at_s`, as its entry of the store's
-    revision `cold_revision` says.
+    revision `cold_revision` says. An empty `region` is unknown.
     """
 
     server: ServerId
@@ -120,6 +120,7 @@
     slots: int | None = None
     warm_at_s: float = 0.0
     cold_revision: int = 0
+    region: str = ""
 
 
 @frozen(kw_only=True)
@@ -136,7 +137,8 @@
 
     A route with `shares` distributes its requests over their services instead.
     `deadline_s` bounds a request's time on the host; an answer within `objective_s`
-    has the highest value; requests with a lower `priority` are served first.
+    has the highest value; requests with a lower `priority` are served first. Only
+    servers in the `regions` are used, in any region for None.
     """
 
     methods: tuple[str, ...]
@@ -150,6 +152,7 @@
     objective_s: float = inf
     max_attempts: int | None = None
     priority: int = 0
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -157,6 +160,7 @@
     """Limit the fleet-wide rate and burst of an organisation's requests.
 
     An infinite rate stands for no limit. A priority overrides that of its routes.
+    Only servers in the `regions` are used, in any region for None.
     """
 
     name: OrganisationName
@@ -164,6 +168,7 @@
     burst: float
     asked_by: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -22,6 +22,7 @@
     HttpUrl,
     LogLevel,
     PeerSettings,
+    RegionTable,
     Seconds,
     SecretSource,
     Settings,
@@ -37,6 +38,7 @@
     read_byte_count,
     read_count,
     read_log_level,
+    read_region_table,
     read_seconds,
     read_secret_source,
     read_share,
@@ -63,6 +65,7 @@
     (HttpUrl, read_url),
     (LogLevel, read_log_level),
     (SecretSource, read_secret_source),
+    (RegionTable, read_region_table),
 )
 
 
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 from attrs import field, frozen
+from immutables import Map
 
 from ..records import Address, DomainName, HostId
 
@@ -27,6 +28,7 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RegionTable",
     "SecretEnvironment",
     "SecretFile",
     "SecretSource",
@@ -46,6 +48,8 @@
 LogLevel = NewType("LogLevel", str)
 
 AddressList = NewType("AddressList", tuple[Address, ...])
+# Maps failure domains to regions.
+RegionTable = NewType("RegionTable", Map[DomainName, str])
 
 MEBIBYTE_BYTES = 1024 * 1024
 
@@ -244,7 +248,10 @@
 
 @frozen(kw_only=True)
 class GatewaySettings:
-    """Represent the settings of one gateway process on the users' platform."""
+    """Represent the settings of one gateway process on the users' platform.
+
+    `regions` maps failure domains to regions.
+    """
 
     host: HostSettings
     listen: GatewayListenSettings
@@ -254,6 +261,7 @@
     retries: GatewayRetrySettings = field(factory=GatewayRetrySettings)
     servers: GatewayServerSettings = field(factory=GatewayServerSettings)
     stop: GatewayStopSettings = field(factory=GatewayStopSettings)
+    regions: RegionTable = RegionTable(Map())
     log: LogSettings = field(factory=LogSettings)
 
 
--- a/snipespring/settings/tests/test_gateway.py
+++ b/snipespring/settings/tests/test_gateway.py
@@ -117,14 +117,18 @@
     assert isinstance(settings, GatewaySettings)
     assert make_warmup_bounds(settings.servers) is None
     assert settings.platform.evacuate_s is None
+    assert not settings.regions
     bounds = {
         **FIELDS["Bounds"],
         "WarmupOvershoot": 1.5,
         "WarmupSlack": 8,
         "Evacuate": "5000ms",
     }
-    settings = load(tmp_path, render({**FIELDS, "Bounds": bounds}))
+    network = {"Zones": {"eire-east-a": "eire-east", "eire-west-a": "eire-west"}}
+    text = render({**FIELDS, "Bounds": bounds, "Network": network})
+    settings = load(tmp_path, text)
     assert isinstance(settings, GatewaySettings)
+    assert dict(settings.regions) == network["Zones"]
     expected = WarmupBounds(overshoot=1.5, slack=8.0)
     assert make_warmup_bounds(settings.servers) == expected
     assert settings.platform.evacuate_s == 5.0
--- a/snipespring/settings/values.py
+++ b/snipespring/settings/values.py
@@ -1,10 +1,12 @@
 """Convert the raw value of one field, or raise `SettingsError`."""
 
 import re
+from collections.abc import Mapping
 from decimal import Decimal
 from urllib.parse import urlsplit
 
 from attrs import frozen
+from immutables import Map
 
 from ..decisions.rules import (
     InvalidValue,
@@ -13,7 +15,7 @@
     parse_duration_s,
 )
 from ..exception import SettingsError
-from ..records import Address
+from ..records import Address, DomainName
 from .records import (
     AddressList,
     Amount,
@@ -21,6 +23,7 @@
     Count,
     HttpUrl,
     LogLevel,
+    RegionTable,
     Seconds,
     SecretEnvironment,
     SecretFile,
@@ -36,6 +39,7 @@
     "read_byte_count",
     "read_count",
     "read_log_level",
+    "read_region_table",
     "read_seconds",
     "read_secret_source",
     "read_share",
@@ -139,6 +143,20 @@
     return AddressList(tuple(read_address(item) for item in raw))
 
 
+def read_region_table(raw: object) -> RegionTable:
+    """Read a table of failure domains and their regions."""
+    if not isinstance(raw, Mapping):
+        raise SettingsError(f"expected a table of domains and regions, got {raw!r}")
+    return RegionTable(
+        Map(
+            {
+                DomainName(read_text(domain)): read_text(region)
+                for domain, region in raw.items()
+            }
+        )
+    )
+
+
 def read_url(raw: object) -> HttpUrl:
     """Read an HTTP or HTTPS URL with a host."""
     expected = f"expected a URL such as http://127.0.0.1:8500, got {raw!r}"
