--- a/snipespring/controllers/place_reporter.py
+++ b/snipespring/controllers/place_reporter.py
@@ -1,5 +1,7 @@
 """Report which failure domains are evacuated, and unknown names of places."""
 
+from math import inf
+
 from attrs import define, field
 
 from ..blackboard import Board
@@ -30,6 +32,7 @@
     watches = (EVACUATION_FEED, CONFIGURATION)
     _evacuated: frozenset[DomainName] = field(default=frozenset(), init=False)
     _reported: set[Evacuation] = field(factory=set, init=False)
+    _version: int = field(default=0, init=False)
     _unknown_regions: frozenset[str] = field(default=frozenset(), init=False)
 
     def step(self) -> float | None:
@@ -57,7 +60,7 @@
         next_s = next_resume_s(view, now_s=now_s) - now_s
         if listed != known:
             next_s = min(next_s, CHECK_INTERVAL_S)
-        return None if next_s == float("inf") else next_s
+        return None if next_s == inf else next_s
 
     def _report_invalid(self, evacuation: Evacuation) -> None:
         if evacuation in self._reported:
@@ -68,6 +71,9 @@
 
     def _report_unknown_regions(self) -> None:
         cfg = self.board.read(CONFIGURATION)
+        if cfg.version == self._version:
+            return
+        self._version = cfg.version
         unknown = list_unknown_regions(cfg, self.regions)
         for region in sorted(unknown - self._unknown_regions):
             evidence = f"configuration version {cfg.version}: no domain is in it"
--- a/snipespring/decisions/catalog.py
+++ b/snipespring/decisions/catalog.py
@@ -151,7 +151,8 @@
     An entry that is warm ends a warm-up at once.
     """
     if server.warmup_s <= 0.0:
-        return evolve(rule, warm_at_s=min(rule.warm_at_s, now_s))
+        is_cold = now_s < rule.warm_at_s
+        return evolve(rule, warm_at_s=now_s) if is_cold else rule
     if revision == rule.cold_revision:
         return rule
     return evolve(rule, warm_at_s=now_s + server.warmup_s, cold_revision=revision)
