Test that a host without a mark does not confirm an evacuation

Cause: a trial change of the rule was not noticed by a test.

Result: the trial change fails the test; the module passes without it.

--- a/snipespring/decisions/tests/test_places.py
+++ b/snipespring/decisions/tests/test_places.py
@@ -68,6 +68,8 @@
 
     view = apply_evacuation_mark(EMPTY, mark(3, NEAR, "junk"), now_s=5.0)
     assert make(view, 6.0) == mark(3, NEAR)
+    # A host that missed the end, and gets no mark, has to read the list itself.
+    assert confirm_evacuations(CONFIRMED, view, None, reached_s=30.0) == CONFIRMED
     view = apply_evacuation_mark(view, mark(4), now_s=8.0)
     assert make(view, 9.0) == mark(4)
     # Cold entries may arrive after the end, so the servers stay unused for a moment.
