--- a/snipespring/controllers/tests/domain_fleet.py
+++ b/snipespring/controllers/tests/domain_fleet.py
@@ -119,6 +119,7 @@
             outage_s=3.0,
             outcome_relay=outcome_relay,
             on_server_changes=on_server_changes,
+            on_evacuations=lambda mark, reached_s: None,
         )
         self.links[own_host.peers] = link
         return link
--- a/snipespring/controllers/tests/store_fleet.py
+++ b/snipespring/controllers/tests/store_fleet.py
@@ -294,6 +294,7 @@
             "catalog",
             lambda _, shared: CatalogBuilder(
                 **shared,
+                metrics=metrics,
                 grace_s=1.8,
                 outage_s=3.0,
                 retries=RetryBounds(share=0.1, reserve=9.0),
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -6,17 +6,19 @@
 from attrs import define
 
 from ..blackboard import Region
-from ..blackboard.regions import CONFIGURATION_FEED, SERVER_FEED
+from ..blackboard.regions import CONFIGURATION_FEED, EVACUATION_FEED, SERVER_FEED
 from ..controllers import (
     BodyMemoryLimiter,
     CatalogBuilder,
     ConfigurationFollower,
     Controller,
     DomainAddressLister,
+    EvacuationFollower,
     Feed,
     FeedFollower,
     Forwarder,
     HostRegistrar,
+    PlaceReporter,
     ServerFollower,
     StoreLeaseManager,
     StoreProbe,
@@ -26,14 +28,29 @@
 from ..decisions.domains import AddressListLimits
 from ..decisions.first_reads import FirstReadLimits
 from ..decisions.outages import shortest_outage_s
+from ..decisions.routing import WarmupBounds
 from ..frontends.http_server import HttpServer, WsgiApp
 from ..frontends.operators import OperatorsApp
 from ..platform.callers import PlatformCallersApp
 from ..platform.directory import DirectoryApp, ReadinessApp
-from ..platform.feeds import HostRegistry, configuration_feed, server_feed
+from ..platform.feeds import (
+    HostRegistry,
+    configuration_feed,
+    evacuation_feed,
+    server_feed,
+)
 from ..platform.store import ObjectStoreClient
-from ..records import Address, FeedView, Host, HostCapacity, Incarnation, PublishedHost
-from ..settings import GatewaySettings
+from ..records import (
+    Address,
+    EvacuationMark,
+    FeedView,
+    Host,
+    HostCapacity,
+    Incarnation,
+    PublishedHost,
+    RegionMap,
+)
+from ..settings import GatewayServerSettings, GatewaySettings
 from .process_context import ProcessContext, make_process_context
 
 __all__ = [
@@ -44,11 +61,15 @@
     "GatewayContext",
     "build_body_limiter",
     "build_callers_server",
+    "build_evacuation_follower",
+    "build_place_reporter",
     "build_server_follower",
     "build_store_followers",
     "build_auxiliary_servers",
     "compute_thread_count",
+    "ignore_evacuations",
     "make_gateway_context",
+    "make_warmup_bounds",
 ]
 
 T = TypeVar("T")
@@ -178,12 +199,15 @@
             board=process.board,
             clock=process.clock,
             event_recorder=process.event_recorder,
+            metrics=process.metrics,
             grace_s=platform.drain_s - DRAIN_MARGIN_S,
             outage_s=context.outage_s,
             retries=RetryBounds(
                 share=RETRY_BUDGET_FRACTION * context.settings.retries.share,
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
             ),
+            warmups=make_warmup_bounds(context.settings.servers),
+            regions=_make_region_map(context.settings),
         ),
         StoreLeaseManager(
             board=process.board,
@@ -194,6 +218,15 @@
     )
 
 
+def make_warmup_bounds(servers: GatewayServerSettings) -> WarmupBounds | None:
+    """Return the bounds for cold servers, None if the settings name neither."""
+    match servers:
+        case GatewayServerSettings(warmup_overshoot=None, warmup_slack=None):
+            return None
+        case GatewayServerSettings(warmup_overshoot=overshoot, warmup_slack=slack):
+            return WarmupBounds(overshoot=overshoot or 0.0, slack=slack or 0.0)
+
+
 def build_server_follower(context: GatewayContext) -> ServerFollower:
     """Build the controller that follows the registered servers."""
     follower = _build_feed_follower(
@@ -207,6 +240,47 @@
     )
 
 
+def build_evacuation_follower(context: GatewayContext) -> EvacuationFollower | None:
+    """Build the controller that follows evacuations, None without a bound for them."""
+    evacuate_s = context.settings.platform.evacuate_s
+    if evacuate_s is None:
+        return None
+    follower = _build_feed_follower(
+        context,
+        evacuation_feed(context.store),
+        EVACUATION_FEED,
+        SERVER_WATCH_TIMEOUT_S,
+        lists_when_behind=True,
+    )
+    notice_s = min(NOTICE_FRACTION * evacuate_s, _compute_notice_s(context))
+    return EvacuationFollower(feed_follower=follower, limit_s=RELAY_FRACTION * notice_s)
+
+
+def ignore_evacuations(_mark: EvacuationMark | None, _reached_s: float | None) -> None:
+    """Ignore what digests state of evacuations."""
+
+
+def build_place_reporter(context: GatewayContext) -> PlaceReporter:
+    """Build the controller that reports the use of places."""
+    process = context.process
+    return PlaceReporter(
+        board=process.board,
+        clock=process.clock,
+        event_recorder=process.event_recorder,
+        metrics=process.metrics,
+        own_host=context.own_host,
+        regions=_make_region_map(context.settings),
+    )
+
+
+def _make_region_map(settings: GatewaySettings) -> RegionMap:
+    return RegionMap(
+        own_domain=settings.host.domain,
+        own_region=settings.host.region,
+        by_domain=settings.regions,
+    )
+
+
 def _compute_notice_s(context: GatewayContext) -> float:
     """Return the time within which a host notices a change in the store."""
     platform = context.settings.platform
--- /dev/null
+++ b/snipespring/decisions/tests/test_places.py
@@ -0,0 +1,134 @@
+from random import Random
+
+import pytest
+from attrs import evolve
+from hypothesis import given
+from hypothesis import strategies as st
+from immutables import Map
+
+from snipespring.controllers.tests.routing_fakes import make_admitted_request
+from snipespring.decisions.places import (
+    ENDED_NOTICE_S,
+    RESUME_DELAY_S,
+    NoUsableServer,
+    allowed_regions,
+    apply_evacuation_mark,
+    confirm_evacuations,
+    list_evacuated,
+    list_unknown_regions,
+    make_evacuation_mark,
+    region_of,
+    select_usable_servers,
+)
+from snipespring.decisions.routing.tests.test_choice import FAR, NEAR, SUBSET
+from snipespring.records import (
+    Configuration,
+    DomainName,
+    Evacuation,
+    EvacuationMark,
+    EvacuationsFollowed,
+    FeedView,
+    OrganisationName,
+    OrganisationRule,
+    RegionMap,
+    RunOnce,
+)
+
+EMPTY = FeedView[Evacuation]()
+CONFIRMED = EvacuationsFollowed(since_s=10.0, confirmed_s=20.0)
+EAST, WEST = frozenset({"east"}), frozenset({"west"})
+ROUTE = evolve(make_admitted_request(RunOnce(), 1.0).route, regions=EAST | WEST)
+REGIONS = RegionMap(own_domain=NEAR, own_region="east", by_domain=Map({FAR: "west"}))
+
+
+def mark(revision: int, *names: str) -> EvacuationMark:
+    listed = tuple(DomainName(name) for name in names)
+    return EvacuationMark(revision=revision, domains=listed)
+
+
+@given(
+    lists=st.lists(st.sets(st.sampled_from("abc")), min_size=1, max_size=6),
+    order=st.randoms(use_true_random=False),
+)
+def test_newest_digest_wins_in_any_order(lists: list[set[str]], order: Random) -> None:
+    # Guards against a late digest of a second hub that ends an evacuation.
+    marks = [mark(number + 1, *names) for number, names in enumerate(lists)]
+    order.shuffle(marks)
+    view = EMPTY
+    for received in marks:
+        view = apply_evacuation_mark(view, received, now_s=5.0)
+        view = apply_evacuation_mark(view, None, now_s=5.0)
+    assert list_evacuated(view, now_s=100.0) == lists[-1]
+
+
+def test_digest_says_only_what_hosts_need() -> None:
+    # Guards against bytes for nothing, and against an unread list taken for empty.
+    def make(view: FeedView[Evacuation], now_s: float) -> EvacuationMark | None:
+        return make_evacuation_mark(view, CONFIRMED, {NEAR}.__contains__, now_s=now_s)
+
+    view = apply_evacuation_mark(EMPTY, mark(3, NEAR, "junk"), now_s=5.0)
+    assert make(view, 6.0) == mark(3, NEAR)
+    # A host that missed the end, and gets no mark, has to read the list itself.
+    assert confirm_evacuations(CONFIRMED, view, None, reached_s=30.0) == CONFIRMED
+    view = apply_evacuation_mark(view, mark(4), now_s=8.0)
+    assert make(view, 9.0) == mark(4)
+    # Cold entries may arrive after the end, so the servers stay unused for a moment.
+    assert list_evacuated(view, now_s=8.0 + RESUME_DELAY_S - 0.01) >= {NEAR}
+    assert list_evacuated(view, now_s=8.0 + RESUME_DELAY_S) == frozenset()
+    assert make(view, 8.0 + ENDED_NOTICE_S) is None
+    followed = EvacuationsFollowed(since_s=1.0)
+    unread = make_evacuation_mark(EMPTY, followed, {NEAR}.__contains__, now_s=1.0)
+    assert confirm_evacuations(followed, EMPTY, unread, reached_s=2.0) == followed
+
+
+@pytest.mark.parametrize(
+    ("evacuated", "regions", "expected"),
+    [
+        ({NEAR}, None, {FAR}),
+        ({NEAR, FAR}, None, "all 4 servers are in evacuated domains (far, near)"),
+        (set(), EAST, {NEAR}),
+        (set(), WEST, "4 servers are outside the allowed regions (west)"),
+        (
+            {NEAR},
+            EAST,
+            "2 servers are outside the allowed regions (east); "
+            "all 2 servers are in evacuated domains (near)",
+        ),
+    ],
+)
+def test_only_usable_servers_remain(
+    evacuated: set[DomainName], regions: frozenset[str] | None, expected: object
+) -> None:
+    # The region of the far servers is not known, which excludes them.
+    known = evolve(REGIONS, by_domain=Map())
+    members = tuple(
+        evolve(
+            member,
+            rule=evolve(member.rule, region=region_of(known, member.rule.domain)),
+        )
+        for member in SUBSET.members
+    )
+    usable = select_usable_servers(
+        evolve(SUBSET, members=members), evacuated=frozenset(evacuated), regions=regions
+    )
+    if isinstance(usable, NoUsableServer):
+        assert usable.reason == expected
+    else:
+        assert {member.rule.domain for member in usable.members} == expected
+
+
+def test_restrictions_of_route_and_organisation_both_apply() -> None:
+    organisation = OrganisationRule(
+        name=OrganisationName("valeters"),
+        rate_per_s=1.0,
+        burst=1.0,
+        asked_by="a test",
+        regions=WEST | {"atlantis"},
+    )
+    open_route = evolve(ROUTE, regions=None)
+    assert allowed_regions(ROUTE, organisation) == WEST
+    assert allowed_regions(ROUTE, None) == EAST | WEST
+    assert allowed_regions(open_route, organisation) == WEST | {"atlantis"}
+    assert allowed_regions(open_route, None) is None
+    cfg = Configuration(organisations=Map({organisation.name: organisation}))
+    assert list_unknown_regions(cfg, REGIONS) == {"atlantis"}
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -88,7 +88,9 @@
     """Set the limits of one service; `floor` is the share of servers kept in use.
 
     Retries stay below `retry_share` of the first attempts plus a reserve, which is
-    `retry_reserve` for the whole fleet if set.
+    `retry_reserve` for the whole fleet if set. A cold server tolerates `warmup_per_s`
+    requests a second, 0 for any number, and the fleet sends it `cold_per_s`, None for
+    no bound.
     """
 
     name: ServiceName
@@ -98,6 +100,8 @@
     deadline_s: float = 2.0
     retry_share: float = 0.1
     retry_reserve: float | None = None
+    warmup_per_s: float = 0.0
+    cold_per_s: float | None = None
     ejection: EjectionPreference = field(factory=EjectCarefully)
     asked_by: str
 
@@ -106,7 +110,8 @@
 class ServerRule:
     """Assign a backend server to a service and a failure domain.
 
-    A server that has just started is slow until the local time `warm_at_s`.
+    The server is cold until the local time `warm_at_s`, as its entry of the store's
+    revision `cold_revision` says. An empty `region` is unknown.
     """
 
     server: ServerId
@@ -114,6 +119,8 @@
     asked_by: str
     slots: int | None = None
     warm_at_s: float = 0.0
+    cold_revision: int = 0
+    region: str = ""
 
 
 @frozen(kw_only=True)
@@ -130,7 +137,8 @@
 
     A route with `shares` distributes its requests over their services instead.
     `deadline_s` bounds a request's time on the host; an answer within `objective_s`
-    has the highest value; requests with a lower `priority` are served first.
+    has the highest value; requests with a lower `priority` are served first. Only
+    servers in the `regions` are used, in any region for None.
     """
 
     methods: tuple[str, ...]
@@ -144,6 +152,7 @@
     objective_s: float = inf
     max_attempts: int | None = None
     priority: int = 0
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
@@ -151,6 +160,7 @@
     """Limit the fleet-wide rate and burst of an organisation's requests.
 
     An infinite rate stands for no limit. A priority overrides that of its routes.
+    Only servers in the `regions` are used, in any region for None.
     """
 
     name: OrganisationName
@@ -158,6 +168,7 @@
     burst: float
     asked_by: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @frozen(kw_only=True)
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -22,6 +22,7 @@
     HttpUrl,
     LogLevel,
     PeerSettings,
+    RegionTable,
     Seconds,
     SecretSource,
     Settings,
@@ -38,6 +39,7 @@
     read_count,
     read_flag,
     read_log_level,
+    read_region_table,
     read_seconds,
     read_secret_source,
     read_share,
@@ -65,6 +67,7 @@
     (HttpUrl, read_url),
     (LogLevel, read_log_level),
     (SecretSource, read_secret_source),
+    (RegionTable, read_region_table),
 )
 
 
@@ -165,7 +168,7 @@
 
 
 def _yaml_name(item: "Attribute[Any]") -> str:
-    if item.type is Seconds:
+    if item.type in (Seconds, Seconds | None):
         return item.name.removesuffix("_s")
     if item.type is ByteCount:
         return item.name.removesuffix("_bytes")
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -3,6 +3,7 @@
 from typing import NewType
 
 from attrs import field, frozen
+from immutables import Map
 
 from ..records import Address, DomainName, HostId
 
@@ -28,6 +29,7 @@
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "RegionTable",
     "SecretEnvironment",
     "SecretFile",
     "SecretSource",
@@ -47,6 +49,8 @@
 LogLevel = NewType("LogLevel", str)
 
 AddressList = NewType("AddressList", tuple[Address, ...])
+# Maps failure domains to regions.
+RegionTable = NewType("RegionTable", Map[DomainName, str])
 
 MEBIBYTE_BYTES = 1024 * 1024
 
@@ -171,7 +175,8 @@
 
     A revoked key is refused within `revoke_s`, a configuration is effective within
     `apply_s`, and a removed server gets no requests after `drain_s`. Each server renews
-    its entry every `heartbeat_s` seconds.
+    its entry every `heartbeat_s` seconds. The servers of an evacuated domain get no
+    requests after `evacuate_s`; without it, evacuations are not followed.
     """
 
     store: Address
@@ -180,6 +185,7 @@
     apply_s: Seconds = Seconds(2.0)
     drain_s: Seconds = Seconds(2.0)
     heartbeat_s: Seconds = Seconds(1.5)
+    evacuate_s: Seconds | None = None
 
 
 @frozen(kw_only=True)
@@ -231,9 +237,14 @@
     """Set the use of each service's servers.
 
     While the service fails, at least the share `floor` of its servers get requests.
+    In any second, a cold server gets at most `warmup_overshoot` times the rate that its
+    service names, plus `warmup_slack` requests. If only one of them is set, the other
+    is 0; if neither is set, cold servers are not bounded.
     """
 
     floor: Share = Share(0.7)
+    warmup_overshoot: Share | None = None
+    warmup_slack: Amount | None = None
 
 
 @frozen(kw_only=True)
@@ -245,7 +256,10 @@
 
 @frozen(kw_only=True)
 class GatewaySettings:
-    """Represent the settings of one gateway process on the users' platform."""
+    """Represent the settings of one gateway process on the users' platform.
+
+    `regions` maps failure domains to regions.
+    """
 
     host: GatewayHostSettings
     listen: GatewayListenSettings
@@ -255,6 +269,7 @@
     retries: GatewayRetrySettings = field(factory=GatewayRetrySettings)
     servers: GatewayServerSettings = field(factory=GatewayServerSettings)
     stop: GatewayStopSettings = field(factory=GatewayStopSettings)
+    regions: RegionTable = RegionTable(Map())
     log: LogSettings = field(factory=LogSettings)
 
 
