Judge sheds by the free slots that the server reports

A server that refused requests with free slots lowered the host's limit of attempts in flight as if the service were full, and a gray server of this kind was never suspected. Such a shed now leaves the limit alone. Hosts notify each other of these sheds with one more field of OutcomeNotification.

--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -10,6 +10,7 @@
     FAILURE_LOG,
     FLEET_VIEW,
     HUB_STATE,
+    IDLE_SHED_LOG,
     PENDING_OUTCOMES,
     USAGE_LOG,
 )
@@ -81,6 +82,7 @@
     "FENCE",
     "FLEET_VIEW",
     "HUB_STATE",
+    "IDLE_SHED_LOG",
     "PENDING_OUTCOMES",
     "HEALTH_POOLS",
     "HOST_CONTACTS",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -18,6 +18,7 @@
     "FAILURE_LOG",
     "FLEET_VIEW",
     "HUB_STATE",
+    "IDLE_SHED_LOG",
     "PENDING_OUTCOMES",
     "USAGE_LOG",
 ]
@@ -38,6 +39,9 @@
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
 HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
+IDLE_SHED_LOG = Region[AnswerLog](
+    name="idle_shed_log", writer="health_keeper", initial=AnswerLog()
+)
 PENDING_OUTCOMES = Region[PendingOutcomes](
     name="pending_outcomes", writer="outcome_relay", initial=PendingOutcomes()
 )
--- a/snipespring/controllers/suspicion_tracker.py
+++ b/snipespring/controllers/suspicion_tracker.py
@@ -12,11 +12,13 @@
     EVIDENCE,
     FAILURE_LOG,
     FLEET_VIEW,
+    IDLE_SHED_LOG,
     SERVER_LOADS,
     SERVER_STATES,
 )
 from ..decisions.domains import count_server_answers, record_answers
 from ..decisions.routing import failure_timeout_of, service_load_of
+from ..decisions.sheds import blames_server, record_shed, sheds_as_whole
 from ..decisions.suspicion import (
     FAILURE_WEIGHT,
     PATH_FAILURE_WEIGHT,
@@ -77,8 +79,12 @@
                 self._record_outcome(server, PATH_FAILURE_WEIGHT)
             for _ in range(new.bad):
                 self._record_outcome(server, FAILURE_WEIGHT)
+            for _ in range(new.idle_sheds):
+                self._record_idle_shed(server)
             if new.bad or (new.good and risk >= SUSPECTED_RISK):
                 self._notify(server, is_failure=new.bad > 0)
+            elif new.idle_sheds and not self._sheds_as_whole(server):
+                self._notify(server, is_failure=True, is_idle_shed=True)
 
     def receive_outcome(self, notification: OutcomeNotification) -> None:
         """Record an outcome on another host."""
@@ -88,11 +94,44 @@
             weight *= OTHER_DOMAIN_WEIGHT
         for rules in self.board.read(CONFIGURATION).servers.values():
             for rule in rules:
-                if rule.server.instance == notification.instance:
+                if rule.server.instance != notification.instance:
+                    continue
+                if notification.is_idle_shed:
+                    self._record_idle_shed(rule.server, weight=weight)
+                else:
                     self._record_outcome(rule.server, weight)
                     if notification.is_failure:
                         self._log_outcomes(FAILURE_LOG, rule.server, 1)
 
+    def _record_idle_shed(
+        self, server: ServerId, *, weight: float = FAILURE_WEIGHT
+    ) -> None:
+        """Record a shed with free slots; it counts unless much of the service sheds."""
+        now_s = self.clock.monotonic_s()
+        log = self.board.update(
+            IDLE_SHED_LOG,
+            lambda log: record_shed(log, server, now_s=now_s),
+            writer=self.name,
+        )
+        servers = self._list_servers(server)
+        if blames_server(log, server, servers, now_s=now_s):
+            self.metrics.count("idle_sheds", "counted")
+            self._record_outcome(server, weight)
+        else:
+            self.metrics.count("idle_sheds", "not_counted")
+
+    def _sheds_as_whole(self, server: ServerId) -> bool:
+        return sheds_as_whole(
+            self.board.read(IDLE_SHED_LOG),
+            self._list_servers(server),
+            now_s=self.clock.monotonic_s(),
+        )
+
+    def _list_servers(self, server: ServerId) -> tuple[ServerId, ...]:
+        """Return the configured servers of a server's service."""
+        rules = self.board.read(CONFIGURATION).servers.get(server.service, ())
+        return tuple(rule.server for rule in rules)
+
     def _get_failure_timeout_s(self, server: ServerId) -> float:
         loads = self.board.read(SERVER_LOADS)
         return failure_timeout_of(service_load_of(loads, server.service))
@@ -132,13 +171,16 @@
         own_count = count_server_answers(log, server.instance, now_s=now_s)
         return own_count + self.board.read(FLEET_VIEW).answers.get(server.instance, 0)
 
-    def _notify(self, server: ServerId, *, is_failure: bool) -> None:
+    def _notify(
+        self, server: ServerId, *, is_failure: bool, is_idle_shed: bool = False
+    ) -> None:
         self.broadcast_outcome(
             OutcomeNotification(
                 sender=self.host_id,
                 domain=self.domain,
                 instance=server.instance,
                 is_failure=is_failure,
+                is_idle_shed=is_idle_shed,
             )
         )
 
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -23,6 +23,7 @@
     ServiceName,
     ShedByServer,
 )
+from ..sheds import is_shed_with_free_slots
 from .histograms import add_duration
 
 __all__ = [
@@ -58,13 +59,15 @@
 ) -> Evidence:
     """Return the evidence after the end of an attempt.
 
-    Shed requests and client errors say nothing about the server's health.
+    Client errors and sheds for lack of slots say nothing about the server's health.
     """
     server_evidence = evidence.by_server.get(server, NO_EVIDENCE)
     started_s = server_evidence.started_s.get(attempt_id, now_s)
     counts = _count_result(server_evidence.counts, result, now_s - started_s)
     server_evidence = ServerEvidence(
-        counts=counts, started_s=_remove_start(server_evidence.started_s, attempt_id)
+        counts=counts,
+        started_s=_remove_start(server_evidence.started_s, attempt_id),
+        idle_sheds=server_evidence.idle_sheds + is_shed_with_free_slots(result),
     )
     return evolve(evidence, by_server=evidence.by_server.set(server, server_evidence))
 
--- a/snipespring/decisions/routing/limits.py
+++ b/snipespring/decisions/routing/limits.py
@@ -30,7 +30,10 @@
             busy = service.busy + MEAN_WEIGHT * (report.busy - service.busy)
             return evolve(service, busy=busy)
         case ShedByServer(load=report) if report is not None:
-            if report.draining or service.busy < FULL_BUSY_SHARE * report.slots:
+            # A shed by a server with free slots does not indicate a full service.
+            if report.draining or report.busy < report.slots:
+                return service
+            if service.busy < FULL_BUSY_SHARE * report.slots:
                 return service
             effective = min(service.limit, service.in_flight + 1.0)
             return evolve(
--- a/snipespring/decisions/routing/tests/test_limits.py
+++ b/snipespring/decisions/routing/tests/test_limits.py
@@ -50,3 +50,10 @@
     service = ServiceLoad(in_flight=9, busy=float(SLOTS))
     shed = ShedByServer(retry_after_s=None, load=make_report(SLOTS, draining=True))
     assert record_result(service, shed, duration_s=0.0).limit == service.limit
+
+
+@given(busy=st.integers(0, SLOTS - 1))
+def test_shed_of_server_with_free_slots_keeps_limit_of_busy_service(busy: int) -> None:
+    """Guard against a lower limit when servers refuse with a third of slots in use."""
+    service = ServiceLoad(in_flight=9, busy=float(SLOTS))
+    assert record(service, True, busy).limit == service.limit
--- a/snipespring/decisions/tallies.py
+++ b/snipespring/decisions/tallies.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 from immutables import Map
 
-from ..records import Evidence, Histogram, OutcomeCounts, ServerId
+from ..records import Evidence, Histogram, ServerEvidence, ServerId
 from .health import bucket_of, count_at_least
 
 __all__ = ["OutcomeTally", "count_outcomes", "list_new_outcomes"]
@@ -15,20 +15,22 @@
 class OutcomeTally:
     """Count good answers, failures and attempts that reached no server.
 
-    `late` contains the waiting times of attempts that got no answer in time.
+    `late` contains the waiting times of attempts that got no answer in time, and
+    `idle_sheds` counts sheds by a server with free slots.
     """
 
     good: int
     bad: int
     connect_failures: int
     late: Histogram = Histogram()
+    idle_sheds: int = 0
 
 
 def count_outcomes(evidence: Evidence) -> Map[ServerId, OutcomeTally]:
     """Return the outcomes on each server since the process started."""
     return Map(
         {
-            server: _sum_counts(server_evidence.counts)
+            server: _sum_counts(server_evidence)
             for server, server_evidence in evidence.by_server.items()
         }
     )
@@ -55,16 +57,19 @@
                     good=tally.good - old.good,
                     bad=tally.bad - old.bad + late,
                     connect_failures=tally.connect_failures - old.connect_failures,
+                    idle_sheds=tally.idle_sheds - old.idle_sheds,
                 ),
             )
 
 
-def _sum_counts(counts: OutcomeCounts) -> OutcomeTally:
+def _sum_counts(evidence: ServerEvidence) -> OutcomeTally:
+    counts = evidence.counts
     return OutcomeTally(
         good=sum(counts.answered.counts),
         bad=counts.errors + counts.broken,
         connect_failures=counts.unreachable,
         late=counts.late,
+        idle_sheds=evidence.idle_sheds,
     )
 
 
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -43,6 +43,8 @@
     LeaseState,
     Message,
     ObservedObject,
+    OutcomeBatch,
+    OutcomeNotification,
     PublishedHost,
     PublishedServer,
     Roster,
@@ -231,11 +233,32 @@
             case HostReport(host=host, request=request):
                 assert (host.capacity, request) == (HostCapacity(), None)
                 assert encode_datagram(message).hex()[6:] != line[6:]
+            case OutcomeNotification() | OutcomeBatch():
+                assert _list_later_values(message) == [False]
             case _:
                 assert not line.startswith("8201")
                 assert encode_datagram(message).hex() == line
 
 
+def test_datagrams_of_a_build_without_demand_are_decoded() -> None:
+    """Guard against hosts that do not understand each other during an upgrade."""
+    for line in read_golden("datagrams_without_demand"):
+        message = decode_datagram(bytes.fromhex(line))
+        assert message is not None
+        assert not any(_list_later_values(message)), line
+
+
+def _list_later_values(message: DomainMessage) -> list[Any]:
+    """Return the values of fields that were added after the older builds."""
+    match message:
+        case OutcomeNotification(is_idle_shed=is_idle_shed):
+            return [is_idle_shed]
+        case OutcomeBatch(outcomes=outcomes):
+            return [outcome.is_idle_shed for outcome in outcomes]
+        case _:
+            return []
+
+
 def test_fleet_objects_are_encoded_as_before() -> None:
     assert [content.hex() for content in encode_objects()] == read_golden(
         "fleet_objects"
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -131,13 +131,15 @@
 class OutcomeNotification:
     """Notify other hosts immediately how a request to a server ended.
 
-    `domain` is the failure domain of the host that sent the request.
+    `domain` is the failure domain of the host that sent the request. A failure that
+    `is_idle_shed` is a refusal by a server with free slots.
     """
 
     sender: HostId
     domain: DomainName
     instance: str
     is_failure: bool
+    is_idle_shed: bool = False
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/health.py
+++ b/snipespring/records/health.py
@@ -52,11 +52,13 @@
 class ServerEvidence:
     """Collect the outcomes of attempts on one server.
 
-    `started_s` contains the monotonic start times of attempts under way.
+    `started_s` contains the monotonic start times of attempts under way. `idle_sheds`
+    counts the sheds while the server reported free slots.
     """
 
     counts: OutcomeCounts = OutcomeCounts()
     started_s: Map[str, float] = Map()
+    idle_sheds: int = 0
 
 
 @frozen(kw_only=True)
