Estimate waits by route and refuse nothing while servers have free slots

One mean for each service stood for routes that differ five times in work, so that light requests were refused for the wait behind heavy ones and heavy ones were queued without hope. The host now keeps the mean duration of each route's answers, and the part of it that the server worked. The wait is the sum over the requests ahead. While the reported loads show free slots, a host with few attempts in flight does not conclude from them how long the wait is.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -34,9 +34,12 @@
     Chosen,
     NoServer,
     ServersBusy,
+    answer_s_of,
     cancel_reservation,
     choose_server,
     count_recent_outcomes,
+    has_free_slots,
+    list_answer_times,
     release_server,
     remove_unused_servers,
     reserve_server,
@@ -130,7 +133,12 @@
         return self._wait(future, ticket, slot_request)
 
     def release(
-        self, server: ServerId, result: BackendResult, *, started_s: float
+        self,
+        server: ServerId,
+        result: BackendResult,
+        *,
+        started_s: float,
+        route: str = "",
     ) -> None:
         """Release the slot of a completed attempt and record its result."""
         now_s = self.clock.monotonic_s()
@@ -145,6 +153,7 @@
                     now_s=now_s,
                     hosts=hosts,
                     phase=phase,
+                    route=route,
                 )
             )
             self._dispatch(server.service)
@@ -198,7 +207,8 @@
         load = self._service_load(slot_request.service)
         if busy.waits_for_attempts and load.in_flight > 0:
             return None
-        if busy.free_at_s + load.mean_service_s <= slot_request.deadline_at_s:
+        answer_s = answer_s_of(load, slot_request.route)
+        if busy.free_at_s + answer_s <= slot_request.deadline_at_s:
             return None
         delay_s = busy.free_at_s - self.clock.monotonic_s()
         reason = (
@@ -211,13 +221,16 @@
         self, slot_request: SlotRequest
     ) -> tuple[Future[Placed | NotPlaced], int]:
         future: Future[Placed | NotPlaced] = Future()
+        load = self._service_load(slot_request.service)
         result = enqueue(
             self.board.read(REQUEST_QUEUES),
             slot_request,
             max_queued=self.max_queued,
-            in_flight=self._service_load(slot_request.service).in_flight,
-            service_s=self._service_load(slot_request.service).mean_service_s,
+            in_flight=load.in_flight,
+            service_s=load.mean_service_s,
             now_s=self.clock.monotonic_s(),
+            service_s_by_route=list_answer_times(load),
+            has_free_slots=self._has_free_slots(slot_request.service),
         )
         match result:
             case EnqueueRefused(reason=reason, retry_after_s=retry_after_s):
@@ -233,10 +246,8 @@
     def _wait(
         self, future: Future[Placed | NotPlaced], ticket: int, slot_request: SlotRequest
     ) -> Placed | NotPlaced:
-        latest_s = (
-            slot_request.deadline_at_s
-            - self._service_load(slot_request.service).mean_service_s
-        )
+        load = self._service_load(slot_request.service)
+        latest_s = slot_request.deadline_at_s - answer_s_of(load, slot_request.route)
         try:
             return future.result(max(0.0, latest_s - self.clock.monotonic_s()))
         except TimeoutError:
@@ -282,6 +293,8 @@
             in_flight=load.in_flight,
             service_s=load.mean_service_s,
             now_s=self.clock.monotonic_s(),
+            service_s_by_route=list_answer_times(load),
+            has_free_slots=self._has_free_slots(service),
         )
         for request, wait_s in hopeless:
             self._remove_request(request.ticket)
@@ -348,6 +361,11 @@
     def _change_loads(self, change: Callable[[ServerLoads], ServerLoads]) -> None:
         self.board.update(SERVER_LOADS, change, writer=self.name)
 
+    def _has_free_slots(self, service: ServiceName) -> bool:
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        slots = 0 if subset is None else subset.slots
+        return has_free_slots(self._service_load(service), slots)
+
     def _service_load(self, service: ServiceName) -> ServiceLoad:
         return service_load_of(self.board.read(SERVER_LOADS), service)
 
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -32,7 +32,7 @@
     retry_delay_s,
 )
 from ..decisions.health import record_attempt_end, record_attempt_start
-from ..decisions.queueing import urgency_of
+from ..decisions.queueing import name_of, urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
     BudgetExhausted,
@@ -176,6 +176,8 @@
             placement=placement,
             deadline_at_s=admitted.deadline_at_s,
             priority=self._urgency_of(admitted),
+            route=name_of(admitted.route),
+            objective_at_s=admitted.received_s + admitted.route.objective_s,
             tag=tag,
         )
 
@@ -206,7 +208,9 @@
             case _:
                 pass
         took_s = self.clock.monotonic_s() - started_s
-        self.dispatcher.release(server, result, started_s=started_s)
+        self.dispatcher.release(
+            server, result, started_s=started_s, route=name_of(admitted.route)
+        )
         self._record_end(server, attempt.request_id, result)
         self._count_result(server, result)
         return _CompletedAttempt(result=result, server=server, took_s=took_s)
--- a/snipespring/decisions/queueing/__init__.py
+++ b/snipespring/decisions/queueing/__init__.py
@@ -10,7 +10,7 @@
     list_hopeless,
     remove_request,
 )
-from .urgency import urgency_of
+from .urgency import name_of, urgency_of
 
 __all__ = [
     "EnqueueRefused",
@@ -20,6 +20,7 @@
     "enqueue",
     "get_queue",
     "list_hopeless",
+    "name_of",
     "remove_request",
     "urgency_of",
 ]
--- a/snipespring/decisions/queueing/fairness.py
+++ b/snipespring/decisions/queueing/fairness.py
@@ -5,8 +5,10 @@
 """
 
 from collections import Counter
+from collections.abc import Sequence
 
 from attrs import evolve, frozen
+from immutables import Map
 
 from ...records import (
     OrganisationName,
@@ -35,6 +37,7 @@
 # The queue may move this much faster than estimated from the attempts in flight.
 MAX_SPEEDUP = 2.0
 EMPTY_QUEUE = RequestQueue()
+NO_TIMES: Map[str, float] = Map()
 
 
 @frozen(kw_only=True)
@@ -72,13 +75,17 @@
     in_flight: int,
     service_s: float,
     now_s: float,
+    service_s_by_route: Map[str, float] = NO_TIMES,
+    has_free_slots: bool = False,
 ) -> Enqueued | EnqueueRefused:
     """Queue a request for a slot and evict another if `max_queued` are waiting.
 
     The estimated wait follows from the requests ahead and from `in_flight`
-    concurrent attempts of `service_s` seconds each. A request that would miss its
-    deadline is refused.
+    concurrent attempts of `service_s` seconds each, or of the seconds of their routes
+    where these are known. A request that would miss its deadline is refused, unless the
+    servers have free slots: then the wait does not depend on this host's attempts.
     """
+    times = _ServiceTimes(mean_s=service_s, by_route=service_s_by_route)
     queue = get_queue(queues, slot_request.service)
     tag = (
         _next_start_tag(queue, slot_request.organisation)
@@ -88,14 +95,22 @@
     request = QueuedRequest(
         ticket=queues.next_ticket, tag=tag, slot_request=slot_request
     )
-    ahead = sum(
-        _service_sort_key(other) < _service_sort_key(request) for other in queue.queued
-    )
-    wait_s = _estimate_wait_s(ahead, in_flight=in_flight, service_s=service_s)
+    ahead = [
+        other
+        for other in queue.queued
+        if _service_sort_key(other) < _service_sort_key(request)
+    ]
+    wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-    if now_s + wait_s + service_s > slot_request.deadline_at_s:
+    answer_s = times.of(request)
+    remaining_s = slot_request.deadline_at_s - now_s
+    if wait_s + answer_s > remaining_s and not has_free_slots:
         return EnqueueRefused(
-            reason=f"estimated wait of {wait_s:.3f} s would exceed the deadline",
+            reason=(
+                f"estimated wait of {wait_s:.3f} s behind {len(ahead)} requests and "
+                f"{answer_s:.3f} s of service would exceed the deadline in "
+                f"{remaining_s:.3f} s"
+            ),
             retry_after_s=retry_after_s,
         )
     evicted = None
@@ -115,21 +130,30 @@
 
 
 def list_hopeless(
-    queue: RequestQueue, *, in_flight: int, service_s: float, now_s: float
+    queue: RequestQueue,
+    *,
+    in_flight: int,
+    service_s: float,
+    now_s: float,
+    service_s_by_route: Map[str, float] = NO_TIMES,
+    has_free_slots: bool = False,
 ) -> tuple[tuple[QueuedRequest, float], ...]:
     """Return the queued requests that will miss their deadlines, and their waits.
 
     They would miss them even if the queue moved faster than estimated, as happens when
-    the servers become slower or are lost while requests wait.
+    the servers become slower or are lost while requests wait. While servers have free
+    slots, the wait is not estimated.
     """
+    times = _ServiceTimes(mean_s=service_s, by_route=service_s_by_route)
     hopeless: list[tuple[QueuedRequest, float]] = []
-    for place, request in enumerate(queue.queued):
-        wait_s = _estimate_wait_s(
-            place - len(hopeless), in_flight=in_flight, service_s=service_s
-        )
-        end_s = now_s + wait_s / MAX_SPEEDUP + service_s
-        if end_s > request.slot_request.deadline_at_s:
+    ahead: list[QueuedRequest] = []
+    for request in queue.queued:
+        wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
+        least_s = 0.0 if has_free_slots else wait_s / MAX_SPEEDUP
+        if now_s + least_s + times.of(request) > request.slot_request.deadline_at_s:
             hopeless.append((request, max(MIN_RETRY_AFTER_S, wait_s)))
+        else:
+            ahead.append(request)
     return tuple(hopeless)
 
 
@@ -209,8 +233,24 @@
     return _set_queue(queues, slot_request.service, queue)
 
 
-def _estimate_wait_s(ahead: int, *, in_flight: int, service_s: float) -> float:
-    return (ahead + 1) * service_s / max(1, in_flight)
+@frozen(kw_only=True)
+class _ServiceTimes:
+    """Hold the mean seconds of a service's answers, with those of known routes."""
+
+    mean_s: float
+    by_route: Map[str, float]
+
+    def of(self, request: QueuedRequest) -> float:
+        """Return the mean seconds for the request's route."""
+        return self.by_route.get(request.slot_request.route, self.mean_s)
+
+
+def _estimate_wait_s(
+    ahead: Sequence[QueuedRequest], times: _ServiceTimes, *, in_flight: int
+) -> float:
+    """Return the wait for the end of an attempt in flight and of those ahead."""
+    total_s = times.mean_s + sum(times.of(request) for request in ahead)
+    return total_s / max(1, in_flight)
 
 
 def _service_sort_key(request: QueuedRequest) -> tuple[float, int]:
--- a/snipespring/decisions/queueing/tests/test_fairness.py
+++ b/snipespring/decisions/queueing/tests/test_fairness.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from immutables import Map
 
 from snipespring.decisions.queueing import (
     Enqueued,
@@ -25,6 +26,7 @@
 
 SERVICE = ServiceName("ledger")
 MAX_QUEUED = 12
+ANSWER_TIMES_S = Map({"light": 0.16, "heavy": 0.83})
 ORGANISATIONS = [OrganisationName(name) for name in ("large", "small", "other")]
 
 
@@ -35,6 +37,8 @@
     service_s: float = 0.02,
     priority: int = 0,
     now_s: float = 0.0,
+    route: str = "",
+    has_free_slots: bool = False,
 ) -> Enqueued | EnqueueRefused:
     slot_request = SlotRequest(
         service=SERVICE,
@@ -42,6 +46,7 @@
         placement=Placement(domain=DomainName("near")),
         deadline_at_s=deadline_at_s,
         priority=priority,
+        route=route,
     )
     return enqueue(
         queues,
@@ -50,6 +55,8 @@
         in_flight=2,
         service_s=service_s,
         now_s=now_s,
+        service_s_by_route=ANSWER_TIMES_S,
+        has_free_slots=has_free_slots,
     )
 
 
@@ -236,3 +243,38 @@
     assert 0 < len(hopeless) < 6
     assert all(request in queue.queued[-len(hopeless) :] for request, _ in hopeless)
     assert all(wait_s > 0.0 for _, wait_s in hopeless)
+
+
+def test_wait_follows_from_the_routes_of_the_requests_ahead() -> None:
+    """Guard against refusals of light requests by the mean of light and heavy ones."""
+    large = ORGANISATIONS[0]
+    queues = RequestQueues()
+    for _ in range(4):
+        added = add(queues, large, route="light", service_s=0.5)
+        assert isinstance(added, Enqueued)
+        queues = added.queues
+    state = {"service_s": 0.5, "deadline_at_s": 1.0}
+    assert isinstance(add(queues, large, route="light", **state), Enqueued)  # type: ignore[arg-type]
+    refused = add(queues, large, route="heavy", **state)  # type: ignore[arg-type]
+    assert isinstance(refused, EnqueueRefused)
+    assert refused.retry_after_s == pytest.approx((0.5 + 4 * 0.16) / 2)
+
+
+def test_no_request_is_refused_for_its_wait_while_servers_have_free_slots() -> None:
+    """Guard against refusals below the room, by a host with few attempts in flight."""
+    queues = RequestQueues()
+    for _ in range(10):
+        added = add(queues, ORGANISATIONS[0], service_s=0.5, has_free_slots=True)
+        assert isinstance(added, Enqueued)
+        queues = added.queues
+    added = add(queues, ORGANISATIONS[0], 1.0, 0.5, route="heavy", has_free_slots=True)
+    assert isinstance(added, Enqueued)
+    hopeless = list_hopeless(
+        get_queue(added.queues, SERVICE),
+        in_flight=1,
+        service_s=0.5,
+        now_s=0.4,
+        service_s_by_route=ANSWER_TIMES_S,
+        has_free_slots=True,
+    )
+    assert [request.ticket for request, _ in hopeless] == [added.request.ticket]
--- a/snipespring/decisions/queueing/urgency.py
+++ b/snipespring/decisions/queueing/urgency.py
@@ -1,8 +1,13 @@
-"""Decide how urgent a request is among those of its service."""
+"""Name the kind of a request and decide how urgent it is within its service."""
 
 from ...records import OrganisationRule, RouteRule
 
-__all__ = ["urgency_of"]
+__all__ = ["name_of", "urgency_of"]
+
+
+def name_of(route: RouteRule) -> str:
+    """Return a name that tells the routes of a service apart."""
+    return f"{','.join(route.methods)} {route.prefix}"
 
 
 def urgency_of(route: RouteRule, organisation: OrganisationRule | None) -> int:
--- a/snipespring/decisions/routing/__init__.pyi
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -5,6 +5,12 @@
     choose_server,
     count_server_uses,
 )
+from .limits import (
+    answer_s_of,
+    has_free_slots,
+    list_answer_times,
+    work_s_of,
+)
 from .loads import (
     cancel_reservation,
     drain_check_at_s,
@@ -25,6 +31,7 @@
     "Chosen",
     "NoServer",
     "ServersBusy",
+    "answer_s_of",
     "cancel_reservation",
     "choose_server",
     "choose_subset",
@@ -34,6 +41,8 @@
     "draw_service",
     "estimate_busy_slots",
     "failure_timeout_of",
+    "has_free_slots",
+    "list_answer_times",
     "load_of",
     "mean_busy_of_others",
     "order_hosts",
@@ -41,4 +50,5 @@
     "remove_unused_servers",
     "reserve_server",
     "service_load_of",
+    "work_s_of",
 ]
--- a/snipespring/decisions/routing/limits.py
+++ b/snipespring/decisions/routing/limits.py
@@ -1,10 +1,24 @@
 """Limit a host's attempts in flight on a service whose slots are all busy."""
 
 from attrs import evolve
+from immutables import Map
 
-from ...records import Answered, BackendResult, ServiceLoad, ShedByServer
+from ...records import (
+    Answered,
+    BackendResult,
+    ReportedLoad,
+    RouteLoad,
+    ServiceLoad,
+    ShedByServer,
+)
 
-__all__ = ["record_result"]
+__all__ = [
+    "answer_s_of",
+    "has_free_slots",
+    "list_answer_times",
+    "record_result",
+    "work_s_of",
+]
 
 MEAN_WEIGHT = 0.1  # weight of each new value in the moving means
 # If at least this share of slots is busy on average, a shed request means that the
@@ -15,8 +29,33 @@
 MIN_LIMIT = 1.0
 
 
+def has_free_slots(service: ServiceLoad, slots: int) -> bool:
+    """Return whether the reports on this host's answers show a service with room.
+
+    Its servers have `slots` slots each.
+    """
+    return service.has_reports and service.busy < FULL_BUSY_SHARE * slots
+
+
+def answer_s_of(service: ServiceLoad, route: str) -> float:
+    """Return the mean duration of a route's answers, that of the service if unknown."""
+    load = service.by_route.get(route)
+    return service.mean_service_s if load is None else load.answer_s
+
+
+def list_answer_times(service: ServiceLoad) -> Map[str, float]:
+    """Return the mean duration of the answers of each route in seconds."""
+    return Map({route: load.answer_s for route, load in service.by_route.items()})
+
+
+def work_s_of(service: ServiceLoad, route: str) -> float:
+    """Return the mean work of a route's requests, 0 if no answer of it was seen."""
+    load = service.by_route.get(route)
+    return 0.0 if load is None else load.work_s
+
+
 def record_result(
-    service: ServiceLoad, result: BackendResult, *, duration_s: float
+    service: ServiceLoad, result: BackendResult, *, duration_s: float, route: str = ""
 ) -> ServiceLoad:
     """Return the load with updated means and limit.
 
@@ -25,10 +64,11 @@
     match result:
         case Answered(load=report):
             service = _record_answer(service, duration_s)
+            service = _record_route(service, route, report, duration_s)
             if report is None:
                 return service
             busy = service.busy + MEAN_WEIGHT * (report.busy - service.busy)
-            return evolve(service, busy=busy)
+            return evolve(service, busy=busy, has_reports=True)
         case ShedByServer(load=report) if report is not None:
             # A shed by a server with free slots does not indicate a full service.
             if report.draining or report.busy < report.slots:
@@ -47,3 +87,21 @@
     mean_s = service.mean_service_s or duration_s
     mean_s += MEAN_WEIGHT * (duration_s - mean_s)
     return evolve(service, mean_service_s=mean_s, limit=service.limit + LIMIT_INCREASE)
+
+
+def _record_route(
+    service: ServiceLoad, route: str, report: ReportedLoad | None, duration_s: float
+) -> ServiceLoad:
+    work_s = duration_s
+    if report is not None and report.busy > report.slots > 0:
+        # The requests of a full server share its slots, so that each waits.
+        work_s *= report.slots / report.busy
+    known = service.by_route.get(route)
+    if known is None:
+        load = RouteLoad(answer_s=duration_s, work_s=work_s)
+    else:
+        load = RouteLoad(
+            answer_s=known.answer_s + MEAN_WEIGHT * (duration_s - known.answer_s),
+            work_s=known.work_s + MEAN_WEIGHT * (work_s - known.work_s),
+        )
+    return evolve(service, by_route=service.by_route.set(route, load))
--- a/snipespring/decisions/routing/loads.py
+++ b/snipespring/decisions/routing/loads.py
@@ -155,11 +155,12 @@
     now_s: float,
     hosts: int = 1,
     phase: float = 1.0,
+    route: str = "",
 ) -> ServerLoads:
     """Return the loads after the end of an attempt, updated by its result.
 
     The `hosts` of the fleet share the server's limit; `phase` is a random number from
-    0 to 1.
+    0 to 1. `route` names the route of the request.
     """
     loads = _add_in_flight(loads, server, -1)
     load = load_of(loads, server)
@@ -193,7 +194,10 @@
         )
         load = _record_notices(evolve(load, limit=limit), notices, now_s)
     service = record_result(
-        service_load_of(loads, server.service), result, duration_s=now_s - started_s
+        service_load_of(loads, server.service),
+        result,
+        duration_s=now_s - started_s,
+        route=route,
     )
     return evolve(
         loads,
--- a/snipespring/decisions/routing/tests/test_limits.py
+++ b/snipespring/decisions/routing/tests/test_limits.py
@@ -1,7 +1,13 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from snipespring.decisions.routing.limits import record_result
+from snipespring.decisions.routing.limits import (
+    answer_s_of,
+    has_free_slots,
+    record_result,
+    work_s_of,
+)
 from snipespring.records import Answered, ReportedLoad, ServiceLoad, ShedByServer
 
 SLOTS = 3
@@ -57,3 +63,16 @@
     """Guard against a lower limit when servers refuse with a third of slots in use."""
     service = ServiceLoad(in_flight=9, busy=float(SLOTS))
     assert record(service, True, busy).limit == service.limit
+
+
+def test_work_of_a_route_excludes_the_wait_at_a_full_server() -> None:
+    """Guard against demand that seems to grow because the servers have queues."""
+    service = ServiceLoad()
+    for _ in range(60):
+        for route, busy, duration_s in (("light", 3, 0.16), ("heavy", 12, 3.32)):
+            answer = Answered(status=200, headers=(), body=b"", load=make_report(busy))
+            service = record_result(service, answer, duration_s=duration_s, route=route)
+    assert answer_s_of(service, "light") == pytest.approx(0.16)
+    assert work_s_of(service, "heavy") == pytest.approx(0.83)
+    assert answer_s_of(service, "unknown") == service.mean_service_s
+    assert not has_free_slots(service, SLOTS)
--- a/snipespring/records/backends.py
+++ b/snipespring/records/backends.py
@@ -219,19 +219,33 @@
     noticed_s: float = 0.0
 
 
+@frozen(kw_only=True)
+class RouteLoad:
+    """Describe how long a service takes for the requests of one route, in seconds.
+
+    `answer_s` is the mean duration of answered attempts, `work_s` the part of it in
+    which the server works, without the wait for one of its slots.
+    """
+
+    answer_s: float
+    work_s: float
+
+
 @frozen(kw_only=True)
 class ServiceLoad:
     """Describe one service's load as this host knows it.
 
     `mean_service_s` is the mean duration of answered attempts in seconds and `busy`
     the mean number of busy slots that answers report. `limit` bounds this host's
-    attempts in flight.
+    attempts in flight. `has_reports` tells that answers reported the load of servers.
     """
 
     in_flight: int = 0
     mean_service_s: float = 0.0
     busy: float = 0.0
     limit: float = inf
+    has_reports: bool = False
+    by_route: Map[str, RouteLoad] = Map()
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/queues.py
+++ b/snipespring/records/queues.py
@@ -1,5 +1,7 @@
 """Define the requests in progress on this host and those that wait for a slot."""
 
+from math import inf
+
 from attrs import frozen
 from immutables import Map
 
@@ -19,7 +21,8 @@
 class SlotRequest:
     """Ask for a slot of a service; `tag` restores the position of an earlier wait.
 
-    Requests with a lower `priority` are more urgent.
+    Requests with a lower `priority` are more urgent. An answer after `objective_at_s`
+    has less value. `route` names the route of the request.
     """
 
     service: ServiceName
@@ -28,6 +31,8 @@
     deadline_at_s: float
     priority: int = 0
     tag: float | None = None
+    route: str = ""
+    objective_at_s: float = inf
 
 
 @frozen(kw_only=True)
