Share the demand on services and their room as sums over hosts

One host gets too few requests to know the demand on a service. The sums travel in the existing reports, summaries and digests. A silent host's retries still count, its first attempts do not.

--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -5,6 +5,7 @@
 )
 from .domains import (
     ANSWER_LOG,
+    DEMAND_LOG,
     DOMAIN_HUBS,
     DOMAIN_REPORTS,
     FAILURE_LOG,
@@ -73,6 +74,7 @@
     "CONFIGURATION_FEED",
     "COUNTERS",
     "CREDIT_NEEDS",
+    "DEMAND_LOG",
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "EJECTION_LISTS",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -2,6 +2,7 @@
 
 from ...records import (
     AnswerLog,
+    DemandLog,
     DomainHubs,
     DomainReports,
     FleetView,
@@ -13,6 +14,7 @@
 
 __all__ = [
     "ANSWER_LOG",
+    "DEMAND_LOG",
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "FAILURE_LOG",
@@ -26,6 +28,9 @@
 ANSWER_LOG = Region[AnswerLog](
     name="answer_log", writer="health_keeper", initial=AnswerLog()
 )
+DEMAND_LOG = Region[DemandLog](
+    name="demand_log", writer="demand_recorder", initial=DemandLog()
+)
 DOMAIN_HUBS = Region[DomainHubs](
     name="domain_hubs", writer="domain_link", initial=DomainHubs()
 )
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -8,6 +8,7 @@
 from .claimant import Claimant
 from .concurrency_limiter import ConcurrencyLimiter
 from .configurator import Configurator
+from .demand_recorder import DemandRecorder
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_address_lister import DomainAddressLister
 from .domain_link import DomainLink
@@ -79,6 +80,7 @@
     "Controller",
     "DamagedRules",
     "Delivery",
+    "DemandRecorder",
     "Dispatcher",
     "Feed",
     "FeedFollower",
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -14,6 +14,7 @@
 from ..blackboard.regions import (
     ANSWER_LOG,
     CONFIGURATION_FEED,
+    DEMAND_LOG,
     DOMAIN_HUBS,
     DOMAIN_REPORTS,
     FLEET_VIEW,
@@ -46,6 +47,7 @@
     receive_summary,
 )
 from ..decisions.outages import record_relayed_reach
+from ..decisions.overload import count_demand
 from ..decisions.server_relay import (
     answer_server_query,
     make_server_mark,
@@ -105,7 +107,8 @@
 
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
     with each reply to a query for changes to servers. After `outage_s` seconds in which
-    no host reached the store, it counts as having been away.
+    no host reached the store, it counts as having been away. Retries are counted over
+    the last `retry_window_s` seconds.
     """
 
     board: Board
@@ -117,6 +120,7 @@
     outage_s: float
     outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
+    retry_window_s: float = 10.0
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -230,6 +234,9 @@
                 board.read(USAGE_LOG), window_s=self.window_s, now_s=now_s
             ),
             answers=count_answers_by_server(board.read(ANSWER_LOG), now_s=now_s),
+            demand=count_demand(
+                board.read(DEMAND_LOG), window_s=self.retry_window_s, now_s=now_s
+            ),
         )
 
     def _receive_report(self, report: HostReport) -> None:
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -5,7 +5,7 @@
 from itertools import count
 from random import Random
 
-from attrs import define, evolve, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from ..blackboard import Board
 from ..blackboard.regions import (
@@ -67,6 +67,7 @@
 )
 from ..utils import Clock
 from .canceller import Canceller
+from .demand_recorder import DemandRecorder
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .metrics_recorder import MetricsRecorder
 
@@ -109,6 +110,12 @@
     canceller: Canceller
     metrics: MetricsRecorder
     domain: DomainName
+    demand: DemandRecorder = field(
+        default=Factory(
+            lambda self: DemandRecorder(board=self.board, clock=self.clock),
+            takes_self=True,
+        )
+    )
     pause: Callable[[float], None] = field(default=_pause)
     name: str = "sender"
     # Callers may choose the ids of their requests, and may use one twice.
@@ -124,6 +131,9 @@
         """Return the reply to a request; `may_send` is checked before each attempt."""
         completed: list[_CompletedAttempt] = []
         tag: float | None = None
+        self.demand.record_offered(
+            service.name, name_of(admitted.route), self._urgency_of(admitted)
+        )
         while True:
             placed = self.dispatcher.place(
                 self._make_slot_request(admitted, completed, tag)
@@ -142,7 +152,8 @@
                         admitted, completed, _claim_expired()
                     )
                 case Placed(server=server, tag=tag):
-                    self._earn_retry(service, completed)
+                    if not completed:
+                        self._record_first(service, admitted)
                     completed.append(
                         self._run_attempt(
                             admitted, server, len(completed), is_disconnected
@@ -213,6 +224,7 @@
         )
         self._record_end(server, attempt.request_id, result)
         self._count_result(server, result)
+        self.demand.record_result(server.service, result)
         return _CompletedAttempt(result=result, server=server, took_s=took_s)
 
     def _count_result(self, server: ServerId, result: BackendResult) -> None:
@@ -270,7 +282,9 @@
                 return False
             if delay_s > 0.0:
                 self.pause(delay_s)
-            if reached_no_server(completed[-1].result) or self._spend_retry(service):
+            if reached_no_server(completed[-1].result):
+                return True
+            if self._spend_retry(service, admitted):
                 return True
             match run:
                 case RunAsUpload():
@@ -281,11 +295,9 @@
     def _remaining_s(self, admitted: AdmittedRequest) -> float:
         return admitted.deadline_at_s - self.clock.monotonic_s()
 
-    def _earn_retry(
-        self, service: ServiceRule, completed: list[_CompletedAttempt]
-    ) -> None:
-        if completed:
-            return
+    def _record_first(self, service: ServiceRule, admitted: AdmittedRequest) -> None:
+        """Count a first attempt, which earns a part of a retry."""
+        self.demand.record_first(service.name, self._urgency_of(admitted))
         now_s = self.clock.monotonic_s()
         max_balance = self._max_retry_balance(service)
 
@@ -304,7 +316,14 @@
             return max_balance_per_host(len(self.board.read(ROSTER).hosts))
         return service.retry_reserve / max(1, len(self.board.read(HOST_FEED).items))
 
-    def _spend_retry(self, service: ServiceRule) -> bool:
+    def _spend_retry(self, service: ServiceRule, admitted: AdmittedRequest) -> bool:
+        """Return whether a retry may be sent, and count it."""
+        is_sent = self._spend_own_retry(service)
+        urgency = self._urgency_of(admitted)
+        self.demand.record_retry(service.name, urgency, is_sent=is_sent)
+        return is_sent
+
+    def _spend_own_retry(self, service: ServiceRule) -> bool:
         now_s = self.clock.monotonic_s()
 
         def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -124,6 +124,7 @@
         own_host=own_host,
         incarnation=context.incarnation,
         window_s=settings.limits.window_s,
+        retry_window_s=settings.retries.window_s,
         outage_s=context.outage_s,
         outcome_relay=outcome_relay,
         on_server_changes=server_follower.receive_changes,
@@ -159,6 +160,7 @@
         max_queued=threads,
         threads=threads,
         floor_share=settings.servers.floor,
+        retry_window_s=settings.retries.window_s,
     )
     store_followers = build_store_followers(context)
     controllers = (
--- a/snipespring/daemons/requests.py
+++ b/snipespring/daemons/requests.py
@@ -8,6 +8,7 @@
     ClaimControl,
     ConcurrencyLimiter,
     Controller,
+    DemandRecorder,
     Dispatcher,
     Forwarder,
     Sender,
@@ -45,10 +46,12 @@
     max_queued: int,
     threads: int,
     floor_share: float = 0.0,
+    retry_window_s: float = 10.0,
 ) -> RequestPart:
     """Build the request controllers; at most `max_queued` requests wait for a slot.
 
     `threads` is the number of requests that the host handles at the same time.
+    Retries are bounded in any `retry_window_s` seconds.
     While a service fails, at least `floor_share` of its servers get requests.
     """
     canceller = Canceller(board=process.board, clock=process.clock, transport=transport)
@@ -68,6 +71,9 @@
         canceller=canceller,
         metrics=process.metrics,
         domain=own_host.domain,
+        demand=DemandRecorder(
+            board=process.board, clock=process.clock, window_s=retry_window_s
+        ),
     )
     forwarder = Forwarder(
         board=process.board,
--- a/snipespring/decisions/domains/views.py
+++ b/snipespring/decisions/domains/views.py
@@ -24,6 +24,7 @@
     ServerAnswers,
     StateRequest,
 )
+from ..overload import keep_retries, subtract_demand, sum_demand
 from .answers import sum_answers
 from .hubs import SMALL_DOMAIN_HOSTS
 
@@ -108,6 +109,7 @@
             ServerAnswers(instance=name, good=good)
             for name, good in sorted(sum_answers(recent).items())
         ),
+        demand=sum_demand(message.demand for message in messages),
     )
     included = Map({report.host.host_id: report for report in recent})
     return HubState(state=state, included=included, as_of_s=now_s)
@@ -158,12 +160,14 @@
 ) -> DomainSummary:
     """Return the summary of this domain for the other domains."""
     recent = _list_recent(reports, now_s)
+    counted = [*recent, *_list_silent(reports, window_s, now_s)]
     return DomainSummary(
         sender=own_id,
         domain=domain,
         serving=tuple(sorted(_list_serving(recent))),
         heard_hosts=len(recent),
-        usage=_sum_usage([*recent, *_list_silent(reports, window_s, now_s)]),
+        usage=_sum_usage(counted),
+        demand=sum_demand(report.demand for report in counted),
     )
 
 
@@ -196,6 +200,7 @@
         usage=Map(_subtract_usage(state.usage, own_usage)),
         answers=answers,
         answers_as_of_s=answers_as_of_s,
+        demand=subtract_demand(state.demand, () if own is None else own.demand),
         as_of_s=now_s,
     )
 
@@ -270,7 +275,12 @@
         if now_s - received.received_s > MAX_REPORT_AGE_S
     ]
     return [
-        evolve(received.report, usage=_age_usage(received, window_s, now_s), answers=())
+        evolve(
+            received.report,
+            usage=_age_usage(received, window_s, now_s),
+            answers=(),
+            demand=keep_retries(received.report.demand),
+        )
         for received in (*silent, *reports.superseded)
         if now_s - received.received_s < window_s
     ]
--- a/snipespring/decisions/routing/__init__.pyi
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -9,6 +9,7 @@
     answer_s_of,
     has_free_slots,
     list_answer_times,
+    mean_work_s_of,
     work_s_of,
 )
 from .loads import (
@@ -43,6 +44,7 @@
     "failure_timeout_of",
     "has_free_slots",
     "list_answer_times",
+    "mean_work_s_of",
     "load_of",
     "mean_busy_of_others",
     "order_hosts",
--- a/snipespring/decisions/routing/limits.py
+++ b/snipespring/decisions/routing/limits.py
@@ -16,6 +16,7 @@
     "answer_s_of",
     "has_free_slots",
     "list_answer_times",
+    "mean_work_s_of",
     "record_result",
     "work_s_of",
 ]
@@ -54,6 +55,12 @@
     return 0.0 if load is None else load.work_s
 
 
+def mean_work_s_of(service: ServiceLoad) -> float:
+    """Return the mean work of the service's routes, each counted once."""
+    works = [load.work_s for load in service.by_route.values()]
+    return sum(works) / len(works) if works else 0.0
+
+
 def record_result(
     service: ServiceLoad, result: BackendResult, *, duration_s: float, route: str = ""
 ) -> ServiceLoad:
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -24,6 +24,7 @@
     ServerAnswers,
     ServerChanges,
     ServerQuery,
+    ServiceDemand,
 )
 from .cbor import DECODING_ERRORS, make_strict_converter
 
@@ -101,17 +102,20 @@
         _encoded_parts.encode(state.serving),
         _encoded_parts.encode(state.usage),
         _encoded_parts.encode(state.answers),
+        _encoded_parts.encode(state.demand),
     ]
 
 
 def _decode_state(raw: Any, _: Any) -> DomainState:
-    heard_hosts, serving_version, serving, usage, answers = raw
+    # An older build sends no demand.
+    heard_hosts, serving_version, serving, usage, answers, *rest = raw
     return DomainState(
         heard_hosts=_converter.structure(heard_hosts, int),
         serving_version=_converter.structure(serving_version, int),
         serving=None if serving is None else _decode_part(serving, HostId),
         usage=_decode_part(usage, OrganisationUsage),
         answers=None if answers is None else _decode_part(answers, ServerAnswers),
+        demand=_decode_part(rest[0], ServiceDemand) if rest else (),
     )
 
 
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -80,6 +80,13 @@
     RosterTenure,
     Unclaimed,
 )
+from .demand import (
+    URGENCIES,
+    DemandCounts,
+    DemandLog,
+    DemandSlice,
+    ServiceDemand,
+)
 from .domains import (
     AnswerLog,
     Confirmation,
@@ -322,6 +329,11 @@
 )
 
 __all__ = [
+    "URGENCIES",
+    "DemandCounts",
+    "DemandLog",
+    "DemandSlice",
+    "ServiceDemand",
     "Access",
     "Account",
     "ActiveEjection",
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -3,8 +3,9 @@
 from attrs import frozen
 from immutables import Map
 
+from .demand import ServiceDemand
 from .feeds import PublishedHost, ServerChanges, ServerMark, ServerQuery
-from .identity import DomainName, HostId, Incarnation, OrganisationName
+from .identity import DomainName, HostId, Incarnation, OrganisationName, ServiceName
 
 __all__ = [
     "AnswerLog",
@@ -78,6 +79,7 @@
     usage: tuple[OrganisationUsage, ...] = ()
     answers: tuple[ServerAnswers, ...] = ()
     request: StateRequest | None = None
+    demand: tuple[ServiceDemand, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -108,6 +110,7 @@
     serving: tuple[HostId, ...] | None
     usage: tuple[OrganisationUsage, ...]
     answers: tuple[ServerAnswers, ...] | None
+    demand: tuple[ServiceDemand, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -181,6 +184,7 @@
     serving: tuple[HostId, ...] | None
     heard_hosts: int
     usage: tuple[OrganisationUsage, ...] = ()
+    demand: tuple[ServiceDemand, ...] = ()
 
 
 DomainMessage = (
@@ -242,8 +246,8 @@
 
     `as_of_s` is the local time at which the latest part was received, None before any,
     and `answers_as_of_s` that of the answers. `serving_version` identifies the list of
-    serving hosts. Usage and the successful answers of servers exclude this host's
-    share; the answers are those of the host's failure domain.
+    serving hosts. Usage, demand and the successful answers of servers exclude this
+    host's share; the answers are those of the host's failure domain.
     """
 
     serving: frozenset[HostId] = frozenset()
@@ -253,6 +257,7 @@
     as_of_s: float | None = None
     serving_version: int = 0
     answers_as_of_s: float | None = None
+    demand: Map[ServiceName, ServiceDemand] = Map()
 
 
 @frozen(kw_only=True)
