Spend the retry budget fleet-wide, most urgent requests first

Each host alone kept at most 0.8 x 160 / hosts retries, so that requests were refused while other hosts left theirs unused. A host with a view of at most 0.6 s now spends up to its even share of what the fleet has left, counted over the time in which others spend unseen. Retries that more urgent requests are expected to want are reserved. While more than half of the budget is spent or reserved, a retry that would end late on the mean is not sent. A host without a fresh view keeps the former rule.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -11,9 +11,11 @@
 from ..blackboard.regions import (
     CONFIGURATION,
     EVIDENCE,
+    FLEET_VIEW,
     HOST_FEED,
     RETRY_BUDGETS,
     ROSTER,
+    SERVER_LOADS,
 )
 from ..decisions.attempts import (
     Finish,
@@ -36,10 +38,14 @@
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
     BudgetExhausted,
+    FleetBudget,
     earn_retry,
+    make_fleet_budget,
     max_balance_per_host,
+    spend_fleet_retry,
     spend_retry,
 )
+from ..decisions.routing import answer_s_of, service_load_of
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
@@ -318,17 +324,59 @@
 
     def _spend_retry(self, service: ServiceRule, admitted: AdmittedRequest) -> bool:
         """Return whether a retry may be sent, and count it."""
-        is_sent = self._spend_own_retry(service)
         urgency = self._urgency_of(admitted)
+        fleet = self._read_fleet_budget(service, urgency)
+        if fleet is None:
+            is_sent = self._spend(service, spend_retry)
+            rule = "host"
+        elif fleet.is_short and not self._may_answer_in_time(admitted):
+            is_sent, rule = False, "late"
+        else:
+            phase = self.rng.random()
+            is_sent = self._spend(
+                service,
+                lambda budget, now_s: spend_fleet_retry(
+                    budget, fleet, phase=phase, now_s=now_s
+                ),
+            )
+            rule = "fleet"
+        self.metrics.count(
+            "retry_budget", f"{rule} {'spent' if is_sent else 'refused'}"
+        )
         self.demand.record_retry(service.name, urgency, is_sent=is_sent)
         return is_sent
 
-    def _spend_own_retry(self, service: ServiceRule) -> bool:
+    def _read_fleet_budget(
+        self, service: ServiceRule, urgency: int
+    ) -> FleetBudget | None:
+        """Return the budget of all hosts, None without a fresh view of them."""
+        demand = self.demand.read_fleet(service.name)
+        if service.retry_bound is None or demand is None:
+            return None
+        return make_fleet_budget(
+            service.retry_bound,
+            demand,
+            urgency=urgency,
+            heard_hosts=self.board.read(FLEET_VIEW).heard_hosts,
+            known_hosts=len(self.board.read(HOST_FEED).items),
+        )
+
+    def _may_answer_in_time(self, admitted: AdmittedRequest) -> bool:
+        """Return whether an answer as slow as the mean meets the deadline."""
+        load = service_load_of(self.board.read(SERVER_LOADS), admitted.route.service)
+        answer_s = answer_s_of(load, name_of(admitted.route))
+        return answer_s <= self._remaining_s(admitted)
+
+    def _spend(
+        self,
+        service: ServiceRule,
+        decide: Callable[[RetryBudget, float], RetryBudget | BudgetExhausted],
+    ) -> bool:
         now_s = self.clock.monotonic_s()
 
         def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
             budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
-            match spend_retry(budget, now_s):
+            match decide(budget, now_s):
                 case BudgetExhausted():
                     return budgets, False
                 case RetryBudget() as remaining:
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -31,7 +31,15 @@
 from ..platform.directory import DirectoryApp, ReadinessApp
 from ..platform.feeds import HostRegistry, configuration_feed, server_feed
 from ..platform.store import ObjectStoreClient
-from ..records import Address, FeedView, Host, HostCapacity, Incarnation, PublishedHost
+from ..records import (
+    Address,
+    FeedView,
+    Host,
+    HostCapacity,
+    Incarnation,
+    PublishedHost,
+    RetryBound,
+)
 from ..settings import GatewaySettings
 from .process_context import ProcessContext, make_process_context
 
@@ -72,7 +80,8 @@
 SERVER_WATCH_TIMEOUT_S = 20.0
 # The lease ends this long before the last time when a revoked key may be used.
 LEASE_MARGIN_S = 0.5
-# Safety factor: each host enforces the retry budget by itself, at this fraction of it.
+# Safety factor: a host that does not hear the others enforces the retry budget by
+# itself, at this fraction of it.
 RETRY_BUDGET_FRACTION = 0.8
 # Requests to a removed server end this long before the platform requires it.
 DRAIN_MARGIN_S = 0.2
@@ -177,6 +186,11 @@
             retries=RetryBounds(
                 share=RETRY_BUDGET_FRACTION * context.settings.retries.share,
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
+                fleet=RetryBound(
+                    share=context.settings.retries.share,
+                    slack=context.settings.retries.slack,
+                    window_s=context.settings.retries.window_s,
+                ),
             ),
         ),
         StoreLeaseManager(
--- a/snipespring/decisions/catalog.py
+++ b/snipespring/decisions/catalog.py
@@ -9,6 +9,7 @@
     Configuration,
     FeedView,
     PublishedServer,
+    RetryBound,
     ServerId,
     ServerRule,
     ServiceName,
@@ -41,17 +42,24 @@
 class RetryBounds:
     """Limit the retries of a service to a share of its first attempts plus a reserve.
 
-    `reserve` is a number of retries for the whole fleet.
+    `reserve` is a number of retries for the whole fleet. These limits hold for hosts
+    that do not hear the others, `fleet` for those that do.
     """
 
     share: float
     reserve: float
+    fleet: RetryBound | None = None
 
 
 def apply_retry_bounds(cfg: Configuration, bounds: RetryBounds) -> Configuration:
     """Return the configuration with the retry bounds set for every service."""
     services = {
-        name: evolve(rule, retry_share=bounds.share, retry_reserve=bounds.reserve)
+        name: evolve(
+            rule,
+            retry_share=bounds.share,
+            retry_reserve=bounds.reserve,
+            retry_bound=bounds.fleet,
+        )
         for name, rule in cfg.services.items()
     }
     return evolve(cfg, services=Map(services))
--- a/snipespring/decisions/retries/budget.py
+++ b/snipespring/decisions/retries/budget.py
@@ -47,4 +47,5 @@
     """Decay exponentially what exceeds one saved retry; keep the rest."""
     age_s = max(0.0, now_s - budget.at_s)
     decayed = max(0.0, budget.allowed - 1.0) * exp(-age_s / DECAY_S)
-    return RetryBudget(allowed=min(1.0, budget.allowed) + decayed, at_s=now_s)
+    allowed = min(1.0, budget.allowed) + decayed
+    return evolve(budget, allowed=allowed, at_s=now_s)
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -83,12 +83,25 @@
 RunPolicy = RunIdempotent | RunOnce | RunAsUpload
 
 
+@frozen(kw_only=True)
+class RetryBound:
+    """Bound the retries of all hosts together in any window of `window_s` seconds.
+
+    They stay within `share` of the requests of a service plus `slack`.
+    """
+
+    share: float
+    slack: float
+    window_s: float
+
+
 @frozen(kw_only=True)
 class ServiceRule:
     """Set the limits of one service; `floor` is the share of servers kept in use.
 
     Retries stay below `retry_share` of the first attempts plus a reserve, which is
-    `retry_reserve` for the whole fleet if set.
+    `retry_reserve` for the whole fleet if set. With a `retry_bound`, hosts that know
+    the demand of the fleet spend retries by that instead.
     """
 
     name: ServiceName
@@ -98,6 +111,7 @@
     deadline_s: float = 2.0
     retry_share: float = 0.1
     retry_reserve: float | None = None
+    retry_bound: RetryBound | None = None
     ejection: EjectionPreference = field(factory=EjectCarefully)
     asked_by: str
 
