Order and evict queued requests by what their loss costs

The queue knew urgency and the turns of organisations only, so that light requests waited behind heavy ones, and an eviction took the last request whatever it was. Within the turns of the organisations a request now stands back for lesser urgency, then for an objective that it cannot meet any more, then for more work. A full queue loses the request that costs least: of the organisation with most, or of the new one's own. Each kind of request (priority and route) earns a quarter of the average share of the slots and then goes first.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -28,6 +28,7 @@
     enqueue,
     get_queue,
     list_hopeless,
+    refresh_order,
     remove_request,
 )
 from ..decisions.routing import (
@@ -240,7 +241,7 @@
                 self._futures[request.ticket] = future
                 self.board.write(REQUEST_QUEUES, queues, writer=self.name)
                 if evicted is not None:
-                    self._resolve(evicted, _make_evicted_result())
+                    self._resolve(evicted, _make_evicted_result(evicted, request))
                 return future, request.ticket
 
     def _wait(
@@ -263,10 +264,15 @@
     def _dispatch(self, service: ServiceName) -> float:
         """Place queued requests in order; return when the next slot may be free."""
         free_at_s = inf
+        self._refresh_order(service)
         for request in get_queue(self.board.read(REQUEST_QUEUES), service).queued:
             match self._reserve(request.slot_request):
                 case Chosen(server=server):
-                    queues = dequeue(self.board.read(REQUEST_QUEUES), request)
+                    queues = dequeue(
+                        self.board.read(REQUEST_QUEUES),
+                        request,
+                        now_s=self.clock.monotonic_s(),
+                    )
                     self.board.write(REQUEST_QUEUES, queues, writer=self.name)
                     self._resolve(request, Placed(server=server, tag=request.tag))
                 case NoServer(reason=reason):
@@ -285,6 +291,12 @@
         self._refuse_hopeless(service)
         return free_at_s
 
+    def _refresh_order(self, service: ServiceName) -> None:
+        queues, now_s = self.board.read(REQUEST_QUEUES), self.clock.monotonic_s()
+        ordered = refresh_order(queues, service, now_s=now_s)
+        if ordered is not queues:
+            self.board.write(REQUEST_QUEUES, ordered, writer=self.name)
+
     def _refuse_hopeless(self, service: ServiceName) -> None:
         """Refuse the queued requests that will miss their deadlines."""
         load = self._service_load(service)
@@ -303,7 +315,9 @@
             self._resolve(request, not_placed)
 
     def _remove_request(self, ticket: int) -> None:
-        queues = remove_request(self.board.read(REQUEST_QUEUES), ticket)
+        queues = remove_request(
+            self.board.read(REQUEST_QUEUES), ticket, now_s=self.clock.monotonic_s()
+        )
         self.board.write(REQUEST_QUEUES, queues, writer=self.name)
 
     def _resolve(self, request: QueuedRequest, result: Placed | NotPlaced) -> None:
@@ -375,6 +389,13 @@
     return placement.repeatable and not placement.excluded
 
 
-def _make_evicted_result() -> NotPlaced:
-    reason = "the queue is full, mostly with requests of this organisation"
+def _make_evicted_result(evicted: QueuedRequest, new: QueuedRequest) -> NotPlaced:
+    old_request, new_request = evicted.slot_request, new.slot_request
+    if old_request.organisation == new_request.organisation:
+        reason = (
+            f"the queue is full; this request of priority {old_request.priority} gave "
+            f"way to one of priority {new_request.priority} whose loss costs more"
+        )
+    else:
+        reason = "the queue is full, mostly with requests of this organisation"
     return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
--- a/snipespring/decisions/queueing/__init__.py
+++ b/snipespring/decisions/queueing/__init__.py
@@ -8,6 +8,7 @@
     enqueue,
     get_queue,
     list_hopeless,
+    refresh_order,
     remove_request,
 )
 from .urgency import name_of, urgency_of
@@ -21,6 +22,7 @@
     "get_queue",
     "list_hopeless",
     "name_of",
+    "refresh_order",
     "remove_request",
     "urgency_of",
 ]
--- a/snipespring/decisions/queueing/fairness.py
+++ b/snipespring/decisions/queueing/fairness.py
@@ -18,6 +18,15 @@
     ServiceName,
     SlotRequest,
 )
+from .order import (
+    MIN_SHARE,
+    cost_of,
+    count_served,
+    kind_of,
+    register_kind,
+    service_sort_key,
+    sort_queue,
+)
 
 __all__ = [
     "EnqueueRefused",
@@ -27,13 +36,11 @@
     "enqueue",
     "get_queue",
     "list_hopeless",
+    "refresh_order",
     "remove_request",
 ]
 
 MIN_RETRY_AFTER_S = 0.05
-# A request stands back by so many turns of its organisation for each level of priority
-# that it is less urgent. It is never starved, since its place comes nearer.
-TURNS_PER_PRIORITY = 4.0
 # The queue may move this much faster than estimated from the attempts in flight.
 MAX_SPEEDUP = 2.0
 EMPTY_QUEUE = RequestQueue()
@@ -92,17 +99,18 @@
         if slot_request.tag is None
         else slot_request.tag
     )
+    answer_s = times.of(slot_request)
     request = QueuedRequest(
-        ticket=queues.next_ticket, tag=tag, slot_request=slot_request
+        ticket=queues.next_ticket,
+        tag=tag,
+        slot_request=slot_request,
+        latest_start_s=slot_request.objective_at_s - answer_s,
+        work_turns=answer_s / (answer_s + service_s) if service_s > 0.0 else 0.0,
     )
-    ahead = [
-        other
-        for other in queue.queued
-        if _service_sort_key(other) < _service_sort_key(request)
-    ]
+    queue = sort_queue(evolve(queue, queued=(*queue.queued, request)), now_s=now_s)
+    ahead = queue.queued[: queue.queued.index(request)]
     wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
-    answer_s = times.of(request)
     remaining_s = slot_request.deadline_at_s - now_s
     if wait_s + answer_s > remaining_s and not has_free_slots:
         return EnqueueRefused(
@@ -115,17 +123,17 @@
         )
     evicted = None
     if count_queued(queues) >= max_queued:
-        evicted = _choose_evicted(queues, slot_request.organisation)
+        evicted = _choose_evicted(queues, request, now_s=now_s)
         if evicted is None:
             return EnqueueRefused(
                 reason=(
-                    f"queue full with {max_queued} requests; "
-                    "no other organisation has more of them"
+                    f"queue full with {max_queued} requests; no other organisation "
+                    "has more of them and none costs less to lose"
                 ),
                 retry_after_s=retry_after_s,
             )
-        queues = remove_request(queues, evicted.ticket)
-    queues = _insert(queues, request)
+        queues = remove_request(queues, evicted.ticket, now_s=now_s)
+    queues = _insert(queues, request, now_s=now_s)
     return Enqueued(queues=queues, request=request, evicted=evicted)
 
 
@@ -150,14 +158,31 @@
     for request in queue.queued:
         wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
         least_s = 0.0 if has_free_slots else wait_s / MAX_SPEEDUP
-        if now_s + least_s + times.of(request) > request.slot_request.deadline_at_s:
+        if (
+            now_s + least_s + times.of(request.slot_request)
+            > request.slot_request.deadline_at_s
+        ):
             hopeless.append((request, max(MIN_RETRY_AFTER_S, wait_s)))
         else:
             ahead.append(request)
     return tuple(hopeless)
 
 
-def remove_request(queues: RequestQueues, ticket: int) -> RequestQueues:
+def refresh_order(
+    queues: RequestQueues, service: ServiceName, *, now_s: float
+) -> RequestQueues:
+    """Return the queues with the requests of a service in the order as of now.
+
+    Requests stand back once they cannot meet their objectives any more.
+    """
+    queue = get_queue(queues, service)
+    ordered = sort_queue(queue, now_s=now_s)
+    return queues if ordered is queue else _set_queue(queues, service, ordered)
+
+
+def remove_request(
+    queues: RequestQueues, ticket: int, *, now_s: float = 0.0
+) -> RequestQueues:
     """Return the queues without one request that got no slot.
 
     The later requests of its organisation take the place of the one before them, as
@@ -166,11 +191,14 @@
     for service, queue in queues.by_service.items():
         for request in queue.queued:
             if request.ticket == ticket:
-                return _set_queue(queues, service, _withdraw(queue, request))
+                left = sort_queue(_withdraw(queue, request), now_s=now_s)
+                return _set_queue(queues, service, left)
     return queues
 
 
-def dequeue(queues: RequestQueues, request: QueuedRequest) -> RequestQueues:
+def dequeue(
+    queues: RequestQueues, request: QueuedRequest, *, now_s: float = 0.0
+) -> RequestQueues:
     """Return the queues without a request that got a slot.
 
     Virtual time advances to the request's start tag.
@@ -182,6 +210,7 @@
         return _set_queue(queues, service, EMPTY_QUEUE)
     virtual_time = max(queue.virtual_time, request.tag)
     queue = evolve(queue, queued=remaining, virtual_time=virtual_time)
+    queue = sort_queue(count_served(queue, request), now_s=now_s)
     return _set_queue(queues, service, queue)
 
 
@@ -206,7 +235,7 @@
         last_tags = last_tags.set(organisation, free_tag - 1.0)
     return evolve(
         queue,
-        queued=tuple(sorted(remaining.values(), key=_service_sort_key)),
+        queued=tuple(remaining.values()),
         last_tags=last_tags,
     )
 
@@ -222,13 +251,15 @@
     return queue.virtual_time if last is None else max(queue.virtual_time, last + 1.0)
 
 
-def _insert(queues: RequestQueues, request: QueuedRequest) -> RequestQueues:
+def _insert(
+    queues: RequestQueues, request: QueuedRequest, *, now_s: float
+) -> RequestQueues:
     slot_request = request.slot_request
     queue = get_queue(queues, slot_request.service)
-    queued = sorted((*queue.queued, request), key=_service_sort_key)
     last = max(request.tag, queue.last_tags.get(slot_request.organisation, request.tag))
     last_tags = queue.last_tags.set(slot_request.organisation, last)
-    queue = evolve(queue, queued=tuple(queued), last_tags=last_tags)
+    queue = evolve(queue, queued=(*queue.queued, request), last_tags=last_tags)
+    queue = sort_queue(register_kind(queue, request), now_s=now_s)
     queues = evolve(queues, next_ticket=queues.next_ticket + 1)
     return _set_queue(queues, slot_request.service, queue)
 
@@ -240,44 +271,61 @@
     mean_s: float
     by_route: Map[str, float]
 
-    def of(self, request: QueuedRequest) -> float:
+    def of(self, slot_request: SlotRequest) -> float:
         """Return the mean seconds for the request's route."""
-        return self.by_route.get(request.slot_request.route, self.mean_s)
+        return self.by_route.get(slot_request.route, self.mean_s)
 
 
 def _estimate_wait_s(
     ahead: Sequence[QueuedRequest], times: _ServiceTimes, *, in_flight: int
 ) -> float:
     """Return the wait for the end of an attempt in flight and of those ahead."""
-    total_s = times.mean_s + sum(times.of(request) for request in ahead)
+    total_s = times.mean_s + sum(times.of(request.slot_request) for request in ahead)
     return total_s / max(1, in_flight)
 
 
-def _service_sort_key(request: QueuedRequest) -> tuple[float, int]:
-    turns = TURNS_PER_PRIORITY * request.slot_request.priority
-    return (request.tag + turns, request.ticket)
-
-
 def _choose_evicted(
-    queues: RequestQueues, organisation: OrganisationName | None
+    queues: RequestQueues, new: QueuedRequest, *, now_s: float
 ) -> QueuedRequest | None:
-    """Return the last request of the organisation with most requests queued.
+    """Return the request to lose for a new one, None if the new one is to be lost.
 
-    None is returned if the given organisation would have as many or more.
+    It is the one that costs least to lose of the organisation with most requests
+    queued. An organisation with as many or more loses one of its own, if that costs
+    less than the new one or if the queue has hardly any of the new one's kind.
     """
     queued = [
         request for queue in queues.by_service.values() for request in queue.queued
     ]
+    organisation = new.slot_request.organisation
     counts = Counter(request.slot_request.organisation for request in queued)
-    if not counts or counts[organisation] + 1 >= max(counts.values()):
+    if not counts:
         return None
     most = max(counts.values())
-    candidates = [
+
+    def key(request: QueuedRequest) -> tuple[object, ...]:
+        return (cost_of(request, now_s=now_s), service_sort_key(request, now_s=now_s))
+
+    if counts[organisation] + 1 < most:
+        return max(
+            (
+                request
+                for request in queued
+                if counts[request.slot_request.organisation] == most
+            ),
+            key=key,
+        )
+    kinds = Counter(kind_of(request) for request in (*queued, new))
+    # So many requests of each kind stay, and may come in, so that no kind is starved.
+    least = MIN_SHARE * len(queued) / len(kinds)
+    is_protected = kinds[kind_of(new)] <= max(1.0, least)
+    own = [
         request
         for request in queued
-        if counts[request.slot_request.organisation] == most
+        if request.slot_request.organisation == organisation
+        and kinds[kind_of(request)] > max(1.0, least)
+        and (is_protected or cost_of(request, now_s=now_s) > cost_of(new, now_s=now_s))
     ]
-    return max(candidates, key=_service_sort_key)
+    return max(own, key=key, default=None)
 
 
 def _set_queue(
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -269,6 +269,7 @@
 )
 from .queues import (
     QueuedRequest,
+    RequestKind,
     RequestQueue,
     RequestQueues,
     ServiceConcurrency,
@@ -530,6 +531,7 @@
     "Reporter",
     "Request",
     "RequestDigest",
+    "RequestKind",
     "RequestQueue",
     "RequestQueues",
     "RequestRefused",
--- a/snipespring/records/queues.py
+++ b/snipespring/records/queues.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "QueuedRequest",
+    "RequestKind",
     "RequestQueue",
     "RequestQueues",
     "ServiceConcurrency",
@@ -40,20 +41,36 @@
     """Represent a waiting request; the one with the lowest tag is served first.
 
     The tag is a virtual time: it advances with the requests served, not with a clock.
+    An attempt that starts after `latest_start_s` will probably miss the objective.
+    `work_turns` rises with the work that the request needs, from 0 to 1.
     """
 
     ticket: int
     tag: float
     slot_request: SlotRequest
+    latest_start_s: float = inf
+    work_turns: float = 0.0
+
+
+@frozen(kw_only=True)
+class RequestKind:
+    """Tell requests of one service apart by priority and route."""
+
+    priority: int
+    route: str
 
 
 @frozen(kw_only=True)
 class RequestQueue:
-    """List the waiting requests of one service in the order of service."""
+    """List the waiting requests of one service in the order of service.
+
+    A kind whose credit has reached 1 got less than its least share of the slots.
+    """
 
     queued: tuple[QueuedRequest, ...] = ()
     virtual_time: float = 0.0
     last_tags: Map[OrganisationName | None, float] = Map()
+    credits: Map[RequestKind, float] = Map()
 
 
 @frozen(kw_only=True)
