Refuse fleet-wide what a service has no room for, the least urgent first

Above the room every host queued and sent what it got, and requests of all kinds missed their deadlines in the queues of the servers. Hosts now compare the offered work of all hosts with the slots. While the slots are in use and requests wait for them, each host admits the same share of every level: urgent ones first, and of equal urgency those with less work. Without a fresh view nothing is refused. Retry-After follows from the backlog and the excess and is spread.

--- a/snipespring/controllers/demand_recorder.py
+++ b/snipespring/controllers/demand_recorder.py
@@ -1,6 +1,7 @@
 """Record the demand on services and the load that their servers report."""
 
 from attrs import define
+from immutables import Map
 
 from ..blackboard import Board
 from ..blackboard.regions import DEMAND_LOG, FLEET_VIEW, SERVER_LOADS
@@ -15,7 +16,7 @@
     sum_demand,
 )
 from ..decisions.routing import mean_work_s_of, service_load_of, work_s_of
-from ..records import BackendResult, DemandCounts, ServiceDemand, ServiceName
+from ..records import BackendResult, DemandCounts, DemandLog, ServiceDemand, ServiceName
 from ..utils import Clock
 
 __all__ = ["DemandRecorder"]
@@ -63,13 +64,13 @@
 
     def read_own(self, service: ServiceName) -> ServiceDemand:
         """Return this host's part of the demand on a service."""
+        slices = self.board.read(DEMAND_LOG).by_service.get(service, ())
         own = count_demand(
-            self.board.read(DEMAND_LOG),
+            DemandLog(by_service=Map({service: slices})),
             window_s=self.window_s,
             now_s=self.clock.monotonic_s(),
         )
-        found = (demand for demand in own if demand.service == service)
-        return next(found, ServiceDemand(service=service))
+        return own[0] if own else ServiceDemand(service=service)
 
     def read_fleet(self, service: ServiceName) -> ServiceDemand | None:
         """Return the demand on a service by all heard hosts, None if it is too old."""
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -21,6 +21,7 @@
     SERVER_STATES,
     SERVER_SUBSETS,
 )
+from ..decisions.overload import spread_retry_after
 from ..decisions.queueing import (
     Enqueued,
     EnqueueRefused,
@@ -234,14 +235,18 @@
             has_free_slots=self._has_free_slots(slot_request.service),
         )
         match result:
-            case EnqueueRefused(reason=reason, retry_after_s=retry_after_s):
+            case EnqueueRefused(reason=reason, retry_after_s=wait_s):
+                retry_after_s = spread_retry_after(wait_s, rng=self.rng)
                 future.set_result(NotPlaced(reason=reason, retry_after_s=retry_after_s))
                 return future, -1
             case Enqueued(queues=queues, request=request, evicted=evicted):
                 self._futures[request.ticket] = future
                 self.board.write(REQUEST_QUEUES, queues, writer=self.name)
                 if evicted is not None:
-                    self._resolve(evicted, _make_evicted_result(evicted, request))
+                    retry_after_s = self._retry_after_s(evicted.slot_request.service)
+                    self._resolve(
+                        evicted, _make_evicted_result(evicted, request, retry_after_s)
+                    )
                 return future, request.ticket
 
     def _wait(
@@ -259,7 +264,15 @@
             self._remove_request(ticket)
             del self._futures[ticket]
         reason = "no slot became free before the deadline"
-        return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+        retry_after_s = self._retry_after_s(slot_request.service)
+        return NotPlaced(reason=reason, retry_after_s=retry_after_s)
+
+    def _retry_after_s(self, service: ServiceName) -> float:
+        """Return when the requests that wait now will have got their slots."""
+        load = self._service_load(service)
+        queued = len(get_queue(self.board.read(REQUEST_QUEUES), service).queued)
+        wait_s = (queued + 1) * load.mean_service_s / max(1, load.in_flight)
+        return spread_retry_after(max(RETRY_AFTER_S, wait_s), rng=self.rng)
 
     def _dispatch(self, service: ServiceName) -> float:
         """Place queued requests in order; return when the next slot may be free."""
@@ -311,7 +324,8 @@
         for request, wait_s in hopeless:
             self._remove_request(request.ticket)
             reason = f"an estimated wait of {wait_s:.3f} s more exceeds the deadline"
-            not_placed = NotPlaced(reason=reason, retry_after_s=wait_s)
+            retry_after_s = spread_retry_after(wait_s, rng=self.rng)
+            not_placed = NotPlaced(reason=reason, retry_after_s=retry_after_s)
             self._resolve(request, not_placed)
 
     def _remove_request(self, ticket: int) -> None:
@@ -389,7 +403,9 @@
     return placement.repeatable and not placement.excluded
 
 
-def _make_evicted_result(evicted: QueuedRequest, new: QueuedRequest) -> NotPlaced:
+def _make_evicted_result(
+    evicted: QueuedRequest, new: QueuedRequest, retry_after_s: float
+) -> NotPlaced:
     old_request, new_request = evicted.slot_request, new.slot_request
     if old_request.organisation == new_request.organisation:
         reason = (
@@ -398,4 +414,4 @@
         )
     else:
         reason = "the queue is full, mostly with requests of this organisation"
-    return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+    return NotPlaced(reason=reason, retry_after_s=retry_after_s)
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -34,6 +34,7 @@
     retry_delay_s,
 )
 from ..decisions.health import record_attempt_end, record_attempt_start
+from ..decisions.overload import HasRoom, Overloaded, admit_offered, make_room
 from ..decisions.queueing import name_of, urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
@@ -137,9 +138,13 @@
         """Return the reply to a request; `may_send` is checked before each attempt."""
         completed: list[_CompletedAttempt] = []
         tag: float | None = None
-        self.demand.record_offered(
-            service.name, name_of(admitted.route), self._urgency_of(admitted)
-        )
+        match self._admit(service, admitted):
+            case Overloaded(reason=reason, retry_after_s=retry_after_s):
+                not_placed = NotPlaced(reason=reason, retry_after_s=retry_after_s)
+                delivery = _make_unplaced_delivery(admitted, completed, not_placed)
+                return evolve(delivery, rule="overload")
+            case HasRoom():
+                pass
         while True:
             placed = self.dispatcher.place(
                 self._make_slot_request(admitted, completed, tag)
@@ -173,6 +178,27 @@
                 case Retry() | Finish():
                     return _make_delivery(admitted, completed)
 
+    def _admit(
+        self, service: ServiceRule, admitted: AdmittedRequest
+    ) -> HasRoom | Overloaded:
+        """Count a request and decide whether the service has room for it."""
+        urgency = self._urgency_of(admitted)
+        level = self.demand.record_offered(
+            service.name, name_of(admitted.route), urgency
+        )
+        demand = self.demand.read_fleet(service.name)
+        if demand is None:
+            return HasRoom()
+        rules = self.board.read(CONFIGURATION).servers.get(service.name, ())
+        slots = sum(rule.slots or service.slots for rule in rules)
+        admission = admit_offered(make_room(demand, slots=slots), level, rng=self.rng)
+        match admission:
+            case Overloaded():
+                self.metrics.count("overload_refusals", f"priority {urgency}")
+            case HasRoom():
+                pass
+        return admission
+
     def _make_slot_request(
         self,
         admitted: AdmittedRequest,
