Explain overload refusals in the log and to operators

A request that was not sent again said only that a server had shed it. The log now names why the retry was refused, with the figures of the budget.

--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -232,6 +232,7 @@
         return evolve(
             _make_handled_request(admitted, reply, delivery.rule),
             attempts=delivery.attempts,
+            retry_refusal=delivery.retry_refusal,
         )
 
     def _complete_reply(
--- a/snipespring/controllers/request_log.py
+++ b/snipespring/controllers/request_log.py
@@ -81,6 +81,7 @@
             "reason": _outcome_reason(handled.reply.outcome),
             "took_s": round(now_s - started_s, DECIMAL_PLACES),
             "attempts": [_describe_attempt(attempt) for attempt in handled.attempts],
+            "retry_refusal": handled.retry_refusal,
             "configuration": cfg.version,
             "lease": _describe_lease(self.board.read(LEASE), now_s),
             "view_age_s": _age_s(view.as_of_s, now_s),
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -86,12 +86,16 @@
 
 @frozen(kw_only=True)
 class Delivery:
-    """Represent a reply, the seconds servers took and the rule that decided it."""
+    """Represent a reply, the seconds servers took and the rule that decided it.
+
+    `retry_refusal` tells why a wanted retry was not sent, empty if none was wanted.
+    """
 
     reply: Reply
     backend_s: float
     rule: str
     attempts: tuple[AttemptRecord, ...] = ()
+    retry_refusal: str = ""
 
 
 @frozen(kw_only=True)
@@ -171,11 +175,15 @@
                         )
                     )
             match decide_after_attempt(completed[-1].result, admitted.route.run):
-                case Retry() if self._prepare_retry(
-                    service, admitted, completed, is_disconnected
-                ):
+                case Retry():
+                    refusal = self._prepare_retry(
+                        service, admitted, completed, is_disconnected
+                    )
+                    if refusal is not None:
+                        delivery = _make_delivery(admitted, completed)
+                        return evolve(delivery, retry_refusal=refusal)
                     self.metrics.count("retries", service.name)
-                case Retry() | Finish():
+                case Finish():
                     return _make_delivery(admitted, completed)
 
     def _admit(
@@ -297,13 +305,13 @@
         admitted: AdmittedRequest,
         completed: list[_CompletedAttempt],
         is_disconnected: Callable[[], bool],
-    ) -> bool:
-        """Wait before a retry and pay for it; return whether it may be sent."""
+    ) -> str | None:
+        """Wait before a retry and pay for it; return why not to send it, if so."""
         run = admitted.route.run
         if not may_attempt_again(
             admitted.route, [attempt.result for attempt in completed]
         ):
-            return False
+            return "no more attempts are allowed"
         retries = len(completed) - 1
         while True:
             delay_s = retry_delay_s(run, retries, self.rng)
@@ -311,18 +319,19 @@
                 is_disconnected()
                 or self._remaining_s(admitted) < delay_s + MIN_ATTEMPT_TIMEOUT_S
             ):
-                return False
+                return "the caller disconnected or the deadline is too near"
             if delay_s > 0.0:
                 self.pause(delay_s)
             if reached_no_server(completed[-1].result):
-                return True
-            if self._spend_retry(service, admitted):
-                return True
+                return None
+            refusal = self._spend_retry(service, admitted)
+            if refusal is None:
+                return None
             match run:
                 case RunAsUpload():
                     retries += 1
                 case RunIdempotent() | RunOnce():
-                    return False
+                    return refusal
 
     def _remaining_s(self, admitted: AdmittedRequest) -> float:
         return admitted.deadline_at_s - self.clock.monotonic_s()
@@ -348,15 +357,18 @@
             return max_balance_per_host(len(self.board.read(ROSTER).hosts))
         return service.retry_reserve / max(1, len(self.board.read(HOST_FEED).items))
 
-    def _spend_retry(self, service: ServiceRule, admitted: AdmittedRequest) -> bool:
-        """Return whether a retry may be sent, and count it."""
+    def _spend_retry(
+        self, service: ServiceRule, admitted: AdmittedRequest
+    ) -> str | None:
+        """Count a retry that is wanted; return why not to send it, if so."""
         urgency = self._urgency_of(admitted)
         fleet = self._read_fleet_budget(service, urgency)
         if fleet is None:
             is_sent = self._spend(service, spend_retry)
-            rule = "host"
+            rule, reason = "host", "this host's own retry budget is empty"
         elif fleet.is_short and not self._may_answer_in_time(admitted):
             is_sent, rule = False, "late"
+            reason = f"{fleet}; an answer would probably come after the deadline"
         else:
             phase = self.rng.random()
             is_sent = self._spend(
@@ -365,12 +377,12 @@
                     budget, fleet, phase=phase, now_s=now_s
                 ),
             )
-            rule = "fleet"
+            rule, reason = "fleet", str(fleet)
         self.metrics.count(
             "retry_budget", f"{rule} {'spent' if is_sent else 'refused'}"
         )
         self.demand.record_retry(service.name, urgency, is_sent=is_sent)
-        return is_sent
+        return None if is_sent else reason
 
     def _read_fleet_budget(
         self, service: ServiceRule, urgency: int
--- a/snipespring/decisions/retries/fleet.py
+++ b/snipespring/decisions/retries/fleet.py
@@ -39,6 +39,13 @@
     reserved: float
     hosts: int
 
+    def __str__(self) -> str:
+        """Describe the budget with its figures."""
+        return (
+            f"retry budget of {self.hosts} hosts: {self.sent} sent of "
+            f"{self.allowed:.0f}, {self.reserved:.0f} reserved for more urgent requests"
+        )
+
     @property
     def free(self) -> float:
         """Return the retries that are left for requests of this urgency."""
--- a/snipespring/records/requests.py
+++ b/snipespring/records/requests.py
@@ -122,10 +122,14 @@
 
 @frozen(kw_only=True)
 class HandledRequest:
-    """Record a reply, the rule that decided it and the attempts that preceded it."""
+    """Record a reply, the rule that decided it and the attempts that preceded it.
+
+    `retry_refusal` tells why a wanted retry was not sent.
+    """
 
     reply: Reply
     rule: str
     organisation: OrganisationName | None = None
     service: ServiceName | None = None
     attempts: tuple[AttemptRecord, ...] = ()
+    retry_refusal: str = ""
