Judge free slots by what all hosts see

A host gets few answers, and its last ones may come from full servers while others are free. With a fresh view, the slots in use that other hosts were told go first.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -60,6 +60,7 @@
     SlotRequest,
 )
 from ..utils import Clock
+from .demand_recorder import MAX_VIEW_AGE_S
 
 __all__ = ["Dispatcher", "NotPlaced", "Placed"]
 
@@ -392,7 +393,16 @@
     def _has_free_slots(self, service: ServiceName) -> bool:
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
         slots = 0 if subset is None else subset.slots
-        return has_free_slots(self._service_load(service), slots)
+        view = self.board.read(FLEET_VIEW)
+        is_fresh = view.as_of_s is not None and (
+            self.clock.monotonic_s() - view.as_of_s <= MAX_VIEW_AGE_S
+        )
+        others = view.demand.get(service) if is_fresh else None
+        return has_free_slots(
+            self._service_load(service),
+            slots,
+            None if others is None else others.counts,
+        )
 
     def _service_load(self, service: ServiceName) -> ServiceLoad:
         return service_load_of(self.board.read(SERVER_LOADS), service)
--- a/snipespring/decisions/routing/limits.py
+++ b/snipespring/decisions/routing/limits.py
@@ -6,6 +6,7 @@
 from ...records import (
     Answered,
     BackendResult,
+    DemandCounts,
     ReportedLoad,
     RouteLoad,
     ServiceLoad,
@@ -30,11 +31,16 @@
 MIN_LIMIT = 1.0
 
 
-def has_free_slots(service: ServiceLoad, slots: int) -> bool:
-    """Return whether the reports on this host's answers show a service with room.
+def has_free_slots(
+    service: ServiceLoad, slots: int, fleet: DemandCounts | None = None
+) -> bool:
+    """Return whether reported loads show a service with free slots.
 
-    Its servers have `slots` slots each.
+    Those on the recent answers of other hosts, in `fleet`, go before those on this
+    host's answers, which are few. Its servers have `slots` slots each.
     """
+    if fleet is not None and fleet.slots:
+        return fleet.used_slots < FULL_BUSY_SHARE * fleet.slots
     return service.has_reports and service.busy < FULL_BUSY_SHARE * slots
 
 
--- a/snipespring/decisions/routing/tests/test_limits.py
+++ b/snipespring/decisions/routing/tests/test_limits.py
@@ -8,7 +8,13 @@
     record_result,
     work_s_of,
 )
-from snipespring.records import Answered, ReportedLoad, ServiceLoad, ShedByServer
+from snipespring.records import (
+    Answered,
+    DemandCounts,
+    ReportedLoad,
+    ServiceLoad,
+    ShedByServer,
+)
 
 SLOTS = 3
 
@@ -76,3 +82,12 @@
     assert work_s_of(service, "heavy") == pytest.approx(0.83)
     assert answer_s_of(service, "unknown") == service.mean_service_s
     assert not has_free_slots(service, SLOTS)
+
+
+def test_free_slots_seen_by_other_hosts_go_before_the_own_few_answers() -> None:
+    """Guard against refusals by a host whose own answers came from full servers."""
+    service = ServiceLoad(busy=float(SLOTS), has_reports=True)
+    free = DemandCounts(slots=300, used_slots=200)
+    assert has_free_slots(service, SLOTS, free)
+    assert not has_free_slots(service, SLOTS, DemandCounts(slots=300, used_slots=290))
+    assert not has_free_slots(service, SLOTS)
