--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -5,11 +5,13 @@
 )
 from .domains import (
     ANSWER_LOG,
+    DEMAND_LOG,
     DOMAIN_HUBS,
     DOMAIN_REPORTS,
     FAILURE_LOG,
     FLEET_VIEW,
     HUB_STATE,
+    IDLE_SHED_LOG,
     PENDING_OUTCOMES,
     USAGE_LOG,
 )
@@ -74,6 +76,7 @@
     "CONFIGURATION_FEED",
     "COUNTERS",
     "CREDIT_NEEDS",
+    "DEMAND_LOG",
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "EJECTION_LISTS",
@@ -85,6 +88,7 @@
     "FENCE",
     "FLEET_VIEW",
     "HUB_STATE",
+    "IDLE_SHED_LOG",
     "PENDING_OUTCOMES",
     "HEALTH_POOLS",
     "HOST_CONTACTS",
--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -2,6 +2,7 @@
 
 from ...records import (
     AnswerLog,
+    DemandLog,
     DomainHubs,
     DomainReports,
     FleetView,
@@ -13,11 +14,13 @@
 
 __all__ = [
     "ANSWER_LOG",
+    "DEMAND_LOG",
     "DOMAIN_HUBS",
     "DOMAIN_REPORTS",
     "FAILURE_LOG",
     "FLEET_VIEW",
     "HUB_STATE",
+    "IDLE_SHED_LOG",
     "PENDING_OUTCOMES",
     "USAGE_LOG",
 ]
@@ -25,6 +28,9 @@
 ANSWER_LOG = Region[AnswerLog](
     name="answer_log", writer="health_keeper", initial=AnswerLog()
 )
+DEMAND_LOG = Region[DemandLog](
+    name="demand_log", writer="demand_recorder", initial=DemandLog()
+)
 DOMAIN_HUBS = Region[DomainHubs](
     name="domain_hubs", writer="domain_link", initial=DomainHubs()
 )
@@ -38,6 +44,9 @@
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
 HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
+IDLE_SHED_LOG = Region[AnswerLog](
+    name="idle_shed_log", writer="health_keeper", initial=AnswerLog()
+)
 PENDING_OUTCOMES = Region[PendingOutcomes](
     name="pending_outcomes", writer="outcome_relay", initial=PendingOutcomes()
 )
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -24,6 +24,7 @@
     SERVER_STATES,
     SERVER_SUBSETS,
 )
+from ..decisions.overload import spread_retry_after
 from ..decisions.places import (
     NoUsableServer,
     find_known_s,
@@ -37,16 +38,20 @@
     enqueue,
     get_queue,
     list_hopeless,
+    refresh_order,
     remove_request,
 )
 from ..decisions.routing import (
     Chosen,
     NoServer,
     ServersBusy,
+    answer_s_of,
     begin_warmups,
     cancel_reservation,
     choose_server,
     count_recent_outcomes,
+    has_free_slots,
+    list_answer_times,
     release_server,
     remove_unused_servers,
     reserve_server,
@@ -65,6 +70,7 @@
     SlotRequest,
 )
 from ..utils import Clock
+from .demand_recorder import MAX_VIEW_AGE_S
 
 __all__ = ["Dispatcher", "NotPlaced", "Placed"]
 
@@ -148,7 +154,12 @@
         return placed
 
     def release(
-        self, server: ServerId, result: BackendResult, *, started_s: float
+        self,
+        server: ServerId,
+        result: BackendResult,
+        *,
+        started_s: float,
+        route: str = "",
     ) -> None:
         """Release the slot of a completed attempt and record its result."""
         now_s = self.clock.monotonic_s()
@@ -163,6 +174,7 @@
                     now_s=now_s,
                     hosts=hosts,
                     phase=phase,
+                    route=route,
                 )
             )
             self._dispatch(server.service)
@@ -237,7 +249,8 @@
         load = self._service_load(slot_request.service)
         if busy.waits_for_attempts and load.in_flight > 0:
             return None
-        if busy.free_at_s + load.mean_service_s <= slot_request.deadline_at_s:
+        answer_s = answer_s_of(load, slot_request.route)
+        if busy.free_at_s + answer_s <= slot_request.deadline_at_s:
             return None
         delay_s = busy.free_at_s - self.clock.monotonic_s()
         reason = (
@@ -250,32 +263,37 @@
         self, slot_request: SlotRequest
     ) -> tuple[Future[Placed | NotPlaced], int]:
         future: Future[Placed | NotPlaced] = Future()
+        load = self._service_load(slot_request.service)
         result = enqueue(
             self.board.read(REQUEST_QUEUES),
             slot_request,
             max_queued=self.max_queued,
-            in_flight=self._service_load(slot_request.service).in_flight,
-            service_s=self._service_load(slot_request.service).mean_service_s,
+            in_flight=load.in_flight,
+            service_s=load.mean_service_s,
             now_s=self.clock.monotonic_s(),
+            service_s_by_route=list_answer_times(load),
+            has_free_slots=self._has_free_slots(slot_request.service),
         )
         match result:
-            case EnqueueRefused(reason=reason, retry_after_s=retry_after_s):
+            case EnqueueRefused(reason=reason, retry_after_s=wait_s):
+                retry_after_s = spread_retry_after(wait_s, rng=self.rng)
                 future.set_result(NotPlaced(reason=reason, retry_after_s=retry_after_s))
                 return future, -1
             case Enqueued(queues=queues, request=request, evicted=evicted):
                 self._futures[request.ticket] = future
                 self.board.write(REQUEST_QUEUES, queues, writer=self.name)
                 if evicted is not None:
-                    self._resolve(evicted, _make_evicted_result())
+                    retry_after_s = self._retry_after_s(evicted.slot_request.service)
+                    self._resolve(
+                        evicted, _make_evicted_result(evicted, request, retry_after_s)
+                    )
                 return future, request.ticket
 
     def _wait(
         self, future: Future[Placed | NotPlaced], ticket: int, slot_request: SlotRequest
     ) -> Placed | NotPlaced:
-        latest_s = (
-            slot_request.deadline_at_s
-            - self._service_load(slot_request.service).mean_service_s
-        )
+        load = self._service_load(slot_request.service)
+        latest_s = slot_request.deadline_at_s - answer_s_of(load, slot_request.route)
         try:
             return future.result(max(0.0, latest_s - self.clock.monotonic_s()))
         except TimeoutError:
@@ -286,15 +304,28 @@
             self._remove_request(ticket)
             del self._futures[ticket]
         reason = "no slot became free before the deadline"
-        return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+        retry_after_s = self._retry_after_s(slot_request.service)
+        return NotPlaced(reason=reason, retry_after_s=retry_after_s)
+
+    def _retry_after_s(self, service: ServiceName) -> float:
+        """Return when the requests that wait now will have got their slots."""
+        load = self._service_load(service)
+        queued = len(get_queue(self.board.read(REQUEST_QUEUES), service).queued)
+        wait_s = (queued + 1) * load.mean_service_s / max(1, load.in_flight)
+        return spread_retry_after(max(RETRY_AFTER_S, wait_s), rng=self.rng)
 
     def _dispatch(self, service: ServiceName) -> float:
         """Place queued requests in order; return when the next slot may be free."""
         free_at_s = inf
+        self._refresh_order(service)
         for request in get_queue(self.board.read(REQUEST_QUEUES), service).queued:
             match self._reserve(request.slot_request):
                 case Chosen(server=server):
-                    queues = dequeue(self.board.read(REQUEST_QUEUES), request)
+                    queues = dequeue(
+                        self.board.read(REQUEST_QUEUES),
+                        request,
+                        now_s=self.clock.monotonic_s(),
+                    )
                     self.board.write(REQUEST_QUEUES, queues, writer=self.name)
                     self._resolve(request, Placed(server=server, tag=request.tag))
                 case NoServer(reason=reason):
@@ -313,6 +344,12 @@
         self._refuse_hopeless(service)
         return free_at_s
 
+    def _refresh_order(self, service: ServiceName) -> None:
+        queues, now_s = self.board.read(REQUEST_QUEUES), self.clock.monotonic_s()
+        ordered = refresh_order(queues, service, now_s=now_s)
+        if ordered is not queues:
+            self.board.write(REQUEST_QUEUES, ordered, writer=self.name)
+
     def _refuse_hopeless(self, service: ServiceName) -> None:
         """Refuse the queued requests that will miss their deadlines."""
         load = self._service_load(service)
@@ -321,15 +358,20 @@
             in_flight=load.in_flight,
             service_s=load.mean_service_s,
             now_s=self.clock.monotonic_s(),
+            service_s_by_route=list_answer_times(load),
+            has_free_slots=self._has_free_slots(service),
         )
         for request, wait_s in hopeless:
             self._remove_request(request.ticket)
             reason = f"an estimated wait of {wait_s:.3f} s more exceeds the deadline"
-            not_placed = NotPlaced(reason=reason, retry_after_s=wait_s)
+            retry_after_s = spread_retry_after(wait_s, rng=self.rng)
+            not_placed = NotPlaced(reason=reason, retry_after_s=retry_after_s)
             self._resolve(request, not_placed)
 
     def _remove_request(self, ticket: int) -> None:
-        queues = remove_request(self.board.read(REQUEST_QUEUES), ticket)
+        queues = remove_request(
+            self.board.read(REQUEST_QUEUES), ticket, now_s=self.clock.monotonic_s()
+        )
         self.board.write(REQUEST_QUEUES, queues, writer=self.name)
 
     def _resolve(self, request: QueuedRequest, result: Placed | NotPlaced) -> None:
@@ -403,6 +445,20 @@
     def _change_loads(self, change: Callable[[ServerLoads], ServerLoads]) -> None:
         self.board.update(SERVER_LOADS, change, writer=self.name)
 
+    def _has_free_slots(self, service: ServiceName) -> bool:
+        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        slots = 0 if subset is None else subset.slots
+        view = self.board.read(FLEET_VIEW)
+        is_fresh = view.as_of_s is not None and (
+            self.clock.monotonic_s() - view.as_of_s <= MAX_VIEW_AGE_S
+        )
+        others = view.demand.get(service) if is_fresh else None
+        return has_free_slots(
+            self._service_load(service),
+            slots,
+            None if others is None else others.counts,
+        )
+
     def _service_load(self, service: ServiceName) -> ServiceLoad:
         return service_load_of(self.board.read(SERVER_LOADS), service)
 
@@ -412,6 +468,15 @@
     return placement.repeatable and not placement.excluded and placement.regions is None
 
 
-def _make_evicted_result() -> NotPlaced:
-    reason = "the queue is full, mostly with requests of this organisation"
-    return NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
+def _make_evicted_result(
+    evicted: QueuedRequest, new: QueuedRequest, retry_after_s: float
+) -> NotPlaced:
+    old_request, new_request = evicted.slot_request, new.slot_request
+    if old_request.organisation == new_request.organisation:
+        reason = (
+            f"the queue is full; this request of priority {old_request.priority} gave "
+            f"way to one of priority {new_request.priority} whose loss costs more"
+        )
+    else:
+        reason = "the queue is full, mostly with requests of this organisation"
+    return NotPlaced(reason=reason, retry_after_s=retry_after_s)
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -14,6 +14,7 @@
 from ..blackboard.regions import (
     ANSWER_LOG,
     CONFIGURATION_FEED,
+    DEMAND_LOG,
     DOMAIN_HUBS,
     DOMAIN_REPORTS,
     EVACUATION_FEED,
@@ -48,6 +49,7 @@
     receive_summary,
 )
 from ..decisions.outages import record_relayed_reach
+from ..decisions.overload import count_demand
 from ..decisions.places import make_evacuation_mark
 from ..decisions.server_relay import (
     answer_server_query,
@@ -120,7 +122,8 @@
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
     with each reply to a query for changes to servers, `on_evacuations` with what each
     digest states of evacuations and when its sender reached the store. After `outage_s`
-    seconds in which no host reached the store, it counts as having been away.
+    seconds in which no host reached the store, it counts as having been away. Retries
+    are counted over the last `retry_window_s` seconds.
     """
 
     board: Board
@@ -133,6 +136,7 @@
     outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
     on_evacuations: Callable[[EvacuationMark | None, float | None], None]
+    retry_window_s: float = 10.0
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -265,6 +269,9 @@
                 board.read(USAGE_LOG), window_s=self.window_s, now_s=now_s
             ),
             answers=count_answers_by_server(board.read(ANSWER_LOG), now_s=now_s),
+            demand=count_demand(
+                board.read(DEMAND_LOG), window_s=self.retry_window_s, now_s=now_s
+            ),
         )
 
     def _receive_report(self, report: HostReport) -> None:
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -7,12 +7,13 @@
 from math import inf
 from random import Random
 
-from attrs import define, evolve, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
 from ..blackboard import Board
 from ..blackboard.regions import (
     CONFIGURATION,
     EVIDENCE,
+    FLEET_VIEW,
     HOST_FEED,
     RETRY_BUDGETS,
     ROSTER,
@@ -40,18 +41,27 @@
     record_attempt_start,
     record_overdue_attempt,
 )
+from ..decisions.overload import HasRoom, Overloaded, admit_offered, make_room
 from ..decisions.places import allowed_regions
-from ..decisions.queueing import urgency_of
+from ..decisions.queueing import name_of, urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
     BudgetExhausted,
+    FleetBudget,
     earn_retry,
     hedge_delay_s,
+    make_fleet_budget,
     max_balance_per_host,
     overdue_delay_s,
+    spend_fleet_retry,
     spend_retry,
 )
-from ..decisions.routing import service_load_of
+from ..decisions.routing import (
+    answer_s_of,
+    has_free_slots,
+    route_load_of,
+    service_load_of,
+)
 from ..frontends.backends import Transport
 from ..records import (
     AdmittedRequest,
@@ -69,18 +79,19 @@
     Reply,
     RetryBudget,
     RetryBudgets,
+    RouteLoad,
     RunAsUpload,
     RunIdempotent,
     RunOnce,
     RunPolicy,
     ServerId,
-    ServiceLoad,
     ServiceRule,
     ShedByServer,
     SlotRequest,
 )
 from ..utils import Clock
 from .canceller import Canceller
+from .demand_recorder import DemandRecorder
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .hedges import Hedge
 from .metrics_recorder import MetricsRecorder
@@ -94,12 +105,16 @@
 
 @frozen(kw_only=True)
 class Delivery:
-    """Represent a reply, the seconds servers took and the rule that decided it."""
+    """Represent a reply, the seconds servers took and the rule that decided it.
+
+    `retry_refusal` tells why a wanted retry was not sent, empty if none was wanted.
+    """
 
     reply: Reply
     backend_s: float
     rule: str
     attempts: tuple[AttemptRecord, ...] = ()
+    retry_refusal: str = ""
 
 
 @frozen(kw_only=True)
@@ -125,6 +140,12 @@
     canceller: Canceller
     metrics: MetricsRecorder
     domain: DomainName
+    demand: DemandRecorder = field(
+        default=Factory(
+            lambda self: DemandRecorder(board=self.board, clock=self.clock),
+            takes_self=True,
+        )
+    )
     pause: Callable[[float], None] = field(default=_pause)
     name: str = "sender"
     # Callers may choose the ids of their requests, and may use one twice.
@@ -144,6 +165,13 @@
         """Return the reply to a request; `may_send` is checked before each attempt."""
         completed: list[_CompletedAttempt] = []
         tag: float | None = None
+        match self._admit(service, admitted):
+            case Overloaded(reason=reason, retry_after_s=retry_after_s):
+                not_placed = NotPlaced(reason=reason, retry_after_s=retry_after_s)
+                delivery = _make_unplaced_delivery(admitted, completed, not_placed)
+                return evolve(delivery, rule="overload")
+            case HasRoom():
+                pass
         while True:
             placed = self.dispatcher.place(
                 self._make_slot_request(admitted, completed, tag)
@@ -162,18 +190,44 @@
                         admitted, completed, _claim_expired()
                     )
                 case Placed(server=server, tag=tag):
-                    self._earn_retry(service, completed)
+                    if not completed:
+                        self._record_first(service, admitted)
                     completed += self._run_with_hedge(
                         service, admitted, server, completed, is_disconnected
                     )
             match decide_after_attempt(completed[-1].result, admitted.route.run):
-                case Retry() if self._prepare_retry(
-                    service, admitted, completed, is_disconnected
-                ):
+                case Retry():
+                    refusal = self._prepare_retry(
+                        service, admitted, completed, is_disconnected
+                    )
+                    if refusal is not None:
+                        delivery = _make_delivery(admitted, completed)
+                        return evolve(delivery, retry_refusal=refusal)
                     self.metrics.count("retries", service.name)
-                case Retry() | Finish():
+                case Finish():
                     return _make_delivery(admitted, completed)
 
+    def _admit(
+        self, service: ServiceRule, admitted: AdmittedRequest
+    ) -> HasRoom | Overloaded:
+        """Count a request and decide whether the service has room for it."""
+        urgency = self._urgency_of(admitted)
+        level = self.demand.record_offered(
+            service.name, name_of(admitted.route), urgency
+        )
+        demand = self.demand.read_fleet(service.name)
+        if demand is None:
+            return HasRoom()
+        rules = self.board.read(CONFIGURATION).servers.get(service.name, ())
+        slots = sum(rule.slots or service.slots for rule in rules)
+        admission = admit_offered(make_room(demand, slots=slots), level, rng=self.rng)
+        match admission:
+            case Overloaded():
+                self.metrics.count("overload_refusals", f"priority {urgency}")
+            case HasRoom():
+                pass
+        return admission
+
     def _make_slot_request(
         self,
         admitted: AdmittedRequest,
@@ -195,6 +249,8 @@
             placement=placement,
             deadline_at_s=admitted.deadline_at_s,
             priority=self._urgency_of(admitted),
+            route=name_of(admitted.route),
+            objective_at_s=admitted.received_s + admitted.route.objective_s,
             tag=tag,
         )
 
@@ -236,10 +292,13 @@
             run=run_second,
             cancel=lambda: self.transport.cancel(second.request_id),
         )
-        load, slots = self._read_load(service)
-        overdue_s = overdue_delay_s(admitted.route, load, slots=slots)
+        is_busy, load = self._read_load(service, admitted)
+        overdue_s = overdue_delay_s(admitted.route, load, is_busy=is_busy)
         is_hedged = overdue_s == hedge_delay_s(
-            admitted.route, load, slots=slots, remaining_s=self._remaining_s(admitted)
+            admitted.route,
+            load,
+            is_busy=is_busy,
+            remaining_s=self._remaining_s(admitted),
         )
 
         def on_overdue() -> None:
@@ -248,6 +307,7 @@
                 hedge.start()
 
         ended = self._run_attempt(
+            admitted,
             first,
             server,
             is_disconnected,
@@ -280,23 +340,30 @@
         match self.dispatcher.place_at_once(slot_request):
             case NotPlaced():
                 return None
-            case Placed(server=server) if not self._spend_retry(service):
+            case Placed(server=server) if (
+                self._spend_retry(service, admitted) is not None
+            ):
                 self.dispatcher.cancel(server)
                 return None
             case Placed(server=server):
                 self.metrics.count("hedges", service.name)
                 timeout_s = max(MIN_ATTEMPT_TIMEOUT_S, self._remaining_s(admitted))
                 attempt = evolve(attempt, timeout_s=timeout_s)
-                return self._run_attempt(attempt, server, is_disconnected)
+                return self._run_attempt(admitted, attempt, server, is_disconnected)
 
-    def _read_load(self, service: ServiceRule) -> tuple[ServiceLoad, int]:
-        """Return a service's load and the slots of each of its servers."""
+    def _read_load(
+        self, service: ServiceRule, admitted: AdmittedRequest
+    ) -> tuple[bool, RouteLoad | None]:
+        """Return whether a service's slots are busy, and how long the route takes."""
         load = service_load_of(self.board.read(SERVER_LOADS), service.name)
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service.name)
-        return load, service.slots if subset is None else subset.slots
+        slots = service.slots if subset is None else subset.slots
+        is_busy = load.has_reports and not has_free_slots(load, slots)
+        return is_busy, route_load_of(load, name_of(admitted.route))
 
     def _run_attempt(
         self,
+        admitted: AdmittedRequest,
         attempt: BackendRequest,
         server: ServerId,
         is_disconnected: Callable[[], bool],
@@ -320,9 +387,12 @@
             case _:
                 pass
         took_s = self.clock.monotonic_s() - started_s
-        self.dispatcher.release(server, result, started_s=started_s)
+        self.dispatcher.release(
+            server, result, started_s=started_s, route=name_of(admitted.route)
+        )
         self._record_end(server, attempt.request_id, result)
         self._count_result(server, result)
+        self.demand.record_result(server.service, result)
         return _CompletedAttempt(result=result, server=server, took_s=took_s)
 
     def _count_result(self, server: ServerId, result: BackendResult) -> None:
@@ -363,13 +433,13 @@
         admitted: AdmittedRequest,
         completed: list[_CompletedAttempt],
         is_disconnected: Callable[[], bool],
-    ) -> bool:
-        """Wait before a retry and pay for it; return whether it may be sent."""
+    ) -> str | None:
+        """Wait before a retry and pay for it; return why not to send it, if so."""
         run = admitted.route.run
         if not may_attempt_again(
             admitted.route, [attempt.result for attempt in completed]
         ):
-            return False
+            return "no more attempts are allowed"
         retries = len(completed) - 1
         while True:
             delay_s = retry_delay_s(run, retries, self.rng)
@@ -377,25 +447,26 @@
                 is_disconnected()
                 or self._remaining_s(admitted) < delay_s + MIN_ATTEMPT_TIMEOUT_S
             ):
-                return False
+                return "the caller disconnected or the deadline is too near"
             if delay_s > 0.0:
                 self.pause(delay_s)
-            if reached_no_server(completed[-1].result) or self._spend_retry(service):
-                return True
+            if reached_no_server(completed[-1].result):
+                return None
+            refusal = self._spend_retry(service, admitted)
+            if refusal is None:
+                return None
             match run:
                 case RunAsUpload():
                     retries += 1
                 case RunIdempotent() | RunOnce():
-                    return False
+                    return refusal
 
     def _remaining_s(self, admitted: AdmittedRequest) -> float:
         return admitted.deadline_at_s - self.clock.monotonic_s()
 
-    def _earn_retry(
-        self, service: ServiceRule, completed: list[_CompletedAttempt]
-    ) -> None:
-        if completed:
-            return
+    def _record_first(self, service: ServiceRule, admitted: AdmittedRequest) -> None:
+        """Count a first attempt, which earns a part of a retry."""
+        self.demand.record_first(service.name, self._urgency_of(admitted))
         now_s = self.clock.monotonic_s()
         max_balance = self._max_retry_balance(service)
 
@@ -414,12 +485,64 @@
             return max_balance_per_host(len(self.board.read(ROSTER).hosts))
         return service.retry_reserve / max(1, len(self.board.read(HOST_FEED).items))
 
-    def _spend_retry(self, service: ServiceRule) -> bool:
+    def _spend_retry(
+        self, service: ServiceRule, admitted: AdmittedRequest
+    ) -> str | None:
+        """Count a retry that is wanted; return why not to send it, if so."""
+        urgency = self._urgency_of(admitted)
+        fleet = self._read_fleet_budget(service, urgency)
+        if fleet is None:
+            is_sent = self._spend(service, spend_retry)
+            rule, reason = "host", "this host's own retry budget is empty"
+        elif fleet.is_short and not self._may_answer_in_time(admitted):
+            is_sent, rule = False, "late"
+            reason = f"{fleet}; an answer would probably come after the deadline"
+        else:
+            phase = self.rng.random()
+            is_sent = self._spend(
+                service,
+                lambda budget, now_s: spend_fleet_retry(
+                    budget, fleet, phase=phase, now_s=now_s
+                ),
+            )
+            rule, reason = "fleet", str(fleet)
+        self.metrics.count(
+            "retry_budget", f"{rule} {'spent' if is_sent else 'refused'}"
+        )
+        self.demand.record_retry(service.name, urgency, is_sent=is_sent)
+        return None if is_sent else reason
+
+    def _read_fleet_budget(
+        self, service: ServiceRule, urgency: int
+    ) -> FleetBudget | None:
+        """Return the budget of all hosts, None without a fresh view of them."""
+        demand = self.demand.read_fleet(service.name)
+        if service.retry_bound is None or demand is None:
+            return None
+        return make_fleet_budget(
+            service.retry_bound,
+            demand,
+            urgency=urgency,
+            heard_hosts=self.board.read(FLEET_VIEW).heard_hosts,
+            known_hosts=len(self.board.read(HOST_FEED).items),
+        )
+
+    def _may_answer_in_time(self, admitted: AdmittedRequest) -> bool:
+        """Return whether an answer as slow as the mean meets the deadline."""
+        load = service_load_of(self.board.read(SERVER_LOADS), admitted.route.service)
+        answer_s = answer_s_of(load, name_of(admitted.route))
+        return answer_s <= self._remaining_s(admitted)
+
+    def _spend(
+        self,
+        service: ServiceRule,
+        decide: Callable[[RetryBudget, float], RetryBudget | BudgetExhausted],
+    ) -> bool:
         now_s = self.clock.monotonic_s()
 
         def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
             budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
-            match spend_retry(budget, now_s):
+            match decide(budget, now_s):
                 case BudgetExhausted():
                     return budgets, False
                 case RetryBudget() as remaining:
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -49,6 +49,7 @@
     Incarnation,
     PublishedHost,
     RegionMap,
+    RetryBound,
 )
 from ..settings import GatewayServerSettings, GatewaySettings
 from .process_context import ProcessContext, make_process_context
@@ -97,7 +98,8 @@
 FIRST_START_READS = FirstReadLimits(hosts_s=8.0, relay_s=1.5)
 # The lease ends this long before the last time when a revoked key may be used.
 LEASE_MARGIN_S = 0.5
-# Safety factor: each host enforces the retry budget by itself, at this fraction of it.
+# Safety factor: a host that does not hear the others enforces the retry budget by
+# itself, at this fraction of it.
 RETRY_BUDGET_FRACTION = 0.8
 # Requests to a removed server end this long before the platform requires it.
 DRAIN_MARGIN_S = 0.2
@@ -205,6 +207,11 @@
             retries=RetryBounds(
                 share=RETRY_BUDGET_FRACTION * context.settings.retries.share,
                 reserve=RETRY_BUDGET_FRACTION * context.settings.retries.slack,
+                fleet=RetryBound(
+                    share=context.settings.retries.share,
+                    slack=context.settings.retries.slack,
+                    window_s=context.settings.retries.window_s,
+                ),
             ),
             warmups=make_warmup_bounds(context.settings.servers),
             regions=_make_region_map(context.settings),
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -23,6 +23,7 @@
     ServiceName,
     ShedByServer,
 )
+from ..sheds import is_shed_with_free_slots
 from .histograms import add_duration
 
 __all__ = [
@@ -59,7 +60,7 @@
 ) -> Evidence:
     """Return the evidence after the end of an attempt.
 
-    Shed requests and client errors say nothing about the server's health.
+    Client errors and sheds for lack of slots say nothing about the server's health.
     """
     server_evidence = evidence.by_server.get(server, NO_EVIDENCE)
     started_s = server_evidence.started_s.get(attempt_id, now_s)
@@ -74,6 +75,7 @@
         counts=counts,
         started_s=_remove_start(server_evidence.started_s, attempt_id),
         overdue=server_evidence.overdue - {attempt_id},
+        idle_sheds=server_evidence.idle_sheds + is_shed_with_free_slots(result),
     )
     return evolve(evidence, by_server=evidence.by_server.set(server, server_evidence))
 
--- a/snipespring/decisions/queueing/__init__.py
+++ b/snipespring/decisions/queueing/__init__.py
@@ -8,9 +8,10 @@
     enqueue,
     get_queue,
     list_hopeless,
+    refresh_order,
     remove_request,
 )
-from .urgency import urgency_of
+from .urgency import name_of, urgency_of
 
 __all__ = [
     "EnqueueRefused",
@@ -20,6 +21,8 @@
     "enqueue",
     "get_queue",
     "list_hopeless",
+    "name_of",
+    "refresh_order",
     "remove_request",
     "urgency_of",
 ]
--- a/snipespring/decisions/retries/hedging.py
+++ b/snipespring/decisions/retries/hedging.py
@@ -7,35 +7,40 @@
 
 from math import inf
 
-from ...records import RouteRule, RunAsUpload, RunIdempotent, RunOnce, ServiceLoad
+from ...records import RouteLoad, RouteRule, RunAsUpload, RunIdempotent, RunOnce
 
 __all__ = ["hedge_delay_s", "overdue_delay_s"]
 
-# Few answers of sound servers take more than this multiple of the mean service time.
+# An answer is overdue after this multiple of the mean duration or so many mean absolute
+# deviations beyond it, whichever is later: the work of some routes varies far more than
+# that of others, and sound servers must seldom be overdue.
 OVERDUE_RATIO = 2.5
-# Before any answer of a service is known, an attempt is overdue after this share of the
+OVERDUE_DEVIATIONS = 5.0
+# Before any answer of a route is known, an attempt is overdue after this share of the
 # objective, so that a second one can still meet it.
 OBJECTIVE_SHARE = 0.5
-# From this share of busy slots on, silence is likely to be queueing at the servers, and
-# more attempts would only add to it.
-MAX_BUSY_SHARE = 0.8
 
 
-def overdue_delay_s(route: RouteRule, load: ServiceLoad, *, slots: int) -> float:
+def overdue_delay_s(
+    route: RouteRule, load: RouteLoad | None, *, is_busy: bool
+) -> float:
     """Return after how many seconds an attempt is overdue, infinity for never.
 
     Only a route that states an objective has a time by which its callers expect an
-    answer.
+    answer. While the service `is_busy`, silence is likely to be queueing there.
     """
-    if route.objective_s == inf or load.busy >= MAX_BUSY_SHARE * slots:
+    if route.objective_s == inf or is_busy:
         return inf
-    if load.mean_service_s == 0.0:
+    if load is None:
         return OBJECTIVE_SHARE * route.objective_s
-    return OVERDUE_RATIO * load.mean_service_s
+    return max(
+        OVERDUE_RATIO * load.answer_s,
+        load.answer_s + OVERDUE_DEVIATIONS * load.deviation_s,
+    )
 
 
 def hedge_delay_s(
-    route: RouteRule, load: ServiceLoad, *, slots: int, remaining_s: float
+    route: RouteRule, load: RouteLoad | None, *, is_busy: bool, remaining_s: float
 ) -> float:
     """Return after how many seconds to send a second attempt, infinity for never.
 
@@ -43,7 +48,8 @@
     """
     match route.run:
         case RunIdempotent():
-            delay_s = overdue_delay_s(route, load, slots=slots)
-            return delay_s if delay_s + load.mean_service_s < remaining_s else inf
+            delay_s = overdue_delay_s(route, load, is_busy=is_busy)
+            answer_s = 0.0 if load is None else load.answer_s
+            return delay_s if delay_s + answer_s < remaining_s else inf
         case RunOnce() | RunAsUpload():
             return inf
--- a/snipespring/decisions/routing/__init__.pyi
+++ b/snipespring/decisions/routing/__init__.pyi
@@ -5,6 +5,14 @@
     choose_server,
     count_server_uses,
 )
+from .limits import (
+    answer_s_of,
+    has_free_slots,
+    list_answer_times,
+    mean_work_s_of,
+    route_load_of,
+    work_s_of,
+)
 from .loads import (
     cancel_reservation,
     drain_check_at_s,
@@ -27,6 +35,7 @@
     "NoServer",
     "ServersBusy",
     "WarmupBounds",
+    "answer_s_of",
     "begin_warmups",
     "cancel_reservation",
     "choose_server",
@@ -38,12 +47,17 @@
     "draw_service",
     "estimate_busy_slots",
     "failure_timeout_of",
+    "has_free_slots",
     "is_cold",
+    "list_answer_times",
     "load_of",
     "mean_busy_of_others",
+    "mean_work_s_of",
     "order_hosts",
     "release_server",
     "remove_unused_servers",
     "reserve_server",
+    "route_load_of",
     "service_load_of",
+    "work_s_of",
 ]
--- a/snipespring/decisions/tallies.py
+++ b/snipespring/decisions/tallies.py
@@ -16,13 +16,15 @@
     """Count good answers, failures and attempts that reached no server.
 
     An attempt whose answer is overdue counts as a failure before it ends. `late`
-    contains the waiting times of attempts that got no answer in time.
+    contains the waiting times of attempts that got no answer in time, and `idle_sheds`
+    counts sheds by a server with free slots.
     """
 
     good: int
     bad: int
     connect_failures: int
     late: Histogram = Histogram()
+    idle_sheds: int = 0
 
 
 def count_outcomes(evidence: Evidence) -> Map[ServerId, OutcomeTally]:
@@ -56,17 +58,19 @@
                     good=tally.good - old.good,
                     bad=tally.bad - old.bad + late,
                     connect_failures=tally.connect_failures - old.connect_failures,
+                    idle_sheds=tally.idle_sheds - old.idle_sheds,
                 ),
             )
 
 
-def _sum_counts(server_evidence: ServerEvidence) -> OutcomeTally:
-    counts = server_evidence.counts
+def _sum_counts(evidence: ServerEvidence) -> OutcomeTally:
+    counts = evidence.counts
     return OutcomeTally(
         good=sum(counts.answered.counts),
-        bad=counts.errors + counts.broken + server_evidence.overdue_count,
+        bad=counts.errors + counts.broken + evidence.overdue_count,
         connect_failures=counts.unreachable,
         late=counts.late,
+        idle_sheds=evidence.idle_sheds,
     )
 
 
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -19,6 +19,7 @@
     ConnectFailed,
     DrainReport,
     ReportedLoad,
+    RouteLoad,
     SendBroken,
     ServerLimit,
     ServerLoad,
@@ -80,6 +81,13 @@
     RosterTenure,
     Unclaimed,
 )
+from .demand import (
+    URGENCIES,
+    DemandCounts,
+    DemandLog,
+    DemandSlice,
+    ServiceDemand,
+)
 from .domains import (
     AnswerLog,
     Confirmation,
@@ -271,6 +279,7 @@
 )
 from .queues import (
     QueuedRequest,
+    RequestKind,
     RequestQueue,
     RequestQueues,
     ServiceConcurrency,
@@ -313,6 +322,7 @@
     OpenAccess,
     OrganisationRule,
     RefusedConfiguration,
+    RetryBound,
     RouteRule,
     RouteShare,
     Rule,
@@ -331,6 +341,11 @@
 )
 
 __all__ = [
+    "URGENCIES",
+    "DemandCounts",
+    "DemandLog",
+    "DemandSlice",
+    "ServiceDemand",
     "Access",
     "Account",
     "ActiveEjection",
@@ -532,6 +547,7 @@
     "Reporter",
     "Request",
     "RequestDigest",
+    "RequestKind",
     "RequestQueue",
     "RequestQueues",
     "RequestRefused",
@@ -578,8 +594,10 @@
     "ServerSubsets",
     "ServerSuspected",
     "ServerWarmup",
+    "RouteLoad",
     "ServiceLoad",
     "ServiceName",
+    "RetryBound",
     "ServiceRule",
     "Serving",
     "Share",
--- a/snipespring/records/queues.py
+++ b/snipespring/records/queues.py
@@ -1,5 +1,7 @@
 """Define the requests in progress on this host and those that wait for a slot."""
 
+from math import inf
+
 from attrs import frozen
 from immutables import Map
 
@@ -8,6 +10,7 @@
 
 __all__ = [
     "QueuedRequest",
+    "RequestKind",
     "RequestQueue",
     "RequestQueues",
     "ServiceConcurrency",
@@ -19,7 +22,8 @@
 class SlotRequest:
     """Ask for a slot of a service; `tag` restores the position of an earlier wait.
 
-    Requests with a lower `priority` are more urgent.
+    Requests with a lower `priority` are more urgent. An answer after `objective_at_s`
+    has less value. `route` names the route of the request.
     """
 
     service: ServiceName
@@ -28,6 +32,8 @@
     deadline_at_s: float
     priority: int = 0
     tag: float | None = None
+    route: str = ""
+    objective_at_s: float = inf
 
 
 @frozen(kw_only=True)
@@ -35,20 +41,36 @@
     """Represent a waiting request; the one with the lowest tag is served first.
 
     The tag is a virtual time: it advances with the requests served, not with a clock.
+    An attempt that starts after `latest_start_s` will probably miss the objective.
+    `work_turns` rises with the work that the request needs, from 0 to 1.
     """
 
     ticket: int
     tag: float
     slot_request: SlotRequest
+    latest_start_s: float = inf
+    work_turns: float = 0.0
+
+
+@frozen(kw_only=True)
+class RequestKind:
+    """Tell requests of one service apart by priority and route."""
+
+    priority: int
+    route: str
 
 
 @frozen(kw_only=True)
 class RequestQueue:
-    """List the waiting requests of one service in the order of service."""
+    """List the waiting requests of one service in the order of service.
+
+    A kind whose credit has reached 1 got less than its least share of the slots.
+    """
 
     queued: tuple[QueuedRequest, ...] = ()
     virtual_time: float = 0.0
     last_tags: Map[OrganisationName | None, float] = Map()
+    credits: Map[RequestKind, float] = Map()
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/rules.py
+++ b/snipespring/records/rules.py
@@ -83,14 +83,27 @@
 RunPolicy = RunIdempotent | RunOnce | RunAsUpload
 
 
+@frozen(kw_only=True)
+class RetryBound:
+    """Bound the retries of all hosts together in any window of `window_s` seconds.
+
+    They stay within `share` of the requests of a service plus `slack`.
+    """
+
+    share: float
+    slack: float
+    window_s: float
+
+
 @frozen(kw_only=True)
 class ServiceRule:
     """Set the limits of one service; `floor` is the share of servers kept in use.
 
     Retries stay below `retry_share` of the first attempts plus a reserve, which is
-    `retry_reserve` for the whole fleet if set. A cold server tolerates `warmup_per_s`
-    requests a second, 0 for any number, and the fleet sends it `cold_per_s`, None for
-    no bound.
+    `retry_reserve` for the whole fleet if set. With a `retry_bound`, hosts that know
+    the demand of the fleet spend retries by that instead. A cold server tolerates
+    `warmup_per_s` requests a second, 0 for any number, and the fleet sends it
+    `cold_per_s`, None for no bound.
     """
 
     name: ServiceName
@@ -102,6 +115,7 @@
     retry_reserve: float | None = None
     warmup_per_s: float = 0.0
     cold_per_s: float | None = None
+    retry_bound: RetryBound | None = None
     ejection: EjectionPreference = field(factory=EjectCarefully)
     asked_by: str
 
