Decide admissions above half of a window at the first hub

Cause: hosts learn of admissions elsewhere up to 0.6 s late, and the margin for that refuses requests below an organisation's limit.

`admit_without_hub` is the rule of a host whose hub did not answer. Queries and answers are two new datagrams; summaries state for how long their sender has had reports.

Tests: golden lists of names gain the new records, regions and messages. The test of older datagrams expects None in the new field of summaries and the same bytes otherwise, since the field has a default.

--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -5,7 +5,9 @@
     DomainHubs,
     DomainReports,
     FleetView,
+    GrantLog,
     HubState,
+    HubTenure,
     PendingOutcomes,
     UsageLog,
 )
@@ -17,7 +19,9 @@
     "DOMAIN_REPORTS",
     "FAILURE_LOG",
     "FLEET_VIEW",
+    "GRANT_LOG",
     "HUB_STATE",
+    "HUB_TENURE",
     "PENDING_OUTCOMES",
     "USAGE_LOG",
 ]
@@ -37,7 +41,9 @@
 FLEET_VIEW = Region[FleetView](
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
+GRANT_LOG = Region[GrantLog](name="grant_log", writer="granter", initial=GrantLog())
 HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
+HUB_TENURE = Region[HubTenure](name="hub_tenure", writer="granter", initial=HubTenure())
 PENDING_OUTCOMES = Region[PendingOutcomes](
     name="pending_outcomes", writer="outcome_relay", initial=PendingOutcomes()
 )
--- a/snipespring/decisions/domains/__init__.pyi
+++ b/snipespring/decisions/domains/__init__.pyi
@@ -5,6 +5,14 @@
     record_answers,
     sum_answers,
 )
+from .grants import (
+    HubKnowledge,
+    answer_query,
+    is_query_due,
+    make_undecided_answer,
+    prune_grants,
+    renew_tenure,
+)
 from .hubs import choose_hubs, is_hub
 from .known_hosts import (
     find_known_host,
@@ -23,6 +31,8 @@
 from .usage import (
     RateTolerance,
     admit_request,
+    admit_without_hub,
+    count_organisation_usage,
     count_usage,
     prune_usage,
     record_admission,
@@ -39,6 +49,12 @@
 )
 
 __all__ = [
+    "HubKnowledge",
+    "answer_query",
+    "is_query_due",
+    "make_undecided_answer",
+    "prune_grants",
+    "renew_tenure",
     "AddressListLimits",
     "CollectOutcomes",
     "SendDirectly",
@@ -48,6 +64,8 @@
     "list_other_hubs",
     "RateTolerance",
     "admit_request",
+    "admit_without_hub",
+    "count_organisation_usage",
     "choose_hubs",
     "count_answers_by_server",
     "count_server_answers",
--- a/snipespring/decisions/domains/usage.py
+++ b/snipespring/decisions/domains/usage.py
@@ -21,10 +21,15 @@
 __all__ = [
     "RateTolerance",
     "admit_request",
+    "admit_without_hub",
+    "count_organisation_usage",
+    "count_times",
     "count_usage",
+    "max_window_admissions",
     "prune_usage",
     "record_admission",
     "record_request",
+    "reserve_for_silent_hosts",
 ]
 
 # Share of the limit to use in a window; the rest covers admissions not in any view yet.
@@ -46,6 +51,8 @@
 MAX_VIEW_AGE_S = 1.5  # an older view is ignored
 # Part of its even share of the limit that a host without a recent view may use.
 NO_VIEW_SHARE = 0.5
+# Part of its even share of what is left that a host uses without its hub's answer.
+WITHOUT_HUB_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.1
 NO_REQUESTS = OrganisationTimes()
 
@@ -82,7 +89,7 @@
     """
     if rule.rate_per_s == inf:
         return Admitted()
-    admitted = _count_since(local_times.admitted_s, now_s - tolerance.window_s)
+    admitted = count_times(local_times.admitted_s, now_s - tolerance.window_s)
     allowed = _max_admissions(rule, tolerance)
     known_hosts = max(known_hosts, view.heard_hosts)
     even_share = allowed / known_hosts
@@ -112,6 +119,80 @@
     )
 
 
+def admit_without_hub(
+    rule: OrganisationRule,
+    tolerance: RateTolerance,
+    local_times: OrganisationTimes,
+    view: FleetView,
+    *,
+    known_hosts: int,
+    running_s: float,
+    now_s: float,
+    rng: Random,
+) -> Admission:
+    """Decide whether to admit a request that the hub should have decided.
+
+    `running_s` is the age of this process. Since the time that the view shows, this
+    host may use part of its even share of what was left, whatever the demand is; the
+    hub may grant the rest to the other hosts.
+    """
+    if view.as_of_s is not None and now_s - view.as_of_s > MAX_VIEW_AGE_S:
+        return admit_request(
+            rule,
+            tolerance,
+            local_times,
+            view,
+            known_hosts=known_hosts,
+            now_s=now_s,
+            rng=rng,
+        )
+    known_hosts = max(known_hosts, view.heard_hosts)
+    allowed = _max_admissions(rule, tolerance)
+    reserved = reserve_for_silent_hosts(
+        allowed, known_hosts=known_hosts, heard_hosts=view.heard_hosts
+    )
+    elsewhere = view.usage.get(rule.name, OrganisationUsage(organisation=rule.name))
+    admitted = count_times(local_times.admitted_s, now_s - tolerance.window_s)
+    recent = admitted
+    if view.as_of_s is not None:
+        recent_at_s = view.as_of_s - VIEW_LAG_S
+        recent = min(admitted, count_times(local_times.admitted_s, recent_at_s))
+    left = allowed - reserved - elsewhere.admitted - (admitted - recent)
+    part = WITHOUT_HUB_SHARE * left / view.heard_hosts
+    if view.as_of_s is None:
+        part = NO_VIEW_SHARE * allowed / known_hosts
+    # No report shows what the previous process of this host admitted.
+    part *= min(1.0, running_s / tolerance.window_s)
+    if rng.random() < part - recent:
+        return Admitted()
+    reason = (
+        f"rate limit: {admitted} admitted here and {elsewhere.admitted} elsewhere in "
+        f"{tolerance.window_s:g} s, {allowed - reserved:.0f} allowed, {recent} of this "
+        f"host's part of {max(0.0, part):.1f} admitted without an answer of the hub"
+    )
+    return OverLimit(
+        reason=reason,
+        retry_after_s=_retry_after_s(local_times.admitted_s, now_s, tolerance),
+    )
+
+
+def reserve_for_silent_hosts(
+    allowed: float, *, known_hosts: int, heard_hosts: int
+) -> float:
+    """Return the part of the window that belongs to hosts which are not heard.
+
+    Hosts that hear less than half of the fleet use `NO_VIEW_SHARE` of their even
+    shares, and the others leave as much, so that the two parts of a divided fleet keep
+    the limit together. Each of two halves uses its even shares.
+    """
+    even_share = allowed / max(1, known_hosts)
+    silent_hosts = max(0, known_hosts - heard_hosts)
+    if heard_hosts * 2 < known_hosts:
+        return allowed - NO_VIEW_SHARE * even_share * heard_hosts
+    is_half = heard_hosts * 2 == known_hosts
+    return (1.0 if is_half else NO_VIEW_SHARE) * even_share * silent_hosts
+
+
 def record_request(
     log: UsageLog, organisation: OrganisationName, now_s: float
 ) -> UsageLog:
@@ -150,24 +231,42 @@
 ) -> tuple[OrganisationUsage, ...]:
     """Return the number of requests of each organisation within the windows."""
     counts = (
-        OrganisationUsage(
-            organisation=name,
-            admitted=_count_since(times.admitted_s, now_s - window_s),
-            received=_count_since(times.received_s, now_s - DEMAND_WINDOW_S),
-        )
+        count_organisation_usage(name, times, window_s=window_s, now_s=now_s)
         for name, times in sorted(log.by_organisation.items())
     )
     return tuple(count for count in counts if count.admitted or count.received)
 
 
-def _times_since(times: tuple[float, ...], start_s: float) -> tuple[float, ...]:
-    return times[bisect_left(times, start_s) :]
+def count_organisation_usage(
+    name: OrganisationName,
+    times: OrganisationTimes,
+    *,
+    window_s: float,
+    now_s: float,
+) -> OrganisationUsage:
+    """Return the number of requests of one organisation within the windows."""
+    return OrganisationUsage(
+        organisation=name,
+        admitted=count_times(times.admitted_s, now_s - window_s),
+        received=count_times(times.received_s, now_s - DEMAND_WINDOW_S),
+    )
 
 
-def _count_since(times: tuple[float, ...], start_s: float) -> int:
+def count_times(times: tuple[float, ...], start_s: float) -> int:
+    """Return how many of the times, oldest first, are not before `start_s`."""
     return len(times) - bisect_left(times, start_s)
 
 
+def max_window_admissions(rule: OrganisationRule, tolerance: RateTolerance) -> float:
+    """Return the number of requests that any window may hold."""
+    nominal = rule.rate_per_s * tolerance.window_s + rule.burst
+    return nominal * (1.0 + tolerance.overshoot) + tolerance.slack
+
+
+def _times_since(times: tuple[float, ...], start_s: float) -> tuple[float, ...]:
+    return times[bisect_left(times, start_s) :]
+
+
 def _estimate_demand(
     local_times: OrganisationTimes,
     elsewhere: OrganisationUsage,
@@ -183,18 +282,14 @@
     requests suffice to indicate one.
     """
     baseline = NEAR_LIMIT_BASELINE_REQUESTS if is_near_limit else BASELINE_REQUESTS
-    received = _count_since(local_times.received_s, now_s - DEMAND_WINDOW_S)
+    received = count_times(local_times.received_s, now_s - DEMAND_WINDOW_S)
     from_view = received + elsewhere.received
     from_surge = max(0, received - baseline) * hosts
     return max(from_view, from_surge) / DEMAND_WINDOW_S
 
 
 def _max_admissions(rule: OrganisationRule, tolerance: RateTolerance) -> float:
-    nominal = rule.rate_per_s * tolerance.window_s + rule.burst
-    return (
-        SAFETY_FACTOR * (nominal * (1.0 + tolerance.overshoot) + tolerance.slack)
-        - RESERVED_REQUESTS
-    )
+    return SAFETY_FACTOR * max_window_admissions(rule, tolerance) - RESERVED_REQUESTS
 
 
 def _retry_after_s(
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -12,6 +12,8 @@
 
 from ..records import (
     Address,
+    AdmissionAnswer,
+    AdmissionQuery,
     DomainMessage,
     DomainState,
     DomainSummary,
@@ -38,6 +40,8 @@
     ServerQuery,
     ServerChanges,
     OutcomeBatch,
+    AdmissionQuery,
+    AdmissionAnswer,
 )
 
 log = logging.getLogger(__name__)
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -4,6 +4,8 @@
 from snipespring.frontends.datagrams import decode_datagram, encode_datagram
 from snipespring.records import (
     Address,
+    AdmissionAnswer,
+    AdmissionQuery,
     Confirmation,
     DomainMessage,
     DomainName,
@@ -17,6 +19,7 @@
     OrganisationUsage,
     OutcomeBatch,
     OutcomeNotification,
+    OverLimit,
     PublishedHost,
     PublishedServer,
     ReportDigest,
@@ -76,6 +79,23 @@
     is_failure=st.booleans(),
 )
 messages = st.one_of(
+    st.builds(
+        AdmissionQuery,
+        sender=names.map(HostId),
+        incarnation=names.map(Incarnation),
+        number=counts,
+        usage=st.builds(OrganisationUsage, organisation=names.map(OrganisationName)),
+        priority=st.integers(-9, 9),
+    ),
+    st.builds(
+        AdmissionAnswer,
+        sender=names.map(HostId),
+        incarnation=names.map(Incarnation),
+        number=counts,
+        is_decided=st.booleans(),
+        refusal=st.none()
+        | st.builds(OverLimit, reason=names, retry_after_s=st.floats(0.0, 9.0)),
+    ),
     st.builds(
         HostReport,
         host=hosts,
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -34,6 +34,7 @@
 from snipespring.records import (
     Configuration,
     DomainMessage,
+    DomainSummary,
     Event,
     Host,
     HostCapacity,
@@ -222,7 +223,7 @@
 
 
 def test_datagrams_of_an_older_build_are_decoded() -> None:
-    """Digests changed and are refused; reports gained fields with defaults."""
+    """Digests changed and are refused; others gained fields with defaults."""
     for line in read_golden("datagrams_without_states"):
         message = decode_datagram(bytes.fromhex(line))
         match message:
@@ -231,6 +232,9 @@
             case HostReport(host=host, request=request):
                 assert (host.capacity, request) == (HostCapacity(), None)
                 assert encode_datagram(message).hex()[6:] != line[6:]
+            case DomainSummary(reported_s=reported_s):
+                assert reported_s is None
+                assert encode_datagram(message).hex() == f"820286{line[6:]}f6"
             case _:
                 assert not line.startswith("8201")
                 assert encode_datagram(message).hex() == line
--- a/snipespring/records/__init__.pyi
+++ b/snipespring/records/__init__.pyi
@@ -80,6 +80,8 @@
     Unclaimed,
 )
 from .domains import (
+    AdmissionAnswer,
+    AdmissionQuery,
     AnswerLog,
     Confirmation,
     DomainHubs,
@@ -88,13 +90,19 @@
     DomainState,
     DomainSummary,
     FleetView,
+    Grant,
+    GrantLog,
     HostReport,
     HubState,
+    HubTenure,
+    OrganisationGrants,
     OrganisationTimes,
     OrganisationUsage,
     OutcomeBatch,
     OutcomeNotification,
+    PeakUse,
     PendingOutcomes,
+    QueriedUsage,
     ReceivedReport,
     ReceivedSummary,
     ReportDigest,
@@ -321,6 +329,14 @@
 )
 
 __all__ = [
+    "AdmissionAnswer",
+    "AdmissionQuery",
+    "Grant",
+    "GrantLog",
+    "HubTenure",
+    "OrganisationGrants",
+    "PeakUse",
+    "QueriedUsage",
     "Access",
     "Account",
     "ActiveEjection",
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -5,8 +5,17 @@
 
 from .feeds import PublishedHost, ServerChanges, ServerMark, ServerQuery
 from .identity import DomainName, HostId, Incarnation, OrganisationName
+from .limits import OverLimit
 
 __all__ = [
+    "AdmissionAnswer",
+    "AdmissionQuery",
+    "Grant",
+    "GrantLog",
+    "HubTenure",
+    "OrganisationGrants",
+    "PeakUse",
+    "QueriedUsage",
     "AnswerLog",
     "Confirmation",
     "DomainHubs",
@@ -171,7 +180,8 @@
     """Summarise the reports of one domain's hosts for another domain.
 
     `serving` is None if it did not change, because bandwidth between domains is
-    expensive.
+    expensive. The sender has had reports for `reported_s` seconds; None stands for at
+    least a window of the rate limits.
     """
 
     sender: HostId
@@ -179,6 +189,36 @@
     serving: tuple[HostId, ...] | None
     heard_hosts: int
     usage: tuple[OrganisationUsage, ...] = ()
+    reported_s: float | None = None
+
+
+@frozen(kw_only=True)
+class AdmissionQuery:
+    """Ask the first hub of the sender's domain to admit one request.
+
+    `usage` is that of the sending host at this moment, without this admission. A
+    lower `priority` is more urgent.
+    """
+
+    sender: HostId
+    incarnation: Incarnation
+    number: int
+    usage: OrganisationUsage
+    priority: int = 0
+
+
+@frozen(kw_only=True)
+class AdmissionAnswer:
+    """Answer the query of this `incarnation` and `number`.
+
+    Without a `refusal` the request is admitted, unless the hub did not decide.
+    """
+
+    sender: HostId
+    incarnation: Incarnation
+    number: int
+    is_decided: bool = True
+    refusal: OverLimit | None = None
 
 
 DomainMessage = (
@@ -189,6 +229,8 @@
     | ServerQuery
     | ServerChanges
     | OutcomeBatch
+    | AdmissionQuery
+    | AdmissionAnswer
 )
 
 
@@ -273,3 +315,69 @@
     """Map each organisation to the times of its requests."""
 
     by_organisation: Map[OrganisationName, OrganisationTimes] = Map()
+
+
+@frozen(kw_only=True)
+class Grant:
+    """Record an admission that a hub granted, and the local time of the grant."""
+
+    host_id: HostId
+    incarnation: Incarnation
+    number: int
+    at_s: float
+
+
+@frozen(kw_only=True)
+class QueriedUsage:
+    """Record the usage that a host stated in its latest query."""
+
+    incarnation: Incarnation
+    admitted: int
+    received: int
+    at_s: float
+
+
+@frozen(kw_only=True)
+class PeakUse:
+    """Record the admissions of a domain in the window, at a local time."""
+
+    admitted: int
+    at_s: float
+
+
+@frozen(kw_only=True)
+class OrganisationGrants:
+    """Record what a hub decided for one organisation, oldest grants first.
+
+    `asked_s` is the local time of the latest query. Since `high_since_s` the known
+    use has been so high that all hosts ask; it is None while they may not.
+    `by_priority` maps each priority to the local time of its latest query, and
+    `peaks` each other domain to its highest use, aged at an even rate.
+    """
+
+    granted: tuple[Grant, ...] = ()
+    queried: Map[HostId, QueriedUsage] = Map()
+    by_priority: Map[int, float] = Map()
+    peaks: Map[DomainName, PeakUse] = Map()
+    asked_s: float | None = None
+    high_since_s: float | None = None
+
+
+@frozen(kw_only=True)
+class GrantLog:
+    """Map each organisation to the decisions of this hub."""
+
+    by_organisation: Map[OrganisationName, OrganisationGrants] = Map()
+
+
+@frozen(kw_only=True)
+class HubTenure:
+    """Tell since when this host has been the first hub, and when it last checked.
+
+    `since_s` is None while another host is the first hub. Reports of the domain have
+    arrived since `hub_since_s`, when this host became any hub.
+    """
+
+    since_s: float | None = None
+    hub_since_s: float | None = None
+    checked_s: float | None = None
