Ask the first hub to admit requests above half of a window

Change: `UsageLimiter` asks through `AdmissionAsker`, which sends a query up to three times within 40 ms and waits on a future. `Granter` answers on the datagram thread. Routes pass their priority, and the most urgent requests of an organisation are refused last.

--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -1,5 +1,6 @@
 from .address_lister import AddressLister
 from .admission import AdmissionControl, ClaimControl, NoClaimControl
+from .admission_asker import AdmissionAsker
 from .body_memory_limiter import BodyMemoryLimiter
 from .canceller import Canceller
 from .catalog_builder import CatalogBuilder
@@ -19,6 +20,7 @@
 )
 from .fence_tracker import FenceTracker
 from .forwarder import Forwarder
+from .granter import Granter
 from .health_evaluator import HealthEvaluator
 from .health_reporter import HealthReporter
 from .historian import EventRecorder
@@ -58,6 +60,8 @@
 from .watcher import Watcher
 
 __all__ = [
+    "AdmissionAsker",
+    "Granter",
     "Accepted",
     "MetricsRecorder",
     "DomainAddressLister",
--- a/snipespring/controllers/admission.py
+++ b/snipespring/controllers/admission.py
@@ -4,23 +4,41 @@
 
 from ..records import (
     Admission,
+    AdmissionAnswer,
     AdmittedRequest,
     ClaimResult,
     OrganisationName,
+    OrganisationUsage,
     Reply,
     Unclaimed,
 )
 
-__all__ = ["ClaimControl", "AdmissionControl", "NoClaimControl"]
+__all__ = ["AdmissionAsking", "ClaimControl", "AdmissionControl", "NoClaimControl"]
 
 
 class AdmissionControl(Protocol):
     """Admit requests within their organisation's rate."""
 
     def admit(
-        self, organisation: OrganisationName, *, deadline_at_s: float
+        self,
+        organisation: OrganisationName,
+        *,
+        deadline_at_s: float,
+        priority: int = 0,
     ) -> Admission:
-        """Admit one request, or return why it is refused."""
+        """Admit one request, or return why it is refused.
+
+        A lower `priority` is more urgent.
+        """
+
+
+class AdmissionAsking(Protocol):
+    """Ask another place for admissions."""
+
+    def ask(
+        self, usage: OrganisationUsage, *, priority: int, deadline_at_s: float
+    ) -> AdmissionAnswer | None:
+        """Return the decision, None without one in time."""
 
 
 class ClaimControl(Protocol):
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -19,6 +19,7 @@
     FLEET_VIEW,
     HOST_FEED,
     HUB_STATE,
+    HUB_TENURE,
     RELAY_NOTICE,
     SERVER_FEED,
     STORE_REACH,
@@ -55,6 +56,8 @@
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
+    AdmissionAnswer,
+    AdmissionQuery,
     DomainHubs,
     DomainMessage,
     DomainState,
@@ -99,12 +102,17 @@
     sent_s: float
 
 
+def _ignore(_message: DomainMessage, _sender: Address) -> None:
+    """Ignore a message for which no receiver is set."""
+
+
 @define(kw_only=True, eq=False)
 class DomainLink:
     """Write the domain hubs and reports, the hub state, the view and the relay.
 
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
-    with each reply to a query for changes to servers. After `outage_s` seconds in which
+    with each reply to a query for changes to servers, and the other functions with the
+    queries for admissions and their answers. After `outage_s` seconds in which
     no host reached the store, it counts as having been away.
     """
 
@@ -117,6 +125,8 @@
     outage_s: float
     outcome_relay: OutcomeRelay
     on_server_changes: Callable[[ServerChanges], None]
+    on_admission_query: Callable[[AdmissionQuery, Address], None] = _ignore
+    on_admission_answer: Callable[[AdmissionAnswer, Address], None] = _ignore
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -191,6 +201,10 @@
             case ServerChanges():
                 if is_sent_by(self.board, message.sender, sender):
                     self.on_server_changes(message)
+            case AdmissionQuery():
+                self.on_admission_query(message, sender)
+            case AdmissionAnswer():
+                self.on_admission_answer(message, sender)
 
     def report_now(self) -> None:
         """Report at once, because this host begins to leave."""
@@ -352,6 +366,10 @@
             window_s=self.window_s,
             now_s=now_s,
         )
+        hub_since_s = self.board.read(HUB_TENURE).hub_since_s
+        if hub_since_s is None or now_s - hub_since_s < self.window_s:
+            reported_s = 0.0 if hub_since_s is None else now_s - hub_since_s
+            summary = evolve(summary, reported_s=reported_s)
         is_full_due = self._sequence % FULL_SUMMARY_ROUNDS == 0
         if summary.serving == self._last_sent_serving and not is_full_due:
             summary = evolve(summary, serving=None)
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -159,7 +159,9 @@
         if organisation is None:
             return self._claim_and_forward(cfg, admitted, is_disconnected)
         admission = self.limiter.admit(
-            organisation, deadline_at_s=admitted.deadline_at_s
+            organisation,
+            deadline_at_s=admitted.deadline_at_s,
+            priority=admitted.route.priority,
         )
         match admission:
             case Admitted():
--- a/snipespring/controllers/limiter.py
+++ b/snipespring/controllers/limiter.py
@@ -37,7 +37,11 @@
     metrics: MetricsRecorder
 
     def admit(
-        self, organisation: OrganisationName, *, deadline_at_s: float
+        self,
+        organisation: OrganisationName,
+        *,
+        deadline_at_s: float,
+        priority: int = 0,
     ) -> Admission:
         """Pay for one request or state why it is refused."""
         rule = self.board.read(CONFIGURATION).organisations.get(organisation)
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -11,7 +11,9 @@
 
 from ..blackboard.regions import STOP_STATE
 from ..controllers import (
+    AdmissionAsker,
     DomainLink,
+    Granter,
     NoClaimControl,
     OutcomeRelay,
     Runner,
@@ -127,6 +129,10 @@
         outage_s=context.outage_s,
         outcome_relay=outcome_relay,
         on_server_changes=server_follower.receive_changes,
+        on_admission_query=lambda query, sender: granter.receive(query, sender),
+        on_admission_answer=lambda answer, sender: admission_asker.receive(
+            answer, sender
+        ),
     )
     suspicion_tracker = SuspicionTracker(
         board=process.board,
@@ -137,6 +143,23 @@
         domain=own_host.domain,
         broadcast_outcome=outcome_relay.broadcast,
     )
+    granter = Granter(
+        board=process.board,
+        clock=process.clock,
+        datagrams=links,
+        metrics=process.metrics,
+        limits=settings.limits,
+        own_host=own_host,
+    )
+    admission_asker = AdmissionAsker(
+        board=process.board,
+        clock=process.clock,
+        datagrams=links,
+        metrics=process.metrics,
+        granter=granter,
+        own_host=own_host,
+        incarnation=context.incarnation,
+    )
     threads = compute_thread_count(settings)
     body_limiter = build_body_limiter(context)
     requests = build_requests(
@@ -154,6 +177,7 @@
             rng=process.rng,
             metrics=process.metrics,
             limits=settings.limits,
+            asker=admission_asker,
         ),
         claimant=NoClaimControl(),
         max_queued=threads,
@@ -165,6 +189,7 @@
         *store_followers,
         server_follower,
         domain_link,
+        granter,
         outcome_relay,
         suspicion_tracker,
         *requests.controllers,
