--- a/snipespring/blackboard/regions/domains.py
+++ b/snipespring/blackboard/regions/domains.py
@@ -6,7 +6,9 @@
     DomainHubs,
     DomainReports,
     FleetView,
+    GrantLog,
     HubState,
+    HubTenure,
     PendingOutcomes,
     UsageLog,
 )
@@ -19,8 +21,10 @@
     "DOMAIN_REPORTS",
     "FAILURE_LOG",
     "FLEET_VIEW",
+    "GRANT_LOG",
     "HUB_STATE",
     "IDLE_SHED_LOG",
+    "HUB_TENURE",
     "PENDING_OUTCOMES",
     "USAGE_LOG",
 ]
@@ -43,10 +47,12 @@
 FLEET_VIEW = Region[FleetView](
     name="fleet_view", writer="domain_link", initial=FleetView()
 )
+GRANT_LOG = Region[GrantLog](name="grant_log", writer="granter", initial=GrantLog())
 HUB_STATE = Region[HubState](name="hub_state", writer="domain_link", initial=HubState())
 IDLE_SHED_LOG = Region[AnswerLog](
     name="idle_shed_log", writer="health_keeper", initial=AnswerLog()
 )
+HUB_TENURE = Region[HubTenure](name="hub_tenure", writer="granter", initial=HubTenure())
 PENDING_OUTCOMES = Region[PendingOutcomes](
     name="pending_outcomes", writer="outcome_relay", initial=PendingOutcomes()
 )
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -22,6 +22,7 @@
     FLEET_VIEW,
     HOST_FEED,
     HUB_STATE,
+    HUB_TENURE,
     RELAY_NOTICE,
     SERVER_FEED,
     STORE_REACH,
@@ -69,6 +70,8 @@
 from ..frontends.datagrams import DatagramSender
 from ..records import (
     Address,
+    AdmissionAnswer,
+    AdmissionQuery,
     Confirmation,
     DomainHubs,
     DomainMessage,
@@ -115,13 +118,18 @@
     sent_s: float
 
 
+def _ignore(_message: DomainMessage, _sender: Address) -> None:
+    """Ignore a message for which no receiver is set."""
+
+
 @define(kw_only=True, eq=False)
 class DomainLink:
     """Write the domain hubs and reports, the hub state, the view and the relay.
 
     Usage is counted over the last `window_s` seconds. `on_server_changes` is called
     with each reply to a query for changes to servers, `on_evacuations` with what each
-    digest states of evacuations and when its sender reached the store. After `outage_s`
+    digest states of evacuations and when its sender reached the store, and the other
+    functions with the queries for admissions and their answers. After `outage_s`
     seconds in which no host reached the store, it counts as having been away. Retries
     are counted over the last `retry_window_s` seconds.
     """
@@ -137,6 +145,8 @@
     on_server_changes: Callable[[ServerChanges], None]
     on_evacuations: Callable[[EvacuationMark | None, float | None], None]
     retry_window_s: float = 10.0
+    on_admission_query: Callable[[AdmissionQuery, Address], None] = _ignore
+    on_admission_answer: Callable[[AdmissionAnswer, Address], None] = _ignore
     name: str = "domain_link"
     watches = ()
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
@@ -212,6 +222,10 @@
             case ServerChanges():
                 if is_sent_by(self.board, message.sender, sender):
                     self.on_server_changes(message)
+            case AdmissionQuery():
+                self.on_admission_query(message, sender)
+            case AdmissionAnswer():
+                self.on_admission_answer(message, sender)
 
     def report_now(self) -> None:
         """Report at once, because this host begins to leave."""
@@ -409,6 +423,10 @@
             window_s=self.window_s,
             now_s=now_s,
         )
+        hub_since_s = self.board.read(HUB_TENURE).hub_since_s
+        if hub_since_s is None or now_s - hub_since_s < self.window_s:
+            reported_s = 0.0 if hub_since_s is None else now_s - hub_since_s
+            summary = evolve(summary, reported_s=reported_s)
         is_full_due = self._sequence % FULL_SUMMARY_ROUNDS == 0
         if summary.serving == self._last_sent_serving and not is_full_due:
             summary = evolve(summary, serving=None)
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -227,7 +227,7 @@
 
 
 def test_datagrams_of_an_older_build_are_decoded() -> None:
-    """Digests changed and are refused; reports gained fields with defaults."""
+    """Digests changed and are refused; others gained fields with defaults."""
     for line in read_golden("datagrams_without_states"):
         message = decode_datagram(bytes.fromhex(line))
         match message:
@@ -236,8 +236,12 @@
             case HostReport(host=host, request=request):
                 assert (host.capacity, request) == (HostCapacity(), None)
                 assert encode_datagram(message).hex()[6:] != line[6:]
-            case OutcomeNotification() | OutcomeBatch() | DomainSummary():
-                assert _list_later_values(message) in ([False], [()])
+            case OutcomeNotification() | OutcomeBatch():
+                assert _list_later_values(message) == [False]
+            case DomainSummary(reported_s=reported_s):
+                assert reported_s is None
+                assert _list_later_values(message) == [()]
+                assert encode_datagram(message).hex() == f"820287{line[6:]}80f6"
             case _:
                 assert not line.startswith("8201")
                 assert encode_datagram(message).hex() == line
