Measure idle and lingering connections by the monotonic clock

Cause: waitress stamps its channels with the time of day, and so did the linger and the idle check. A jump forward by 120 s or more closed all idle connections and let a stop take a new connection for idle; a jump back kept connections for the length of the jump.

The server is constructed from waitress's classes, since create_server cannot be given a server class.

--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -3,18 +3,19 @@
 import logging
 import socket
 import threading
-import time
 from collections.abc import Callable, Iterable
 from concurrent.futures import Future, ThreadPoolExecutor, wait
 from typing import Any
 
 from attrs import define, field
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.server import TcpWSGIServer, create_server
+from waitress.server import TcpWSGIServer
 from waitress.task import WSGITask
 from waitress.wasyncore import dispatcher
 
 from ..records import Address
+from ..utils import SystemClock
 from .http_bodies import BodyBudget, RawFieldsParser, UnlimitedBodies
 from .sockets import is_readable
 
@@ -39,6 +40,10 @@
 
 log = logging.getLogger(__name__)
 
+# Waitress reads the time of day, which may jump; the server and its channels measure
+# their times by this clock instead.
+_read_s = SystemClock().monotonic_s
+
 
 class _ThreadPoolDispatcher:
     """Run tasks on a pool whose threads start on demand."""
@@ -89,6 +94,26 @@
     request: Any = None
     linger_until_s: float | None = None
     _is_writing = False
+    _created_s: float | None = None
+    _active_s = 0.0
+
+    @property
+    def creation_time(self) -> float:
+        """Return the monotonic time in seconds at which the channel was created."""
+        return self._active_s if self._created_s is None else self._created_s
+
+    @creation_time.setter
+    def creation_time(self, _: float) -> None:
+        self._created_s = _read_s()
+
+    @property
+    def last_activity(self) -> float:
+        """Return the monotonic time in seconds of the last traffic."""
+        return self._active_s
+
+    @last_activity.setter
+    def last_activity(self, _: float) -> None:
+        self._active_s = _read_s()
 
     def readable(self) -> bool:
         """Return whether to read, also to discard what follows the last answer."""
@@ -100,7 +125,7 @@
             case None:
                 return bool(super().writable())
             case until_s:
-                return time.time() >= until_s
+                return _read_s() >= until_s
 
     def handle_read(self) -> None:
         """Read requests, or discard what follows the last answer."""
@@ -150,10 +175,28 @@
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
             return False
-        self.linger_until_s = time.time() + LINGER_S
+        self.linger_until_s = _read_s() + LINGER_S
         return True
 
 
+class _DrainingServer(TcpWSGIServer):  # type: ignore[misc]
+    """Accept connections, and close idle ones by the monotonic clock."""
+
+    channel_class = _DrainingChannel
+    next_cleanup_s = 0.0
+
+    def readable(self) -> bool:
+        """Return whether to accept connections; close the idle ones when due."""
+        now_s = _read_s()
+        if now_s >= self.next_cleanup_s:
+            self.next_cleanup_s = now_s + self.adj.cleanup_interval
+            super().maintenance(now_s)
+        return bool(super().readable())
+
+    def maintenance(self, now: float) -> None:
+        """Do nothing, as `now` is a time of day; `readable` closes idle channels."""
+
+
 @define(kw_only=True, eq=False)
 class HttpServer:
     """Serve an application with a bounded number of threads and connections."""
@@ -171,11 +214,9 @@
 
     def start(self) -> None:
         """Start to listen; raise OSError if the address is in use."""
-        server = create_server(
-            self.app,
+        adj = Adjustments(
             host=self.address.ip,
             port=self.address.port,
-            _dispatcher=_ThreadPoolDispatcher(self.threads),
             max_request_body_size=self.max_body_bytes,
             connection_limit=self.connections,
             inbuf_overflow=SPILL_THRESHOLD_BYTES,
@@ -185,9 +226,11 @@
             asyncore_use_poll=True,
             ident=None,
         )
-        server.adj.draining = self._draining
-        server.adj.body_budget = self.body_budget
-        server.channel_class = _DrainingChannel
+        adj.draining = self._draining
+        adj.body_budget = self.body_budget
+        server = _DrainingServer(
+            self.app, dispatcher=_ThreadPoolDispatcher(self.threads), adj=adj
+        )
         self._server = server
         self._thread = threading.Thread(target=server.run, name="http", daemon=True)
         self._thread.start()
@@ -205,9 +248,9 @@
     def wait_until_idle(self, timeout_s: float) -> bool:
         """Wait until no request is in progress; return False on a timeout."""
         never_set = threading.Event()
-        until_s = time.monotonic() + timeout_s
+        until_s = _read_s() + timeout_s
         while self._is_busy():
-            remaining_s = until_s - time.monotonic()
+            remaining_s = until_s - _read_s()
             if remaining_s <= 0.0:
                 return False
             never_set.wait(min(IDLE_CHECK_INTERVAL_S, remaining_s))
@@ -222,7 +265,7 @@
         self._server.trigger.close()
 
     def _is_busy(self) -> bool:
-        now_s = time.time()
+        now_s = _read_s()
         channels = list(self._server.active_channels.values())
         return not all(channel.is_idle(now_s) for channel in channels)
 
--- a/snipespring/frontends/tests/test_http_server.py
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -1,4 +1,5 @@
 import os
+import select
 import socket
 import tempfile
 import threading
@@ -214,3 +215,46 @@
     server.close()
     assert server._thread is not None
     assert not server._thread.is_alive()
+
+
+@pytest.mark.parametrize("jump_s", [-3600.0, 3600.0])
+def test_change_of_the_time_of_day_closes_no_connection(
+    monkeypatch: pytest.MonkeyPatch, jump_s: float
+) -> None:
+    # Guards against idle connections that are all closed when the time of day jumps
+    # forward, and never again when it jumps back.
+    with run_server(echo) as (address, _):
+        conn = HTTPConnection(address.ip, address.port, timeout=TIMEOUT_S)
+        conn.request("POST", "/", body=b"1")
+        assert conn.getresponse().read() == b"1"
+        sock = conn.sock
+        read_time_s = time.time
+        monkeypatch.setattr(time, "time", lambda: read_time_s() + jump_s)
+        for _ in range(3):
+            assert post(address, b"2").read() == b"2"
+        assert not select.select([sock], [], [], 0.3)[0]
+        conn.request("POST", "/", body=b"3")
+        assert conn.getresponse().read() == b"3"
+        assert conn.sock is sock
+
+
+@pytest.mark.parametrize("jump_s", [-3600.0, 3600.0])
+def test_change_of_the_time_of_day_neither_ends_nor_extends_a_stop(
+    monkeypatch: pytest.MonkeyPatch, jump_s: float
+) -> None:
+    # Guards against a connection that a stopping host takes for idle at once, with its
+    # first request on the way, or for new until the time limit.
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        address = Address(ip="127.0.0.1", port=probe.getsockname()[1])
+    server = HttpServer(
+        address=address, app=echo, threads=1, max_body_bytes=9, connections=9
+    )
+    server.start()
+    read_time_s = time.time
+    with socket.create_connection((server.address.ip, server.address.port)):
+        while not server._server.active_channels:
+            threading.Event().wait(0.01)
+        monkeypatch.setattr(time, "time", lambda: read_time_s() + jump_s)
+        assert not server.wait_until_idle(0.0)
+        assert server.wait_until_idle(2.0)
+    server.close()
