Let the store's stand-in return from a backup

Cause: no test could show what hosts do when revisions go back.

Change: every answer states the era in Store-Era. POST /control/backup copies the objects, POST /control/restore returns to the copy in a new era; revisions after it are issued again, and a watch from a revision that the store does not have gets 410.

Measured: standins/tests/test_store.py passes.

--- a/standins/store/controller.py
+++ b/standins/store/controller.py
@@ -2,7 +2,6 @@
 
 import threading
 import time
-from typing import Any
 
 from attrs import define, field
 
@@ -13,6 +12,7 @@
     LostAnswers,
     RejectedCalls,
     SlowAnswers,
+    StoreAnswer,
     StoreCall,
     StoreFault,
     StoreState,
@@ -35,12 +35,13 @@
         factory=lambda: Board(state=StoreState()), init=False
     )
 
-    def call(self, call: StoreCall) -> tuple[int, Any] | None:
-        """Return the status and content that answer a call; None means no answer."""
+    def call(self, call: StoreCall) -> StoreAnswer | None:
+        """Return the answer to a call; None means no answer."""
         self._board.transact(lambda state: decisions.count_call(state, call))
-        match self._board.read().fault:
+        known = self._board.read()
+        match known.fault:
             case RejectedCalls(status=status):
-                return (status, None)
+                return StoreAnswer(status=status, content=None, era=known.era)
             case Unavailable():
                 return None
             case DelayedWrites(delay_s=delay_s) if decisions.is_write(call):
@@ -72,7 +73,16 @@
         """Discard the history of changes."""
         self._board.transact(decisions.compact)
 
-    def _perform(self, call: StoreCall) -> tuple[int, Any] | None:
+    def back_up(self) -> None:
+        """Copy the objects for a later restore."""
+        self._board.transact(decisions.back_up)
+
+    def restore(self) -> None:
+        """Return to the last backup, to the empty store if there is none."""
+        self._board.transact(decisions.restore)
+        self._board.wake_all()
+
+    def _perform(self, call: StoreCall) -> StoreAnswer | None:
         match call:
             case WatchObjects(kind=kind, wait_s=wait_s):
                 self._board.wait_for(
@@ -88,12 +98,17 @@
 
         def make_transition(
             state: StoreState,
-        ) -> Transition[StoreState, tuple[int, Any] | None]:
+        ) -> Transition[StoreState, StoreAnswer | None]:
             if decisions.is_unavailable(state):
                 return Transition(state=state, answer=None)
             applied = decisions.apply(state, call)
             is_lost = isinstance(state.fault, LostAnswers) and applied.topics
-            answer = None if is_lost else applied.answer
-            return Transition(state=applied.state, answer=answer, topics=applied.topics)
+            status, content = applied.answer
+            answer = StoreAnswer(status=status, content=content, era=state.era)
+            return Transition(
+                state=applied.state,
+                answer=None if is_lost else answer,
+                topics=applied.topics,
+            )
 
         return self._board.transact(make_transition)
--- a/standins/store/decisions.py
+++ b/standins/store/decisions.py
@@ -7,6 +7,7 @@
 
 from ..board import Transition
 from .records import (
+    Backup,
     Change,
     CreateObject,
     DelayedWrites,
@@ -30,11 +31,13 @@
 __all__ = [
     "MAX_PAGE_OBJECTS",
     "apply",
+    "back_up",
     "compact",
     "count_call",
     "has_changes",
     "is_unavailable",
     "is_write",
+    "restore",
     "set_fault",
 ]
 
@@ -56,7 +59,7 @@
             )
         case ReadObject():
             return Transition(state=state, answer=(NOT_FOUND, None))
-        case WatchObjects(after=after) if after < state.compacted_revision:
+        case WatchObjects(after=after) if not _has_revision(state, after):
             return Transition(state=state, answer=(GONE, None))
         case WatchObjects():
             return Transition(state=state, answer=(OK, _list_changes(state, call)))
@@ -83,7 +86,7 @@
 
 def has_changes(state: StoreState, call: WatchObjects) -> bool:
     """Return whether a watch can be answered before its wait time ends."""
-    if call.after < state.compacted_revision:
+    if not _has_revision(state, call.after):
         return True
     return any(_matches(change, call) for change in state.history)
 
@@ -125,6 +128,30 @@
     return Transition(state=compacted, answer=None, topics=topics)
 
 
+def back_up(state: StoreState) -> Transition[StoreState, None]:
+    """Copy the objects for a later restore."""
+    backup = Backup(revision=state.revision, objects=state.objects)
+    return Transition(state=evolve(state, backup=backup), answer=None)
+
+
+def restore(state: StoreState) -> Transition[StoreState, None]:
+    """Return to the backup in a new era; revisions after it are issued again."""
+    backup = state.backup
+    restored = evolve(
+        state,
+        era=state.era + 1,
+        revision=backup.revision,
+        objects=backup.objects,
+        history=(),
+        compacted_revision=backup.revision,
+    )
+    return Transition(state=restored, answer=None)
+
+
+def _has_revision(state: StoreState, revision: int) -> bool:
+    return state.compacted_revision <= revision <= state.revision
+
+
 def _apply_change(state: StoreState, call: ReplaceObject | DeleteObject) -> StoreStep:
     current = state.objects[call.key]
     match call:
--- a/standins/store/records.py
+++ b/standins/store/records.py
@@ -6,6 +6,7 @@
 from immutables import Map
 
 __all__ = [
+    "Backup",
     "Change",
     "CreateObject",
     "DelayedWrites",
@@ -18,6 +19,7 @@
     "RejectedCalls",
     "ReplaceObject",
     "SlowAnswers",
+    "StoreAnswer",
     "StoreCall",
     "StoreCounts",
     "StoreFault",
@@ -181,6 +183,23 @@
 )
 
 
+@frozen(kw_only=True)
+class StoreAnswer:
+    """Answer a call with a status, content and the era of the store."""
+
+    status: int
+    content: Any
+    era: int
+
+
+@frozen(kw_only=True)
+class Backup:
+    """Copy the objects of the store at a revision."""
+
+    revision: int = 1
+    objects: Map[ObjectKey, StoredObject] = Map()
+
+
 @frozen(kw_only=True)
 class StoreCounts:
     """Count the calls that the store accepted and those that it refused."""
@@ -196,7 +215,7 @@
     """Describe the whole state of the stand-in.
 
     `history` contains the changes after `compacted_revision`; a watch may start from
-    this revision or a later one.
+    this revision or a later one. `era` counts the restores from `backup`.
     """
 
     revision: int = 1
@@ -205,3 +224,5 @@
     compacted_revision: int = 0
     fault: StoreFault = field(factory=NoFault)
     counts: StoreCounts = StoreCounts()
+    era: int = 0
+    backup: Backup = Backup()
--- a/standins/store/server.py
+++ b/standins/store/server.py
@@ -3,9 +3,9 @@
 import socket
 from typing import Any
 
-from attrs import asdict, define, field
+from attrs import asdict, define, evolve, field
 
-from ..http import CloseConnection, Reply, Request, Response, json_response
+from ..http import CloseConnection, Header, Reply, Request, Response, json_response
 from .controller import StoreController
 from .records import (
     CreateObject,
@@ -25,6 +25,7 @@
 
 __all__ = ["StoreApplication"]
 
+ERA_HEADER = "Store-Era"
 OBJECTS_PREFIX = "/v1/objects/"
 MS_PER_S = 1000.0
 
@@ -56,10 +57,12 @@
         answer = self.controller.call(call)
         if answer is None:
             return CloseConnection()
-        status, content = answer
-        if content is None:
-            return Response(status=status)
-        return json_response(content, status=status)
+        if answer.content is None:
+            reply = Response(status=answer.status)
+        else:
+            reply = json_response(answer.content, status=answer.status)
+        era = Header(name=ERA_HEADER, value=str(answer.era))
+        return evolve(reply, headers=(*reply.headers, era))
 
     def _handle_control(self, req: Request) -> Reply:
         match (req.method, req.path):
@@ -68,6 +71,12 @@
             case ("POST", "/control/faults"):
                 self.controller.set_fault(_decode_fault(req.json_object()))
                 return Response(status=200)
+            case ("POST", "/control/backup"):
+                self.controller.back_up()
+                return Response(status=200)
+            case ("POST", "/control/restore"):
+                self.controller.restore()
+                return Response(status=200)
             case _:
                 return Response(status=404)
 
--- a/standins/tests/test_store.py
+++ b/standins/tests/test_store.py
@@ -88,3 +88,23 @@
         create(store, "a", 1)
     current = store.call("GET", f"{KIND}/a")
     assert replace(store, "a", 2, revision_of(current)).status == 200
+
+
+def test_restored_store_reissues_revisions_in_a_new_era(store: Any) -> None:
+    # Guards against a stand-in whose restored store still knows later changes, with
+    # which no host would ever see a revision twice.
+    first = create(store, "a", 1)
+    store.call("POST", "/control/backup")
+    lost = replace(store, "a", 2, revision_of(first))
+    assert [answer.headers["Store-Era"] for answer in (first, lost)] == ["0", "0"]
+    with ThreadPoolExecutor() as pool:
+        target = f"{KIND}?Watch={revision_of(lost)}&WaitMs=30000"
+        watch = pool.submit(store.call, "GET", target)
+        store.wait_until(lambda: fetch_counts(store)["watches"] == 1)
+        store.call("POST", "/control/restore")
+        answer = watch.result()
+    assert (answer.status, answer.headers["Store-Era"]) == (410, "1")
+    restored = store.call("GET", f"{KIND}/a")
+    assert json.loads(restored.body)["Spec"] == 1
+    reissued = replace(store, "a", 3, revision_of(restored))
+    assert revision_of(reissued) == revision_of(lost)
