--- a/snipespring/blackboard/regions/__init__.pyi
+++ b/snipespring/blackboard/regions/__init__.pyi
@@ -18,6 +18,7 @@
     HOST_FEED,
     RELAY_NOTICE,
     SERVER_FEED,
+    STORE_ERA,
     STORE_REACH,
     STORE_RELAY,
 )
@@ -108,6 +109,7 @@
     "SHARE_LEDGER",
     "STOP_STATE",
     "RELAY_NOTICE",
+    "STORE_ERA",
     "STORE_REACH",
     "STORE_RELAY",
     "ROSTER_TENURE",
--- a/snipespring/blackboard/regions/feeds.py
+++ b/snipespring/blackboard/regions/feeds.py
@@ -6,6 +6,7 @@
     PublishedHost,
     PublishedServer,
     RelayNotice,
+    StoreEra,
     StoreReach,
     StoreRelay,
 )
@@ -16,6 +17,7 @@
     "HOST_FEED",
     "SERVER_FEED",
     "RELAY_NOTICE",
+    "STORE_ERA",
     "STORE_REACH",
     "STORE_RELAY",
 ]
@@ -32,6 +34,7 @@
 RELAY_NOTICE = Region[RelayNotice](
     name="relay_notice", writer="domain_link", initial=RelayNotice()
 )
+STORE_ERA = Region[StoreEra](name="store_era", writer="store_era", initial=StoreEra())
 STORE_REACH = Region[StoreReach](
     name="store_reach", writer="store_probe", initial=StoreReach()
 )
--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -11,6 +11,7 @@
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_address_lister import DomainAddressLister
 from .domain_link import DomainLink
+from .era_tracker import EraTracker
 from .feed_follower import (
     ConfigurationFollower,
     Feed,
@@ -29,6 +30,7 @@
 from .observations import read_newest_configuration, read_newest_roster
 from .outcome_relay import OutcomeRelay
 from .puller import Puller
+from .registration_checker import CheckedRegistry, RegistrationChecker
 from .responder import Responder
 from .roster_manager import RosterManager
 from .rules_editor import (
@@ -88,6 +90,8 @@
     "HealthEvaluator",
     "ServerStateUpdater",
     "HealthReporter",
+    "CheckedRegistry",
+    "EraTracker",
     "EventRecorder",
     "HostRegistrar",
     "LeaseManager",
@@ -100,6 +104,7 @@
     "Placed",
     "Puller",
     "Responder",
+    "RegistrationChecker",
     "RosterManager",
     "StoredRules",
     "Runner",
--- a/snipespring/controllers/catalog_builder.py
+++ b/snipespring/controllers/catalog_builder.py
@@ -52,6 +52,9 @@
             newest = apply_retry_bounds(newest, self.retries)
         view = self.board.read(SERVER_FEED)
         recovered_s = read_recovery_s(self.board, outage_s=self.outage_s)
+        if view.restored_s is not None:
+            # Entries of a backup lapse as they do in an outage.
+            recovered_s = max(view.restored_s, recovered_s or view.restored_s)
         servers = list_active_servers(
             view, recovered_s=recovered_s, grace_s=self.grace_s, now_s=now_s
         )
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -29,6 +29,7 @@
     make_confirmation,
     make_notice,
     record_confirmation,
+    record_stated_version,
     set_watcher,
 )
 from ..decisions.domains import (
@@ -46,6 +47,7 @@
     receive_summary,
 )
 from ..decisions.outages import record_relayed_reach
+from ..decisions.restores import newest_version
 from ..decisions.server_relay import (
     answer_server_query,
     make_server_mark,
@@ -168,6 +170,7 @@
         """Process a message of another host."""
         match message:
             case HostReport():
+                self._note_version(message.configuration)
                 self._receive_report(message)
                 self._send_digest(message, sender)
             case ReportDigest():
@@ -178,6 +181,7 @@
                 self.outcome_relay.receive_batch(message, sender)
             case DomainSummary(domain=domain) if domain != self.own_host.domain:
                 self._relay_summary(message, sender)
+                self._note_version(message.configuration)
                 now_s = self.clock.monotonic_s()
                 self.board.update(
                     DOMAIN_REPORTS,
@@ -210,6 +214,11 @@
             writer=self.name,
         )
 
+    def _note_version(self, version: int) -> None:
+        """Record the newest configuration version that a host knows."""
+        if version > self.board.read(STORE_RELAY).stated_version:
+            self._update_relay(lambda relay: record_stated_version(relay, version))
+
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Forward a summary to this domain's other hubs unless a hub forwarded it."""
         if not is_sent_by(self.board, summary.sender, sender):
@@ -230,6 +239,7 @@
                 board.read(USAGE_LOG), window_s=self.window_s, now_s=now_s
             ),
             answers=count_answers_by_server(board.read(ANSWER_LOG), now_s=now_s),
+            configuration=newest_version(board.read(CONFIGURATION_FEED)),
         )
 
     def _receive_report(self, report: HostReport) -> None:
@@ -352,6 +362,10 @@
             window_s=self.window_s,
             now_s=now_s,
         )
+        feed = self.board.read(CONFIGURATION_FEED)
+        summary = evolve(
+            summary, configuration=max(newest_version(feed), feed.stated_version)
+        )
         is_full_due = self._sequence % FULL_SUMMARY_ROUNDS == 0
         if summary.serving == self._last_sent_serving and not is_full_due:
             summary = evolve(summary, serving=None)
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -11,22 +11,25 @@
 from attrs import define, evolve, field
 
 from ..blackboard import Board, Region
-from ..blackboard.regions import RELAY_NOTICE, STORE_RELAY
+from ..blackboard.regions import RELAY_NOTICE, STORE_ERA, STORE_RELAY
 from ..decisions.confirmations import (
     QueryStore,
     ReadNewerVersion,
     RelayLimits,
     UseRelayedConfirmation,
     adopt_stale_listing,
+    adopt_stated_version,
     check_relay,
 )
 from ..decisions.feeds import SkippedItem, apply_listing, apply_watch_answer
 from ..decisions.membership import draw_backoff_s
 from ..decisions.outages import extend_span
+from ..decisions.restores import is_store_behind
 from ..decisions.server_relay import (
     AwaitRelay,
     apply_server_changes,
     check_server_relay,
+    is_of_earlier_era,
 )
 from ..records import (
     Configuration,
@@ -42,6 +45,7 @@
 from ..utils import Clock
 from .historian import EventRecorder
 from .metrics_recorder import MetricsRecorder
+from .store_availability import read_recovery_s
 
 __all__ = ["ConfigurationFollower", "Feed", "FeedFollower", "ServerFollower"]
 
@@ -50,6 +54,12 @@
 MAX_BACKOFF_S = 0.5  # limits the time until a recovered store is queried again
 # Pause after a change, so that the next answer carries several changes.
 CHANGE_BATCH_PAUSE_S = 0.4
+# After a restore, hosts that do not watch for their domain list within this time, and
+# most of them learn of the servers from the watching host before: 300 hosts that list
+# 150 servers and the configuration call the store 1,200 times a second.
+RELIST_SPREAD_S = 1.0
+# Longest pause before the store is asked again for a configuration that it has lost.
+LOST_VERSION_PAUSE_S = 0.5
 
 
 class Feed(Protocol[T]):
@@ -99,6 +109,8 @@
         """Query the store once; return the pause in seconds before the next query."""
         known = self.board.read(self.region)
         sent_s = self.clock.monotonic_s()
+        if known.revision is not None and self._read_era() > known.era:
+            return self.discard_revision()
         is_behind = is_behind or self._failures > 0
         if known.revision is None or (self.lists_when_behind and is_behind):
             self.metrics.count("store_calls", f"{self.name}_list")
@@ -106,9 +118,15 @@
             match listed:
                 case FeedListing():
                     now_s = self.clock.monotonic_s()
+                    recovered_s = read_recovery_s(self.board, outage_s=self.outage_s)
                     return self._update_view(
                         lambda view: apply_listing(
-                            view, listed, sent_s=sent_s, now_s=now_s
+                            view,
+                            listed,
+                            sent_s=sent_s,
+                            now_s=now_s,
+                            recovered_s=recovered_s,
+                            grace_s=self.outage_s,
                         )
                     )
                 case FeedUnavailable():
@@ -122,11 +140,45 @@
                 now_s = self.clock.monotonic_s()
                 pause_s = self._update_view(
                     lambda view: apply_watch_answer(
-                        view, answer, sent_s=sent_s, now_s=now_s
+                        view,
+                        answer,
+                        sent_s=sent_s,
+                        now_s=now_s,
+                        begun_era=known.era,
                     )
                 )
+                if self.board.read(self.region).era < answer.era:
+                    return self.discard_revision()
                 return CHANGE_BATCH_PAUSE_S if _has_changes(answer) else pause_s
 
+    def discard_revision(self) -> float:
+        """Let the items be listed again after a restore; return the pause in seconds.
+
+        The host that watches for its domain lists at once, the others spread their
+        calls.
+        """
+        self.board.update(
+            self.region, lambda view: evolve(view, revision=None), writer=self.name
+        )
+        is_watcher = self.board.read(RELAY_NOTICE).is_watcher
+        pause_s = 0.0 if is_watcher else self.rng.uniform(0.0, RELIST_SPREAD_S)
+        self._next_step_s = self.clock.monotonic_s() + pause_s
+        return pause_s
+
+    def record_restore(self, before: FeedView[T], after: FeedView[T]) -> None:
+        """Record that the items were taken over from a restored store."""
+        if after.era <= before.era or before.complete_after is None:
+            return
+        self.metrics.count("store_relists", self.name)
+        self._record(
+            f"store era {after.era} after {before.era}: {len(after.items)} known, "
+            f"{len(after.unrestored)} not written again yet, "
+            f"{len(after.withdrawn)} withdrawn for good"
+        )
+
+    def _read_era(self) -> int:
+        return self.board.read(STORE_ERA).era or 0
+
     def is_due(self) -> bool:
         """Return whether the pause after the last step is over."""
         return self.clock.monotonic_s() >= self._next_step_s
@@ -145,17 +197,23 @@
     ) -> float:
         now_s = self.clock.monotonic_s()
 
-        def apply(view: FeedView[T]) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
-            view, skipped = change(view)
+        def apply(
+            before: FeedView[T],
+        ) -> tuple[FeedView[T], tuple[FeedView[T], tuple[SkippedItem, ...]]]:
+            view, skipped = change(before)
             span = extend_span(view.available, now_s, outage_s=self.outage_s)
-            return evolve(view, available=span), skipped
+            return evolve(view, available=span), (before, skipped)
 
-        skipped = self.board.transact(self.region, apply, writer=self.name)
+        before, skipped = self.board.transact(self.region, apply, writer=self.name)
+        after = self.board.read(self.region)
+        self.record_restore(before, after)
         if self._failures:
             self._record(f"store recovered after {self._failures} failed calls")
         self._failures = 0
         for item in skipped:
             self._record(f"skipped item {item.name}: {item.reason}")
+        if self.lists_when_behind and is_store_behind(after):
+            return self.rng.uniform(0.5, 1.0) * LOST_VERSION_PAUSE_S
         return 0.0
 
     def _handle_failure(self, failure: FeedUnavailable) -> float:
@@ -201,8 +259,12 @@
         """Use a relayed confirmation or query the store; return seconds to wait."""
         follower, board = self.feed_follower, self.feed_follower.board
         now_s = follower.clock.monotonic_s()
-        known = board.read(follower.region)
         relay = board.read(STORE_RELAY)
+        known = board.update(
+            follower.region,
+            lambda view: adopt_stated_version(view, relay),
+            writer=self.name,
+        )
         match check_relay(known, relay, self.limits, now_s=now_s):
             case ReadNewerVersion(version=version) if (
                 follower.is_due() and self._read_version(version)
@@ -264,6 +326,8 @@
         known, relay = board.read(follower.region), board.read(STORE_RELAY)
         match check_server_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
             case QueryStore():
+                if known.revision is not None and is_of_earlier_era(known, relay):
+                    return follower.discard_revision()
                 return follower.step_when_due()
             case AwaitRelay(next_check_s=next_check_s):
                 return next_check_s - now_s
@@ -271,9 +335,21 @@
     def receive_changes(self, changes: ServerChanges) -> None:
         """Apply changes to servers that another host has relayed."""
         follower = self.feed_follower
+        board, outage_s = follower.board, follower.outage_s
         now_s = follower.clock.monotonic_s()
-        follower.board.update(
-            follower.region,
-            lambda view: apply_server_changes(view, changes, now_s=now_s),
-            writer=self.name,
-        )
+        recovered_s = read_recovery_s(board, outage_s=outage_s)
+
+        def apply(
+            before: FeedView[PublishedServer],
+        ) -> tuple[FeedView[PublishedServer], FeedView[PublishedServer]]:
+            after = apply_server_changes(
+                before,
+                changes,
+                now_s=now_s,
+                recovered_s=recovered_s,
+                grace_s=outage_s,
+            )
+            return after, before
+
+        before = board.transact(follower.region, apply, writer=self.name)
+        follower.record_restore(before, board.read(follower.region))
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -13,10 +13,12 @@
     ConfigurationFollower,
     Controller,
     DomainAddressLister,
+    EraTracker,
     Feed,
     FeedFollower,
     Forwarder,
     HostRegistrar,
+    RegistrationChecker,
     ServerFollower,
     StoreLeaseManager,
     StoreProbe,
@@ -116,9 +118,15 @@
 
 def make_gateway_context(settings: GatewaySettings) -> GatewayContext:
     """Create the context of a new incarnation of this host."""
-    platform = settings.platform
+    platform, process = settings.platform, make_process_context()
+    eras = EraTracker(
+        board=process.board,
+        clock=process.clock,
+        event_recorder=process.event_recorder,
+        metrics=process.metrics,
+    )
     return GatewayContext(
-        process=make_process_context(),
+        process=process,
         settings=settings,
         own_host=PublishedHost(
             host_id=settings.host.id,
@@ -131,7 +139,11 @@
             ),
         ),
         incarnation=Incarnation(uuid.uuid4().hex),
-        store=ObjectStoreClient(address=platform.store, timeout_s=platform.timeout_s),
+        store=ObjectStoreClient(
+            address=platform.store,
+            timeout_s=platform.timeout_s,
+            record_era=eras.record,
+        ),
     )
 
 
@@ -168,6 +180,15 @@
             outage_s=context.outage_s,
         ),
         _build_registrar(context),
+        RegistrationChecker(
+            board=process.board,
+            clock=process.clock,
+            rng=process.rng,
+            event_recorder=process.event_recorder,
+            metrics=process.metrics,
+            registry=HostRegistry(store=context.store),
+            own_host=context.own_host,
+        ),
         CatalogBuilder(
             board=process.board,
             clock=process.clock,
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -15,6 +15,7 @@
     StoreReach,
     StoreRelay,
 )
+from .restores import is_store_behind, newest_version
 
 __all__ = [
     "QueryStore",
@@ -22,8 +23,10 @@
     "RelayLimits",
     "UseRelayedConfirmation",
     "adopt_stale_listing",
+    "adopt_stated_version",
     "check_relay",
     "record_confirmation",
+    "record_stated_version",
     "make_confirmation",
     "make_notice",
     "set_watcher",
@@ -81,8 +84,16 @@
     """
     if relay.is_watcher or view.confirmed_s is None:
         return QueryStore()
-    version = _newest_version(view)
+    version = newest_version(view)
     confirmed_s = reached_s = view.confirmed_s
+    match relay.relayed:
+        case RelayedVersion(
+            version=relayed, is_store_behind=True, reached_s=until_s
+        ) if relayed >= version and now_s < until_s + limits.reached_s:
+            # The watching host will relay the version once the store has it again.
+            return UseRelayedConfirmation(
+                view=view, next_query_s=until_s + limits.reached_s
+            )
     if relay.relayed is not None and relay.relayed.version > version:
         return ReadNewerVersion(version=relay.relayed.version)
     if relay.relayed is not None and relay.relayed.version == version:
@@ -91,7 +102,8 @@
     until_s = min(confirmed_s + limits.confirmed_s, reached_s + limits.reached_s)
     if now_s >= until_s:
         return QueryStore()
-    view = evolve(view, confirmed_s=confirmed_s)
+    if not is_store_behind(view):
+        view = evolve(view, confirmed_s=confirmed_s)
     return UseRelayedConfirmation(view=view, next_query_s=until_s)
 
 
@@ -107,9 +119,11 @@
     if relay.relayed is not None:
         reached_s = max(reached_s, relay.relayed.reached_s)
     return Confirmation(
-        version=_newest_version(view),
+        version=newest_version(view),
         age_s=now_s - view.confirmed_s,
         reached_age_s=now_s - reached_s,
+        is_store_behind=is_store_behind(view),
+        stated_version=max(view.stated_version, relay.stated_version),
     )
 
 
@@ -123,11 +137,13 @@
     """
     if confirmation is None:
         return relay
+    relay = record_stated_version(relay, confirmation.stated_version)
     known = relay.relayed
     relayed = RelayedVersion(
         version=confirmation.version,
         confirmed_s=sent_s - confirmation.age_s,
         reached_s=sent_s - confirmation.reached_age_s,
+        is_store_behind=confirmation.is_store_behind,
     )
     if known is not None:
         if relayed.version < known.version:
@@ -139,6 +155,7 @@
                 version=known.version,
                 confirmed_s=max(relayed.confirmed_s, known.confirmed_s),
                 reached_s=max(relayed.reached_s, known.reached_s),
+                is_store_behind=relayed.is_store_behind,
             )
     return evolve(relay, relayed=relayed)
 
@@ -157,17 +174,47 @@
         if isinstance(item.content, Configuration)
     }
     newest = max((cfg.version for cfg in items.values()), default=0)
-    if newest < version or listing.revision < (view.revision or 0):
+    if listing.era != view.era or listing.revision < (view.revision or 0):
+        return None
+    if newest < max(version, newest_version(view)):
         return None
-    return evolve(view, items=view.items.update(items), revision=listing.revision)
+    return evolve(
+        view,
+        items=view.items.update(items),
+        revision=listing.revision,
+        unrestored=view.unrestored.difference(items),
+    )
+
+
+def record_stated_version(relay: StoreRelay, version: int) -> StoreRelay:
+    """Return the relay state after a host stated a configuration version it knows.
+
+    The same object is returned if a newer version is known.
+    """
+    if version <= relay.stated_version:
+        return relay
+    return evolve(relay, stated_version=version)
+
+
+def adopt_stated_version(
+    view: FeedView[Configuration], relay: StoreRelay
+) -> FeedView[Configuration]:
+    """Return the feed, confirmed from now on only by the newest version stated."""
+    stated = _newest_stated(relay)
+    if stated <= view.stated_version:
+        return view
+    return evolve(view, stated_version=stated)
 
 
 def make_notice(relay: StoreRelay) -> RelayNotice:
     """Return what of the relay the followers of the store react to at once."""
+    relayed, awaited = relay.relayed, relay.awaited
     return RelayNotice(
         is_watcher=relay.is_watcher,
-        version=0 if relay.relayed is None else relay.relayed.version,
-        awaited=0 if relay.awaited is None else relay.awaited.revision,
+        version=_newest_stated(relay),
+        awaited=0 if awaited is None else awaited.revision,
+        awaited_era=0 if awaited is None else awaited.era,
+        is_store_behind=relayed is not None and relayed.is_store_behind,
     )
 
 
@@ -183,10 +230,12 @@
 
 def _is_advanced(relayed: RelayedVersion, known: RelayedVersion) -> bool:
     return (
-        relayed.confirmed_s >= known.confirmed_s + MIN_ADVANCE_S
+        relayed.is_store_behind != known.is_store_behind
+        or relayed.confirmed_s >= known.confirmed_s + MIN_ADVANCE_S
         or relayed.reached_s >= known.reached_s + MIN_ADVANCE_S
     )
 
 
-def _newest_version(view: FeedView[Configuration]) -> int:
-    return max((cfg.version for cfg in view.items.values()), default=0)
+def _newest_stated(relay: StoreRelay) -> int:
+    relayed = 0 if relay.relayed is None else relay.relayed.version
+    return max(relay.stated_version, relayed)
--- a/snipespring/decisions/feeds.py
+++ b/snipespring/decisions/feeds.py
@@ -12,14 +12,26 @@
     FeedItem,
     FeedListing,
     FeedView,
-    InvalidItem,
     PublishedServer,
 )
+from .restores import (
+    AdoptedEntry,
+    KeptEntry,
+    RefusedEntry,
+    begin_era,
+    is_born_later,
+    is_store_behind,
+    judge_entry,
+    withdraw,
+)
 
 __all__ = [
     "SkippedItem",
-    "apply_watch_answer",
+    "apply_all_items",
+    "apply_items",
     "apply_listing",
+    "apply_watch_answer",
+    "is_restored",
     "list_active_servers",
     "next_removal_s",
 ]
@@ -36,26 +48,31 @@
 
 
 def apply_listing(
-    view: FeedView[T], listing: FeedListing[T], *, sent_s: float, now_s: float
+    view: FeedView[T],
+    listing: FeedListing[T],
+    *,
+    sent_s: float,
+    now_s: float,
+    recovered_s: float | None = None,
+    grace_s: float = 0.0,
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
     """Return the feed after a complete listing, and the items skipped as invalid.
 
     Items that are missing from the listing count as removed at `now_s`. A listing
-    that is older than the feed only confirms that the store answers.
+    that is older than the feed only confirms that the store answers, one of an earlier
+    era nothing. After a restore of the store, missing servers stay in use for
+    `grace_s` seconds; `recovered_s` is the end of the last outage.
     """
-    if view.revision is not None and listing.revision < view.revision:
+    if listing.era < view.era:
+        return view, ()
+    if listing.era == view.era and listing.revision < (view.revision or 0):
         return _mark_confirmed(view, sent_s=sent_s), ()
-    items = view.items
-    listed = {item.name for item in listing.items}
-    missing = tuple(
-        FeedItem[T | None](name=name, revision=listing.revision, content=None)
-        for name in items
-        if name not in listed
-    )
-    # A listing does not name the items that were removed before it.
-    view = evolve(view, revision=listing.revision, complete_after=listing.revision)
-    view, skipped = _apply_items(
-        view, (*missing, *listing.items), listing.revision, now_s
+    if is_restored(view, listing.era):
+        view = begin_era(
+            view, listing.era, recovered_s=recovered_s, grace_s=grace_s, now_s=now_s
+        )
+    view, skipped = apply_all_items(
+        evolve(view, era=listing.era), listing.items, listing.revision, now_s
     )
     return _mark_confirmed(view, sent_s=sent_s), skipped
 
@@ -66,20 +83,61 @@
     *,
     sent_s: float,
     now_s: float,
+    begun_era: int | None = None,
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
-    """Return the feed after the answer to a watch, and the items skipped as invalid."""
+    """Return the feed after the answer to a watch, and the items skipped as invalid.
+
+    After an answer of a newer era all items have to be listed again. The watch was sent
+    with a revision of `begun_era`, by default that of the feed; another host may have
+    relayed all items of a newer era meanwhile.
+    """
+    if answer.era < view.era:
+        return view, ()
+    if answer.era > view.era:
+        return evolve(view, revision=None), ()
+    if begun_era is not None and begun_era < answer.era:
+        return view, ()
     match answer:
         case FeedChanges(revision=revision) if revision < (view.revision or 0):
             # Another host has relayed these changes and later ones meanwhile.
             return _mark_confirmed(view, sent_s=sent_s), ()
         case FeedChanges(changes=changes, revision=revision):
-            view, skipped = _apply_items(view, changes, revision, now_s)
+            view, skipped = apply_items(view, changes, revision, now_s)
             view = evolve(view, revision=revision)
             return _mark_confirmed(view, sent_s=sent_s), skipped
         case FeedGap():
             return evolve(view, revision=None), ()
 
 
+def is_restored(view: FeedView[T], era: int) -> bool:
+    """Return whether an answer of an era follows a restore since the last listing."""
+    return era > view.era and view.complete_after is not None
+
+
+def apply_all_items(
+    view: FeedView[T],
+    listed: tuple[FeedItem[T] | FeedItem[T | None], ...],
+    revision: int,
+    now_s: float,
+) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
+    """Return the feed with all items at a revision, and the items skipped as invalid.
+
+    Known items that are not listed count as removed at `now_s`.
+    """
+    names = {item.name for item in listed}
+    missing = tuple(
+        FeedItem[T | None](name=name, revision=revision, content=None)
+        for name in view.items
+        if name not in names
+    )
+    # A listing does not name the items that were removed before it.
+    view = evolve(view, revision=revision, complete_after=revision)
+    # An item that the restored store does not show has not been removed.
+    unrestored = view.unrestored.intersection(item.name for item in missing)
+    view, skipped = apply_items(view, (*missing, *listed), revision, now_s)
+    return evolve(view, unrestored=view.unrestored | unrestored), skipped
+
+
 def list_active_servers(
     view: FeedView[PublishedServer],
     *,
@@ -124,37 +182,73 @@
     removed_s = view.removed_s.get(name)
     if removed_s is None:
         return inf
+    if name in view.unrestored and view.unrestored_until_s is not None:
+        removed_s = max(removed_s, view.unrestored_until_s)
     # A server that had been removed before the outage did not expire during it.
     if recovered_s is None or removed_s < recovered_s:
         return removed_s
     return max(removed_s, recovered_s + grace_s)
 
 
-def _apply_items(
+def apply_items(
     view: FeedView[T],
     changes: Iterable[FeedItem[T] | FeedItem[T | None]],
     revision: int,
     now_s: float,
 ) -> tuple[FeedView[T], tuple[SkippedItem, ...]]:
-    items, removed, changed = view.items, view.removed_s, view.changed
+    """Return the feed after changes up to a revision, and the items skipped."""
     skipped: list[SkippedItem] = []
     for change in changes:
         name = change.name
         # Unknown and unchanged items are recorded too: another host that asks for the
         # changes may know an earlier state of them.
-        changed = changed.set(name, revision)
-        match change.content:
-            case InvalidItem(reason=reason):
+        view = evolve(view, changed=view.changed.set(name, revision))
+        judgement = judge_entry(view, name, change.content)
+        view = _apply_judgement(view, name, judgement, now_s)
+        match judgement:
+            case RefusedEntry(reason=reason) | KeptEntry(reason=reason) if (
+                change.content is not None
+            ):
                 skipped.append(SkippedItem(name=name, reason=reason))
-                removed = removed if name in removed else removed.set(name, now_s)
-            case None:
-                removed = removed if name in removed else removed.set(name, now_s)
-            case content:
-                items = items.set(name, content)
-                removed = removed.delete(name) if name in removed else removed
-    view = evolve(view, items=items, removed_s=removed, changed=changed)
     return view, tuple(skipped)
 
 
+def _apply_judgement(
+    view: FeedView[T],
+    name: str,
+    judgement: AdoptedEntry | RefusedEntry | KeptEntry,
+    now_s: float,
+) -> FeedView[T]:
+    removed, withdrawn, unrestored = view.removed_s, view.withdrawn, view.unrestored
+    view = evolve(view, refused=view.refused - {name})
+    if name not in removed:
+        removed = removed.set(name, now_s)
+    match judgement:
+        case AdoptedEntry(content=content):
+            if is_born_later(view, name, content):
+                withdrawn = withdrawn.delete(name)
+            return evolve(
+                view,
+                items=view.items.set(name, content),
+                removed_s=removed.delete(name),
+                withdrawn=withdrawn,
+                unrestored=unrestored - {name},
+            )
+        case RefusedEntry(is_withdrawn=is_withdrawn):
+            return evolve(
+                view,
+                removed_s=removed,
+                unrestored=unrestored - {name},
+                refused=view.refused | {name} if is_withdrawn else view.refused,
+            )
+        case KeptEntry(withdrawn_ms=int() as born_ms):
+            withdrawn = withdraw(withdrawn, name, born_ms)
+    return evolve(
+        view, removed_s=removed, withdrawn=withdrawn, unrestored=unrestored | {name}
+    )
+
+
 def _mark_confirmed(view: FeedView[T], *, sent_s: float) -> FeedView[T]:
+    if is_store_behind(view):
+        return view
     return evolve(view, confirmed_s=max(sent_s, view.confirmed_s or sent_s))
--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -1,12 +1,17 @@
 """Pass changes to the registered servers on from one host of a failure domain.
 
 Revisions are those of the store, so that changes from several hosts can be combined.
+They are compared within one era only. A host that learns of a later era asks for all
+servers.
 """
 
+from collections.abc import Iterable
+
 from attrs import evolve, frozen
 
 from ..records import (
     AwaitedServers,
+    FeedItem,
     FeedView,
     HostId,
     PublishedServer,
@@ -17,12 +22,20 @@
     StoreRelay,
 )
 from .confirmations import QueryStore
+from .feeds import apply_all_items, apply_items, is_restored
+from .restores import (
+    MAX_WITHDRAWALS,
+    begin_era,
+    list_withdrawals,
+    merge_withdrawals,
+)
 
 __all__ = [
     "AwaitRelay",
     "answer_server_query",
     "apply_server_changes",
     "check_server_relay",
+    "is_of_earlier_era",
     "make_server_mark",
     "make_server_query",
     "record_server_mark",
@@ -60,18 +73,34 @@
     return QueryStore() if now_s >= until_s else AwaitRelay(next_check_s=until_s)
 
 
+def is_of_earlier_era(view: FeedView[PublishedServer], relay: StoreRelay) -> bool:
+    """Return whether changes of a later era than that of the feed are awaited."""
+    return relay.awaited is not None and relay.awaited.era > view.era
+
+
 def make_server_mark(view: FeedView[PublishedServer]) -> ServerMark | None:
     """Return up to which revision the servers are known, None before a listing."""
-    return None if view.revision is None else ServerMark(revision=view.revision)
+    if view.revision is None:
+        return None
+    withdrawn = min(len(view.withdrawn), MAX_WITHDRAWALS)
+    return ServerMark(revision=view.revision, era=view.era, withdrawn=withdrawn)
 
 
 def make_server_query(
     view: FeedView[PublishedServer], mark: ServerMark | None, own_id: HostId
 ) -> ServerQuery | None:
-    """Return the query for changes that another host knows, None if there are none."""
-    if mark is None or view.revision is None or mark.revision <= view.revision:
+    """Return the query for what another host knows and this one does not, or None."""
+    if mark is None or view.complete_after is None:
+        return None
+    known = view.revision
+    if mark.era < view.era or (mark.era == view.era and known is None):
+        return None
+    is_behind = mark.era > view.era or mark.revision > (known or 0)
+    if not is_behind and mark.withdrawn <= len(view.withdrawn):
         return None
-    return ServerQuery(sender=own_id, after=view.revision)
+    return ServerQuery(
+        sender=own_id, after=known or 0, era=view.era, withdrawn=len(view.withdrawn)
+    )
 
 
 def record_server_mark(
@@ -82,11 +111,11 @@
     now_s: float,
 ) -> StoreRelay:
     """Return the relay state after a digest; the same object if nothing changes."""
-    awaited, known = relay.awaited, view.revision or 0
-    if awaited is not None and awaited.revision > known:
+    awaited, known = relay.awaited, (view.era, view.revision or 0)
+    if awaited is not None and (awaited.era, awaited.revision) > known:
         return relay
-    if mark is not None and mark.revision > known:
-        awaited = AwaitedServers(revision=mark.revision, since_s=now_s)
+    if mark is not None and (mark.era, mark.revision) > known:
+        awaited = AwaitedServers(revision=mark.revision, era=mark.era, since_s=now_s)
     else:
         awaited = None
     return relay if awaited == relay.awaited else evolve(relay, awaited=awaited)
@@ -101,50 +130,94 @@
 ) -> ServerChanges | None:
     """Return the changes after a revision, None if there are none or too many.
 
-    None is returned too if changes are asked for that this host may not know.
+    None is returned too if changes are asked for that this host may not know. A query
+    of an earlier era is answered with all servers.
     """
-    if view.revision is None or view.revision <= query.after:
+    if view.revision is None or view.complete_after is None or query.era > view.era:
         return None
-    if view.complete_after is None or query.after < view.complete_after:
+    is_complete = query.era < view.era
+    after = 0 if is_complete else query.after
+    changed = {name for name, revision in view.changed.items() if revision > after}
+    is_informed = len(view.withdrawn) <= query.withdrawn and not is_complete
+    withdrawn = list_withdrawals(view, changed if is_informed else view.withdrawn)
+    if after > view.revision or (after == view.revision and not withdrawn):
         return None
-    changes = tuple(
-        ServerChange(
-            name=name, server=None if name in view.removed_s else view.items[name]
-        )
-        for name, revision in view.changed.items()
-        if revision > query.after
-    )
+    if after < view.complete_after and not is_complete:
+        return None
+    changes = _list_all(view) if is_complete else _list_changed(view, changed)
     if len(changes) > MAX_CHANGES:
         return None
     return ServerChanges(
         sender=own_id,
-        after=query.after,
+        after=after,
         until=view.revision,
         recovered_age_s=recovered_age_s,
         changes=changes,
+        era=view.era,
+        is_complete=is_complete,
+        withdrawn=withdrawn,
     )
 
 
 def apply_server_changes(
-    view: FeedView[PublishedServer], received: ServerChanges, *, now_s: float
+    view: FeedView[PublishedServer],
+    received: ServerChanges,
+    *,
+    now_s: float,
+    recovered_s: float | None = None,
+    grace_s: float = 0.0,
 ) -> FeedView[PublishedServer]:
-    """Return the feed after relayed changes; the same object if they do not apply."""
-    if view.revision is None or not received.after <= view.revision < received.until:
+    """Return the feed after relayed changes; the same object if they do not apply.
+
+    All servers of a later era are applied as a listing of the restored store is.
+    """
+    known = view.revision
+    if received.era == view.era and known is not None:
+        view = merge_withdrawals(view, received.withdrawn)
+        if not received.after <= known < received.until:
+            return view
+        changes = _make_items(received)
+        if received.is_complete:
+            return apply_all_items(view, changes, received.until, now_s)[0]
+        view, _ = apply_items(view, changes, received.until, now_s)
+        # Other hosts that ask this one have to learn of the withdrawals too.
+        names = {item.name: received.until for item in received.withdrawn}
+        return evolve(view, revision=received.until, changed=view.changed.update(names))
+    if not (received.is_complete and is_restored(view, received.era)):
         return view
-    items, removed, changed = view.items, view.removed_s, view.changed
-    for change in received.changes:
-        name = change.name
-        match change.server:
-            case None:
-                removed = removed if name in removed else removed.set(name, now_s)
-            case server:
-                items = items.set(name, server)
-                removed = removed.delete(name) if name in removed else removed
-        changed = changed.set(name, received.until)
-    return evolve(
-        view,
-        items=items,
-        removed_s=removed,
-        changed=changed,
-        revision=received.until,
+    view = begin_era(
+        view, received.era, recovered_s=recovered_s, grace_s=grace_s, now_s=now_s
+    )
+    view = merge_withdrawals(view, received.withdrawn)
+    view, _ = apply_all_items(view, _make_items(received), received.until, now_s)
+    return view
+
+
+def _list_all(view: FeedView[PublishedServer]) -> tuple[ServerChange, ...]:
+    """Return the registered servers and those removed since the restore."""
+    registered = (name for name in view.items if name not in view.removed_s)
+    return _list_changed(view, {*registered, *view.changed})
+
+
+def _list_changed(
+    view: FeedView[PublishedServer], names: Iterable[str]
+) -> tuple[ServerChange, ...]:
+    """Return the states of servers, except of those whose entries are not used.
+
+    Withdrawals say which process is not used; a host may know a later one.
+    """
+    return tuple(
+        ServerChange(name=name, server=None if is_removed else view.items[name])
+        for name in names
+        if name not in view.unrestored | view.refused
+        and ((is_removed := name in view.removed_s) or name in view.items)
+    )
+
+
+def _make_items(
+    received: ServerChanges,
+) -> tuple[FeedItem[PublishedServer | None], ...]:
+    return tuple(
+        FeedItem(name=change.name, revision=received.until, content=change.server)
+        for change in received.changes
     )
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -56,9 +56,9 @@
         match self.store.list_objects(self.kind, may_be_stale=may_be_stale):
             case PlatformUnavailable(reason=reason):
                 return FeedUnavailable(reason=reason)
-            case ObjectListing(objects=objects, revision=revision):
+            case ObjectListing(objects=objects, revision=revision, era=era):
                 items = tuple(self._make_item(obj) for obj in objects)
-                return FeedListing(items=items, revision=revision)
+                return FeedListing(items=items, revision=revision, era=era)
 
     def watch(
         self, *, after: int, wait_s: float
@@ -70,11 +70,11 @@
         match self.store.watch(self.kind, after=after, wait_s=wait_s):
             case PlatformUnavailable(reason=reason):
                 return FeedUnavailable(reason=reason)
-            case StoreGap():
-                return FeedGap()
-            case ObjectChanges(changes=changes, revision=revision):
+            case StoreGap(era=era):
+                return FeedGap(era=era)
+            case ObjectChanges(changes=changes, revision=revision, era=era):
                 items = tuple(self._make_change(change) for change in changes)
-                return FeedChanges(changes=items, revision=revision)
+                return FeedChanges(changes=items, revision=revision, era=era)
 
     def _make_item(self, obj: StoredObject) -> FeedItem[T]:
         return FeedItem(name=obj.name, revision=obj.revision, content=self.decode(obj))
@@ -113,6 +113,16 @@
             case PlatformUnavailable(reason=reason):
                 return FeedUnavailable(reason=reason)
 
+    def is_registered(self, host: PublishedHost) -> bool | FeedUnavailable:
+        """Return whether the store has the host's object as it is, by a stale read."""
+        match self.store.read(HOST_KIND, host.host_id, may_be_stale=True):
+            case StoredObject(content=content):
+                return decode_host(host.host_id, content) == host
+            case ObjectAbsent():
+                return False
+            case PlatformUnavailable(reason=reason):
+                return FeedUnavailable(reason=reason)
+
     def feed(self) -> ObjectFeed[PublishedHost]:
         """Return the feed of registered hosts."""
         return ObjectFeed(
@@ -132,7 +142,11 @@
             case PlatformUnavailable(reason=reason):
                 return FeedUnavailable(reason=reason)
         result = self.store.replace(
-            HOST_KIND, host.host_id, encode_host(host), expected=current.revision
+            HOST_KIND,
+            host.host_id,
+            encode_host(host),
+            expected=current.revision,
+            era=current.era,
         )
         match result:
             case ObjectWritten():
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -1,10 +1,11 @@
 """Read, list, watch and write objects in the platform's object store."""
 
+import contextlib
 import json
 import re
 import socket
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -30,6 +31,7 @@
     "StoredObject",
 ]
 
+ERA_HEADER = "Store-Era"  # absent from a store that counts no eras
 CONNECT_TIMEOUT_S = 0.5
 WATCH_EXTRA_TIMEOUT_S = (
     0.8  # time for the response once the watch's own wait time is over
@@ -52,6 +54,7 @@
     name: str
     revision: int
     content: Mapping[str, Any] = field(repr=False)
+    era: int = 0
 
 
 @frozen(kw_only=True)
@@ -60,6 +63,7 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
@@ -76,20 +80,59 @@
 
     changes: tuple[ObjectChange, ...]
     revision: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
 class StoreGap:
     """Report that the store no longer has the history since the given revision."""
 
+    era: int = 0
+
+
+@define(kw_only=True, eq=False)
+class _EraCounter:
+    """Keep the newest era of the answers to one client."""
+
+    _newest: int = field(default=0, init=False)
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+
+    def record(self, era: int) -> int:
+        """Record the era of an answer; return the newest one."""
+        with self._lock:
+            self._newest = max(self._newest, era)
+            return self._newest
+
+
+@define(kw_only=True, eq=False)
+class _PendingWatch:
+    """Represent a watch that waits for its answer, begun in an era."""
+
+    conn: HTTPConnection
+    era: int
+    is_ended: bool = False
+
 
 @define(kw_only=True, eq=False)
 class ObjectStoreClient:
-    """Call the store over one persistent connection per thread."""
+    """Call the store over one persistent connection per thread.
+
+    `record_era` gets the era of each answer and returns the newest known era. Answers
+    of an earlier era count as none. The first answer of a newer era ends the watches
+    that wait on other threads, as the store may not end them soon.
+    """
 
     address: Address
     timeout_s: float
+    record_era: Callable[[int], int] = field(factory=lambda: _EraCounter().record)
     _local: threading.local = field(factory=threading.local, init=False)
+    _watches: set[_PendingWatch] = field(factory=set, init=False)
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+
+    @property
+    def newest_era(self) -> int:
+        """Return the newest era of which an answer came, 0 before any."""
+        return self.record_era(0)
 
     def read(
         self, kind: str, name: str, *, may_be_stale: bool = False
@@ -99,8 +142,8 @@
         path = _make_path(kind, name, query)
         response = self._call("GET", path, None, self.timeout_s)
         match response:
-            case _Response(status=200, content=content):
-                obj = _read_object(content)
+            case _Response(status=200, content=content, era=era):
+                obj = _read_object(content, era)
                 return obj or PlatformUnavailable(reason="malformed object")
             case _Response(status=404):
                 return ObjectAbsent(name=name)
@@ -113,25 +156,29 @@
         """Return all objects of a kind, maybe seconds old with `may_be_stale`."""
         objects: list[StoredObject] = []
         revision: int | None = None
+        first_era: int | None = None
         query: dict[str, object] = {"AllowStale": 1} if may_be_stale else {}
         while True:
             response = self._call(
                 "GET", _make_path(kind, "", query), None, self.timeout_s
             )
             match response:
-                case _Response(status=200, content=Mapping() as content):
-                    page = _read_page(content)
-                case _Response(status=404) if not objects:
-                    return ObjectListing(objects=(), revision=0)
+                case _Response(status=200, content=Mapping() as content, era=era):
+                    page = _read_page(content, era)
+                case _Response(status=404, era=era) if not objects:
+                    return ObjectListing(objects=(), revision=0, era=era)
                 case _:
                     return _make_unavailable(response)
             if page is None:
                 return PlatformUnavailable(reason="malformed listing")
+            first_era = era if first_era is None else first_era
+            if era != first_era:
+                return PlatformUnavailable(reason="restored during the listing")
             objects += page.objects
             # A watch from the first page's revision reports changes between pages.
             revision = page.revision if revision is None else revision
             if not content.get("HasMore") or not page.objects:
-                return ObjectListing(objects=tuple(objects), revision=revision)
+                return ObjectListing(objects=tuple(objects), revision=revision, era=era)
             query["after"] = page.objects[-1].name
 
     def watch(
@@ -143,13 +190,18 @@
         """
         query = {"Watch": after, "WaitMs": int(wait_s * MS_PER_S)}
         timeout_s = wait_s + WATCH_EXTRA_TIMEOUT_S
-        response = self._call("GET", _make_path(kind, "", query), None, timeout_s)
+        begun_era = self.newest_era
+        response = self._call(
+            "GET", _make_path(kind, "", query), None, timeout_s, watched_era=begun_era
+        )
         match response:
-            case _Response(status=200, content=Mapping() as content):
-                changes = _read_changes(content)
+            case _Response(status=200, content=Mapping() as content, era=era):
+                changes = _read_changes(content, era)
                 return changes or PlatformUnavailable(reason="malformed changes")
-            case _Response(status=410):
-                return StoreGap()
+            case _Response(status=410, era=era):
+                return StoreGap(era=era)
+            case _NoResponse() if self.newest_era > begun_era:
+                return StoreGap(era=self.newest_era)
             case _:
                 return _make_unavailable(response)
 
@@ -159,23 +211,36 @@
         return self._write("POST", _make_path(kind), name, body)
 
     def replace(
-        self, kind: str, name: str, spec: Json, *, expected: int
+        self, kind: str, name: str, spec: Json, *, expected: int, era: int = 0
     ) -> WriteResult:
-        """Replace an object's content if its revision is `expected`."""
+        """Replace an object's content if its revision in `era` is `expected`.
+
+        Nothing is sent if a newer era is known, in which the revision may be reissued.
+        """
+        if era < self.newest_era:
+            return ObjectConflict(name=name)
         body = {"Metadata": {"Name": name, "Revision": expected}, "Spec": spec}
         return self._write("PUT", _make_path(kind, name), name, body)
 
-    def delete(self, kind: str, name: str, *, expected: int) -> WriteResult:
-        """Remove an object if its revision is `expected`."""
+    def delete(
+        self, kind: str, name: str, *, expected: int, era: int = 0
+    ) -> WriteResult:
+        """Remove an object if its revision in `era` is `expected`.
+
+        Nothing is sent if a newer era is known, in which the revision may be reissued.
+        """
+        if era < self.newest_era:
+            return ObjectConflict(name=name)
         path = _make_path(kind, name, {"Revision": expected})
         return self._write("DELETE", path, name, None)
 
     def _write(self, method: str, path: str, name: str, body: Json) -> WriteResult:
         response = self._call(method, path, body, self.timeout_s)
         match response:
-            case _Response(status=200 | 201, content=content):
-                obj = _read_object(content)
-                return ObjectWritten(name=name, version=obj.revision if obj else 0)
+            case _Response(status=200 | 201, content=content, era=era):
+                obj = _read_object(content, era)
+                revision = obj.revision if obj else 0
+                return ObjectWritten(name=name, version=revision, era=era)
             case _Response(status=404 | 409):
                 return ObjectConflict(name=name)
             case _NoResponse(reason=reason, may_be_sent=True):
@@ -184,14 +249,22 @@
                 return _make_unavailable(response)
 
     def _call(
-        self, method: str, path: str, body: Json, timeout_s: float
+        self,
+        method: str,
+        path: str,
+        body: Json,
+        timeout_s: float,
+        *,
+        watched_era: int | None = None,
     ) -> "_Response | _NoResponse":
-        may_be_sent = False
+        may_be_sent, watch = False, None
         try:
             conn = self._get_connection(timeout_s)
             data = None if body is None else json.dumps(body).encode()
             headers = {} if body is None else {"Content-Type": "application/json"}
             may_be_sent = True
+            if watched_era is not None:
+                watch = self._begin_watch(conn, watched_era)
             conn.request(method, path, body=data, headers=headers)
             resp = conn.getresponse()
             content = resp.read()
@@ -200,7 +273,38 @@
             return _NoResponse(
                 reason=f"{type(exc).__name__}: {exc}", may_be_sent=may_be_sent
             )
-        return _Response(status=resp.status, content=_parse_json(content))
+        finally:
+            if watch is not None:
+                self._end_watch(watch)
+        era = _parse_era(resp.getheader(ERA_HEADER))
+        newest = self.record_era(era)
+        self._interrupt_watches(newest)
+        if era < newest:
+            # A write of an earlier era is lost by the restore, whatever its status.
+            reason = f"an answer of era {era} after one of era {newest}"
+            return _NoResponse(reason=reason, may_be_sent=False)
+        return _Response(status=resp.status, content=_parse_json(content), era=era)
+
+    def _begin_watch(self, conn: HTTPConnection, era: int) -> _PendingWatch:
+        watch = _PendingWatch(conn=conn, era=era)
+        with self._lock:
+            self._watches.add(watch)
+        return watch
+
+    def _end_watch(self, watch: _PendingWatch) -> None:
+        with self._lock:
+            self._watches.discard(watch)
+        if watch.is_ended:
+            watch.conn.close()
+
+    def _interrupt_watches(self, newest: int) -> None:
+        with self._lock:
+            for watch in self._watches:
+                sock = watch.conn.sock
+                if watch.era < newest and not watch.is_ended and sock is not None:
+                    watch.is_ended = True
+                    with contextlib.suppress(OSError):
+                        sock.shutdown(socket.SHUT_RDWR)
 
     def _get_connection(self, timeout_s: float) -> HTTPConnection:
         conn: HTTPConnection | None = getattr(self._local, "conn", None)
@@ -228,6 +332,7 @@
 
     status: int
     content: Json
+    era: int
 
 
 @frozen(kw_only=True)
@@ -266,6 +371,11 @@
     return f"{path}?{urlencode(query)}" if query else path
 
 
+def _parse_era(text: str | None) -> int:
+    """Return the era in a header, 0 if there is none or it is malformed."""
+    return int(text) if text is not None and text.isdecimal() else 0
+
+
 def _parse_json(content: bytes) -> Json:
     text = content.decode("utf-8", errors="replace")
     try:
@@ -304,7 +414,7 @@
     return "".join(parts) + (text[kept_from:] if depth <= MAX_JSON_DEPTH else "")
 
 
-def _read_object(content: Json) -> StoredObject | None:
+def _read_object(content: Json, era: int) -> StoredObject | None:
     if not isinstance(content, Mapping):
         return None
     meta = content.get("Metadata")
@@ -313,32 +423,37 @@
     name, revision = meta.get("Name"), meta.get("Revision")
     if not isinstance(name, str) or not isinstance(revision, int):
         return None
-    return StoredObject(name=name, revision=revision, content=content)
+    return StoredObject(name=name, revision=revision, content=content, era=era)
 
 
-def _read_page(content: Mapping[str, Any]) -> ObjectListing | None:
+def _read_page(content: Mapping[str, Any], era: int) -> ObjectListing | None:
     items, revision = content.get("items"), content.get("StoreRevision")
     if not isinstance(items, list) or not isinstance(revision, int):
         return None
-    objects = [_read_object(item) for item in items]
+    objects = [_read_object(item, era) for item in items]
     return ObjectListing(
-        objects=tuple(obj for obj in objects if obj is not None), revision=revision
+        objects=tuple(obj for obj in objects if obj is not None),
+        revision=revision,
+        era=era,
     )
 
 
-def _read_changes(content: Mapping[str, Any]) -> ObjectChanges | None:
+def _read_changes(content: Mapping[str, Any], era: int) -> ObjectChanges | None:
     events, revision = content.get("events"), content.get("StoreRevision")
     if not isinstance(events, list) or not isinstance(revision, int):
         return None
-    changes = (_read_change(event) for event in events)
+    changes = (_read_change(event, era) for event in events)
     return ObjectChanges(
         changes=tuple(change for change in changes if change is not None),
         revision=revision,
+        era=era,
     )
 
 
-def _read_change(event: Json) -> ObjectChange | None:
-    obj = _read_object(event.get("Object")) if isinstance(event, Mapping) else None
+def _read_change(event: Json, era: int) -> ObjectChange | None:
+    if not isinstance(event, Mapping):
+        return None
+    obj = _read_object(event.get("Object"), era)
     if obj is None:
         return None
     return ObjectChange(obj=obj, is_removed=bool(event.get("Deleted")))
--- a/snipespring/platform/versioned_objects.py
+++ b/snipespring/platform/versioned_objects.py
@@ -27,10 +27,11 @@
 
 @frozen(kw_only=True)
 class _KnownVersion:
-    """Represent the last known version of an object and its revision in the store."""
+    """Represent the last known version of an object and its revision in an era."""
 
     version: int
     revision: int
+    era: int
 
 
 @define(kw_only=True, eq=False)
@@ -66,7 +67,7 @@
         """Wait up to `wait_s` seconds for a version greater than `after`."""
         kind, key = _split_name(name)
         known = self._known.get(name)
-        if known is None or known.version != after:
+        if known is None or known.version != after or self._is_outdated(known):
             return self.read(name)
         match self._store.watch(kind, after=known.revision, wait_s=wait_s):
             case ObjectChanges(changes=changes):
@@ -92,8 +93,10 @@
                 name, version, self._store.create(kind, key, spec)
             )
         match self._find_revision(name, expected):
-            case int() as revision:
-                result = self._store.replace(kind, key, spec, expected=revision)
+            case _KnownVersion(revision=revision, era=era):
+                result = self._store.replace(
+                    kind, key, spec, expected=revision, era=era
+                )
                 return self._record_write(name, version, result)
             case failure:
                 return failure
@@ -101,8 +104,10 @@
     def delete(self, name: str, *, expected: int) -> WriteResult:
         """Remove the object if its version is `expected`."""
         match self._find_revision(name, expected):
-            case int() as revision:
-                result = self._store.delete(*_split_name(name), expected=revision)
+            case _KnownVersion(revision=revision, era=era):
+                result = self._store.delete(
+                    *_split_name(name), expected=revision, era=era
+                )
                 self._known.pop(name, None)
                 return result
             case failure:
@@ -110,19 +115,23 @@
 
     def _find_revision(
         self, name: str, version: int
-    ) -> int | ObjectConflict | PlatformUnavailable:
-        """Return the store's revision for a version of the object."""
+    ) -> _KnownVersion | ObjectConflict | PlatformUnavailable:
+        """Return the store's revision and era for a version of the object."""
         known = self._known.get(name)
-        if known is not None and known.version == version:
-            return known.revision
+        if known and known.version == version and not self._is_outdated(known):
+            return known
         match self.read(name):
             case PlatformUnavailable() as unavailable:
                 return unavailable
             case ObjectRead(version=found) if found == version:
-                return self._known[name].revision
+                return self._known[name]
             case _:
                 return ObjectConflict(name=name)
 
+    def _is_outdated(self, known: _KnownVersion) -> bool:
+        """Return whether the store was restored since, so that the revision is void."""
+        return known.era < self._store.newest_era
+
     def _record_write(
         self, name: str, version: int, result: WriteResult
     ) -> WriteResult:
@@ -131,8 +140,10 @@
         Record both after a successful write.
         """
         match result:
-            case ObjectWritten(version=revision):
-                self._known[name] = _KnownVersion(version=version, revision=revision)
+            case ObjectWritten(version=revision, era=era):
+                self._known[name] = _KnownVersion(
+                    version=version, revision=revision, era=era
+                )
                 return ObjectWritten(name=name, version=version)
             case _:
                 return result
@@ -144,7 +155,7 @@
         match result:
             case ObjectRead(version=version):
                 self._known[name] = _KnownVersion(
-                    version=version, revision=obj.revision
+                    version=version, revision=obj.revision, era=obj.era
                 )
         return result
 
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -68,7 +68,8 @@
     """Report a host's own state; `sequence` rises with each report.
 
     A host with `is_serving` is ready for requests and not about to stop. Without a
-    `request`, the digest only confirms the report.
+    `request`, the digest only confirms the report. `configuration` is the newest
+    configuration version that the host knows.
     """
 
     host: PublishedHost
@@ -78,6 +79,7 @@
     usage: tuple[OrganisationUsage, ...] = ()
     answers: tuple[ServerAnswers, ...] = ()
     request: StateRequest | None = None
+    configuration: int = 0
 
 
 @frozen(kw_only=True)
@@ -85,12 +87,16 @@
     """Describe the configuration version that the store confirmed, and its age.
 
     `age_s` counts from when the confirming request was sent, `reached_age_s` from when
-    the latest request was sent that the store answered.
+    the latest request was sent that the store answered. With `is_store_behind`, a
+    restore has lost the version. `stated_version` is the newest version that any host
+    stated to the sender.
     """
 
     version: int
     age_s: float
     reached_age_s: float
+    is_store_behind: bool = False
+    stated_version: int = 0
 
 
 @frozen(kw_only=True)
@@ -171,7 +177,8 @@
     """Summarise the reports of one domain's hosts for another domain.
 
     `serving` is None if it did not change, because bandwidth between domains is
-    expensive.
+    expensive. `configuration` is the newest configuration version that the sender
+    knows.
     """
 
     sender: HostId
@@ -179,6 +186,7 @@
     serving: tuple[HostId, ...] | None
     heard_hosts: int
     usage: tuple[OrganisationUsage, ...] = ()
+    configuration: int = 0
 
 
 DomainMessage = (
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -21,6 +21,7 @@
     "PublishedHost",
     "PublishedServer",
     "RelayNotice",
+    "StoreEra",
     "StoreReach",
     "StoreRelay",
     "RelayedVersion",
@@ -28,6 +29,7 @@
     "ServerChanges",
     "ServerMark",
     "ServerQuery",
+    "ServerWithdrawal",
 ]
 
 T = TypeVar("T")
@@ -92,6 +94,7 @@
 
     items: tuple[FeedItem[T], ...]
     revision: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
@@ -100,12 +103,15 @@
 
     changes: tuple[FeedItem[T | None], ...]
     revision: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
 class FeedGap:
     """Report that the store no longer has the changes; list all items again."""
 
+    era: int = 0
+
 
 @frozen(kw_only=True)
 class FeedUnavailable:
@@ -125,6 +131,17 @@
     until_s: float
 
 
+@frozen(kw_only=True)
+class StoreEra:
+    """Record the newest era that an answer of the store stated, None before any.
+
+    The era rises by one whenever the store is restored from a backup, after which it
+    issues the revisions since the backup again.
+    """
+
+    era: int | None = None
+
+
 @frozen(kw_only=True)
 class FeedView(Generic[T]):
     """Represent the items of a feed as last received.
@@ -134,6 +151,14 @@
     ones. `confirmed_s` is the time at which the latest answered request was sent,
     `removed_s` the time at which an item was found missing, and `available` the span
     in which the store answered the calls of this feed.
+
+    `revision`, `complete_after` and `changed` belong to `era`. `restored_s` is the time
+    of the first listing after the last restore of the store. `unrestored` names the
+    items whose known state the store has not shown again since; servers among them are
+    in use until `unrestored_until_s`. `withdrawn` maps servers that left or drained
+    before a restore to the latest `born_ms` that is not used again; `refused` names
+    those that the store still shows. `stated_version` is the newest configuration
+    version that another host stated.
     """
 
     items: Map[str, T] = field(default=Map(), repr=False)
@@ -143,6 +168,13 @@
     complete_after: int | None = None
     confirmed_s: float | None = None
     available: AvailableSpan | None = None
+    era: int = 0
+    restored_s: float | None = None
+    unrestored: frozenset[str] = frozenset()
+    unrestored_until_s: float | None = None
+    withdrawn: Map[str, int] = field(default=Map(), repr=False)
+    refused: frozenset[str] = frozenset()
+    stated_version: int = 0
 
 
 @frozen(kw_only=True)
@@ -150,12 +182,14 @@
     """Record the configuration version that the store confirmed to another host.
 
     The confirming request was sent at the local time `confirmed_s` or later, and the
-    latest request that the store answered to that host at `reached_s` or later.
+    latest request that the store answered to that host at `reached_s` or later. With
+    `is_store_behind`, a restore of the store has lost the version.
     """
 
     version: int
     confirmed_s: float
     reached_s: float
+    is_store_behind: bool = False
 
 
 @frozen(kw_only=True)
@@ -171,9 +205,14 @@
 
 @frozen(kw_only=True)
 class ServerMark:
-    """State the revision up to which a host knows the registered servers."""
+    """State the revision up to which a host knows the registered servers.
+
+    `withdrawn` counts the servers that the host knows not to use again.
+    """
 
     revision: int
+    era: int = 0
+    withdrawn: int = 0
 
 
 @frozen(kw_only=True)
@@ -182,14 +221,21 @@
 
     revision: int
     since_s: float
+    era: int = 0
 
 
 @frozen(kw_only=True)
 class ServerQuery:
-    """Ask a host for the changes to servers after a revision of the store."""
+    """Ask a host for the changes to servers after a revision of the store.
+
+    A host that knows a later era answers with all servers. `withdrawn` counts the
+    withdrawn servers that the asking host knows.
+    """
 
     sender: HostId
     after: int
+    era: int = 0
+    withdrawn: int = 0
 
 
 @frozen(kw_only=True)
@@ -200,10 +246,20 @@
     server: PublishedServer | None
 
 
+@frozen(kw_only=True)
+class ServerWithdrawal:
+    """Name a server that left or drained before a restore; do not use it again."""
+
+    name: str
+    born_ms: int
+
+
 @frozen(kw_only=True)
 class ServerChanges:
     """List the servers that changed after one revision and up to another.
 
+    With `is_complete`, all servers that were registered at `until` are listed.
+
     `recovered_age_s` is the time in seconds since the store recovered from an outage as
     far as the sender knows, None before its first answer. Older builds rely on it.
     """
@@ -213,6 +269,9 @@
     until: int
     recovered_age_s: float | None
     changes: tuple[ServerChange, ...] = ()
+    era: int = 0
+    is_complete: bool = False
+    withdrawn: tuple[ServerWithdrawal, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -222,22 +281,27 @@
     A host that does not query the store uses what a watching host relays to it.
     `awaited` is None while this host knows all changes to servers that it heard of.
     `available` is the span in which other hosts are known to have reached the store.
+    `stated_version` is the newest configuration version that another host stated.
     """
 
     is_watcher: bool = False
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
     available: AvailableSpan | None = None
+    stated_version: int = 0
 
 
 @frozen(kw_only=True)
 class RelayNotice:
     """State what of the relay the followers of the store react to at once.
 
-    `version` is the relayed version of the configuration, `awaited` the revision up
-    to which changes to servers are awaited; 0 stands for none.
+    `version` is the newest version of the configuration that another host relayed or
+    stated, `awaited` the revision up to which changes to servers are awaited in
+    `awaited_era`; 0 stands for none.
     """
 
     is_watcher: bool = False
     version: int = 0
     awaited: int = 0
+    awaited_era: int = 0
+    is_store_behind: bool = False
--- a/snipespring/records/platform.py
+++ b/snipespring/records/platform.py
@@ -40,10 +40,11 @@
 
 @frozen(kw_only=True)
 class ObjectWritten:
-    """Confirm that a write succeeded and created a new version."""
+    """Confirm a write and state the new version and the era of the store."""
 
     name: str
     version: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
