--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -209,3 +209,41 @@
     assert not platform.is_ready(1)
     assert platform.send(1, "/a/b").status == 200
     assert stopping_process.wait(EXIT_TIMEOUT_S) == 0
+
+
+def test_withdrawn_key_stays_withdrawn_when_the_store_returns_from_a_backup(
+    platform: Platform,
+) -> None:
+    # Guards against a restored store whose older configuration and server entries take
+    # effect again, on hosts that ran on and on one that starts during the restore.
+    controller, new_key = platform.app.controller, "another-key-of-cuka620"
+    platform.start_gateway(0)
+    controller.back_up()
+    platform.start_gateway(1)
+    platform.configure(2, [new_key])
+    for index in range(2):
+        wait_until(
+            lambda index=index: platform.send(index, "/a/b").status == 401,
+            "the key to be withdrawn",
+        )
+    calls = controller.state().counts
+    controller.restore()
+    platform.start_gateway(2)
+    for _ in range(20):
+        statuses = {platform.send(index, "/a/b").status for index in range(2)}
+        assert statuses <= {401, 503}
+    wait_until(lambda: not platform.is_ready(0), "the older version to end the lease")
+    wait_until(
+        lambda: platform.send(2, "/a/b").status == 503, "the started host to be told"
+    )
+    platform.configure(2, [new_key])
+    for index in range(3):
+        wait_until(
+            lambda index=index: platform.send(index, "/a/b", new_key).status == 200,
+            "the configuration to be confirmed again",
+        )
+        assert platform.send(index, "/a/b").status == 401
+    made = controller.state().counts
+    assert made.writes - calls.writes <= 4
+    registered = [key.name for key in controller.state().objects if "host" in key.kind]
+    assert sorted(registered) == ["host-0", "host-1", "host-2"]
