--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -78,9 +78,9 @@
 ) -> QueryStore | ReadNewerVersion | UseRelayedConfirmation:
     """Return whether a relayed confirmation replaces a query to the store.
 
-    A relayed confirmation of the current version confirms the local feed. The host
-    queries the store itself if the last confirmation is too old, or if the host that
-    watches may no longer reach the store.
+    A relayed confirmation of the current version confirms the local feed, unless a
+    newer version was stated. The host queries the store itself if the last confirmation
+    is too old, or if the host that watches may no longer reach the store.
     """
     if relay.is_watcher or view.confirmed_s is None:
         return QueryStore()
@@ -97,13 +97,13 @@
     if relay.relayed is not None and relay.relayed.version > version:
         return ReadNewerVersion(version=relay.relayed.version)
     if relay.relayed is not None and relay.relayed.version == version:
-        confirmed_s = max(confirmed_s, relay.relayed.confirmed_s)
+        if version >= view.stated_version:
+            confirmed_s = max(confirmed_s, relay.relayed.confirmed_s)
         reached_s = max(reached_s, relay.relayed.reached_s)
     until_s = min(confirmed_s + limits.confirmed_s, reached_s + limits.reached_s)
     if now_s >= until_s:
         return QueryStore()
-    if not is_store_behind(view):
-        view = evolve(view, confirmed_s=confirmed_s)
+    view = evolve(view, confirmed_s=confirmed_s)
     return UseRelayedConfirmation(view=view, next_query_s=until_s)
 
 
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -119,21 +119,18 @@
 
     `record_era` gets the era of each answer and returns the newest known era. Answers
     of an earlier era count as none. The first answer of a newer era ends the watches
-    that wait on other threads, as the store may not end them soon.
+    that wait on other threads, as the store may not end them soon. `newest_era` is 0
+    before any answer.
     """
 
     address: Address
     timeout_s: float
     record_era: Callable[[int], int] = field(factory=lambda: _EraCounter().record)
     _local: threading.local = field(factory=threading.local, init=False)
+    newest_era: int = field(default=0, init=False)
     _watches: set[_PendingWatch] = field(factory=set, init=False)
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
 
-    @property
-    def newest_era(self) -> int:
-        """Return the newest era of which an answer came, 0 before any."""
-        return self.record_era(0)
-
     def read(
         self, kind: str, name: str, *, may_be_stale: bool = False
     ) -> StoredObject | ObjectAbsent | PlatformUnavailable:
@@ -278,7 +275,7 @@
                 self._end_watch(watch)
         era = _parse_era(resp.getheader(ERA_HEADER))
         newest = self.record_era(era)
-        self._interrupt_watches(newest)
+        self._advance_era(newest)
         if era < newest:
             # A write of an earlier era is lost by the restore, whatever its status.
             reason = f"an answer of era {era} after one of era {newest}"
@@ -297,8 +294,9 @@
         if watch.is_ended:
             watch.conn.close()
 
-    def _interrupt_watches(self, newest: int) -> None:
+    def _advance_era(self, newest: int) -> None:
         with self._lock:
+            self.newest_era = max(self.newest_era, newest)
             for watch in self._watches:
                 sock = watch.conn.sock
                 if watch.era < newest and not watch.is_ended and sock is not None:
