--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -13,6 +13,7 @@
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .domain_address_lister import DomainAddressLister
 from .domain_link import DomainLink
+from .era_tracker import EraTracker
 from .evacuation_follower import EvacuationFollower
 from .feed_follower import (
     ConfigurationFollower,
@@ -34,6 +35,7 @@
 from .outcome_relay import OutcomeRelay
 from .place_reporter import PlaceReporter
 from .puller import Puller
+from .registration_checker import CheckedRegistry, RegistrationChecker
 from .responder import Responder
 from .roster_manager import RosterManager
 from .rules_editor import (
@@ -53,6 +55,7 @@
 from .share_borrower import ShareBorrower
 from .share_handover_sender import ShareHandoverSender
 from .share_manager import ShareManager
+from .start_gate import StartGate
 from .status_reporter import StatusReporter
 from .store_lease_manager import StoreLeaseManager
 from .store_probe import StoreProbe
@@ -97,6 +100,8 @@
     "HealthEvaluator",
     "ServerStateUpdater",
     "HealthReporter",
+    "CheckedRegistry",
+    "EraTracker",
     "EventRecorder",
     "HostRegistrar",
     "LeaseManager",
@@ -110,6 +115,7 @@
     "PlaceReporter",
     "Puller",
     "Responder",
+    "RegistrationChecker",
     "RosterManager",
     "StoredRules",
     "Runner",
@@ -120,6 +126,7 @@
     "ShareManager",
     "ShareBorrower",
     "ShareHandoverSender",
+    "StartGate",
     "StatusReporter",
     "SubsetSelector",
     "TenureTracker",
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -20,6 +20,7 @@
     FLEET_VIEW,
     HOST_FEED,
     REQUEST_QUEUES,
+    SERVER_FEED,
     SERVER_LOADS,
     SERVER_STATES,
     SERVER_SUBSETS,
@@ -381,7 +382,8 @@
         self._adopt_subsets()  # a server that has become cold is limited at once
         service = slot_request.service
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
-        if subset is None:
+        is_incomplete = self.board.read(SERVER_FEED).is_stale
+        if subset is None or (is_incomplete and not subset.members):
             return self._wait_for_subset(service)
         now_s = self.clock.monotonic_s()
         known_s = find_known_s(self.board.read(EVACUATIONS), now_s=now_s)
--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -33,6 +33,7 @@
     make_confirmation,
     make_notice,
     record_confirmation,
+    record_stated_version,
     set_watcher,
 )
 from ..decisions.domains import (
@@ -52,6 +53,7 @@
 from ..decisions.outages import record_relayed_reach
 from ..decisions.overload import count_demand
 from ..decisions.places import make_evacuation_mark
+from ..decisions.restores import newest_version
 from ..decisions.server_relay import (
     answer_server_query,
     make_server_mark,
@@ -199,6 +201,7 @@
         """Process a message of another host."""
         match message:
             case HostReport():
+                self._note_version(message.configuration)
                 self._receive_report(message)
                 self._send_digest(message, sender)
             case ReportDigest():
@@ -209,6 +212,7 @@
                 self.outcome_relay.receive_batch(message, sender)
             case DomainSummary(domain=domain) if domain != self.own_host.domain:
                 self._relay_summary(message, sender)
+                self._note_version(message.configuration)
                 now_s = self.clock.monotonic_s()
                 self.board.update(
                     DOMAIN_REPORTS,
@@ -263,6 +267,11 @@
             writer=self.name,
         )
 
+    def _note_version(self, version: int) -> None:
+        """Record the newest configuration version that a host knows."""
+        if version > self.board.read(STORE_RELAY).stated_version:
+            self._update_relay(lambda relay: record_stated_version(relay, version))
+
     def _relay_summary(self, summary: DomainSummary, sender: Address) -> None:
         """Forward a summary to this domain's other hubs unless a hub forwarded it."""
         if not is_sent_by(self.board, summary.sender, sender):
@@ -286,6 +295,7 @@
             demand=count_demand(
                 board.read(DEMAND_LOG), window_s=self.retry_window_s, now_s=now_s
             ),
+            configuration=newest_version(board.read(CONFIGURATION_FEED)),
         )
 
     def _receive_report(self, report: HostReport) -> None:
@@ -427,6 +437,10 @@
         if hub_since_s is None or now_s - hub_since_s < self.window_s:
             reported_s = 0.0 if hub_since_s is None else now_s - hub_since_s
             summary = evolve(summary, reported_s=reported_s)
+        feed = self.board.read(CONFIGURATION_FEED)
+        summary = evolve(
+            summary, configuration=max(newest_version(feed), feed.stated_version)
+        )
         is_full_due = self._sequence % FULL_SUMMARY_ROUNDS == 0
         if summary.serving == self._last_sent_serving and not is_full_due:
             summary = evolve(summary, serving=None)
--- a/snipespring/controllers/evacuation_follower.py
+++ b/snipespring/controllers/evacuation_follower.py
@@ -19,6 +19,7 @@
     EvacuationsFollowed,
     EvacuationsState,
     EvacuationsUnused,
+    FeedView,
 )
 from .feed_follower import FeedFollower
 
@@ -69,14 +70,20 @@
     ) -> None:
         """Use a digest; its sender reached the store at `reached_s`, if it knows."""
         follower, now_s = self.feed_follower, self._now_s()
+
+        def apply(
+            before: FeedView[Evacuation],
+        ) -> tuple[FeedView[Evacuation], FeedView[Evacuation]]:
+            after = apply_evacuation_mark(
+                before, mark, now_s=now_s, grace_s=follower.outage_s
+            )
+            return after, before
+
         known = follower.board.read(follower.region)
         if apply_evacuation_mark(known, mark, now_s=now_s) is not known:
             self._is_relayed = True
-            follower.board.update(
-                follower.region,
-                lambda view: apply_evacuation_mark(view, mark, now_s=now_s),
-                writer=self.name,
-            )
+            before = follower.board.transact(follower.region, apply, writer=self.name)
+            follower.record_restore(before, follower.board.read(follower.region))
         if reached_s is not None:
             self._confirm(mark, reached_s)
 
--- a/snipespring/controllers/forwarder.py
+++ b/snipespring/controllers/forwarder.py
@@ -48,6 +48,7 @@
 from .metrics_recorder import MetricsRecorder
 from .request_log import RequestLog
 from .sender import Sender
+from .start_gate import StartGate
 
 __all__ = ["Forwarder"]
 
@@ -73,6 +74,7 @@
     sender: Sender
     concurrency_limiter: ConcurrencyLimiter
     rng: Random = field(factory=Random)
+    start_gate: StartGate | None = None
     request_log: RequestLog = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -92,6 +94,9 @@
         self, request: Request, is_disconnected: Callable[[], bool], started_s: float
     ) -> HandledRequest:
         cfg = self.board.read(CONFIGURATION)
+        if cfg.version == 0 and self.start_gate is not None:
+            self.start_gate.wait()
+            cfg = self.board.read(CONFIGURATION)
         if cfg.version == 0:
             return self._refuse_temporarily(request, NO_CONFIGURATION, "configuration")
         route = find_request_route(cfg, request)
--- a/snipespring/controllers/tests/store_fleet.py
+++ b/snipespring/controllers/tests/store_fleet.py
@@ -13,6 +13,7 @@
 from snipespring.controllers import (
     CatalogBuilder,
     ConfigurationFollower,
+    EraTracker,
     EventRecorder,
     FeedFollower,
     HostRegistrar,
@@ -31,6 +32,7 @@
     Configuration,
     DomainName,
     FeedChanges,
+    FeedGap,
     FeedItem,
     FeedListing,
     FeedUnavailable,
@@ -89,7 +91,9 @@
     kind: str
     host_id: HostId
     clock: StepClock
+    eras: EraTracker
     began_s: float | None = None
+    begun_era: int = 0
     until_s: float = 0.0
     after: int = 0
 
@@ -97,7 +101,10 @@
         fleet = self.fleet
         fleet.costs[purpose] += cost
         fleet.calls_at[round(fleet.now_s, 1)] += 1
-        return self.host_id in fleet.cut
+        if self.host_id in fleet.cut:
+            return True
+        self.eras.record(fleet.era)
+        return False
 
     def list_items(self, *, may_be_stale: bool = False) -> Any:
         at_s = self.fleet.now_s - (STALE_LAG_S if may_be_stale else 0.0)
@@ -107,7 +114,12 @@
         if self._call(purpose, STALE_COST if may_be_stale else 1.0):
             return UNAVAILABLE
         self.fleet.costs[purpose] += (pages - 1) * (STALE_COST if may_be_stale else 1)
-        return FeedListing(items=tuple(items.values()), revision=revision, calls=pages)
+        return FeedListing(
+            items=tuple(items.values()),
+            revision=revision,
+            calls=pages,
+            era=self.fleet.era,
+        )
 
     def watch(self, *, after: int, wait_s: float) -> Any:
         fleet = self.fleet
@@ -116,16 +128,20 @@
             if is_cut:
                 return UNAVAILABLE
             self.began_s, self.until_s = fleet.now_s, fleet.now_s + wait_s
-            self.after = after
+            self.after, self.begun_era = after, fleet.era
         is_cut = self.host_id in fleet.cut
         changes = () if is_cut else fleet.changes(self.kind, self.after)
+        if not is_cut and (self.begun_era < fleet.era or after > fleet.revision):
+            self.began_s = self.clock.past_s = None
+            self.eras.record(fleet.era)
+            return FeedGap(era=fleet.era)
         if not is_cut and not changes and fleet.now_s < self.until_s:
             raise WaitingError
         self.began_s = self.clock.past_s = None
         return (
             UNAVAILABLE
             if is_cut
-            else FeedChanges(changes=changes, revision=fleet.revision)
+            else FeedChanges(changes=changes, revision=fleet.revision, era=fleet.era)
         )
 
     def probe(self, _: HostId) -> FeedUnavailable | None:
@@ -158,6 +174,7 @@
     is_first_start: bool = False
     clock: ManualClock = field(factory=lambda: ManualClock(now_s=1000.0))
     revision: int = 0
+    era: int = 0
     log: list[tuple[float, str, FeedItem[Any]]] = field(factory=list)
     cut: set[HostId] = field(factory=set)
     costs: dict[str, float] = field(factory=lambda: defaultdict(float))
@@ -187,6 +204,15 @@
         self.revision += 1
         item = FeedItem(name=name, revision=self.revision, content=content)
         self.log.append((self.now_s, kind, item))
+        self._end_watches()
+
+    def restore(self, revision: int) -> None:
+        """Return to the state at a revision, in a new era."""
+        del self.log[revision:]
+        self.revision, self.era = revision, self.era + 1
+        self._end_watches()
+
+    def _end_watches(self) -> None:
         for number, task in enumerate(self.tasks):
             if task.store.began_s is not None:
                 heappush(self.queue, (self.now_s, number))
@@ -223,10 +249,15 @@
     def _add_host(self, own: PublishedHost, board: Board) -> None:
         recorder, metrics = EventRecorder(board=board), MetricsRecorder(board=board)
         start_s = self.now_s + self.rng.uniform(0.0, 0.5)
+        eras = EraTracker(
+            board=board, clock=self.clock, event_recorder=recorder, metrics=metrics
+        )
 
         def add(kind: str, make: Any) -> Any:
             clock = StepClock(fleet=self)
-            store = HostStore(fleet=self, kind=kind, host_id=own.host_id, clock=clock)
+            store = HostStore(
+                fleet=self, kind=kind, host_id=own.host_id, clock=clock, eras=eras
+            )
             shared = {"board": board, "clock": clock, "event_recorder": recorder}
             controller = make(store, shared)
             heappush(self.queue, (start_s, len(self.tasks)))
--- a/snipespring/controllers/tests/test_evacuations.py
+++ b/snipespring/controllers/tests/test_evacuations.py
@@ -34,6 +34,7 @@
 
     names: dict[str, bool] = field(factory=dict)
     revision: int = 1
+    era: int = 0
     cut_off: AbstractSet[HostId] = frozenset()
     callers: set[HostId] = field(factory=set)
 
@@ -41,6 +42,11 @@
         self.revision += 1
         self.names[name] = is_evacuated
 
+    def restore(self, *names: str) -> None:
+        """Return to a backup that has these evacuations only."""
+        self.revision, self.era = 1, self.era + 1
+        self.names = dict.fromkeys(names, True)
+
 
 @define(kw_only=True, eq=False)
 class StoreFeed:
@@ -51,9 +57,9 @@
 
     def list_items(self, *, may_be_stale: bool = False) -> Any:
         match self.watch(after=0, wait_s=0.0):
-            case records.FeedChanges(changes=changes, revision=revision):
+            case records.FeedChanges(changes=changes, revision=revision, era=era):
                 items = tuple(item for item in changes if item.content is not None)
-                return records.FeedListing(items=items, revision=revision)
+                return records.FeedListing(items=items, revision=revision, era=era)
             case unavailable:
                 return unavailable
 
@@ -65,7 +71,9 @@
         for name, is_evacuated in self.store.names.items():
             content = Evacuation(domain=DomainName(name)) if is_evacuated else None
             changes.append(FeedItem(name=name, revision=revision, content=content))
-        return records.FeedChanges(changes=tuple(changes), revision=revision)
+        return records.FeedChanges(
+            changes=tuple(changes), revision=revision, era=self.store.era
+        )
 
 
 def make_follower(
@@ -249,3 +257,46 @@
     steps = [event for event in events if isinstance(event, records.PlaceStep)]
     assert [step.state for step in steps] == ["unknown region", *states]
     assert "configuration version 3" in steps[0].evidence
+
+
+@pytest.mark.parametrize("is_in_backup", [True, False])
+@pytest.mark.parametrize("is_written_again", [True, False])
+def test_evacuation_stays_in_force_when_the_store_returns_from_a_backup(
+    is_in_backup: bool, is_written_again: bool
+) -> None:
+    # Guards against requests to an evacuated domain because the backup is older than
+    # the evacuation, against one that nobody can end then, and against calls by hosts
+    # that their hubs tell of the restored list.
+    fleet = EvacuatedFleet()
+    fleet.store.set_evacuated(DOMAIN, True)
+    fleet.run(1.0)
+    fleet.store.restore(*(ALL if is_in_backup else NONE))
+    for _ in range(10):
+        fleet.run(0.25)
+        assert fleet.evacuated() == {ALL}
+    if is_written_again:
+        fleet.store.set_evacuated(DOMAIN, True)
+    fleet.run(6.0)
+    is_kept = is_in_backup or is_written_again
+    assert fleet.evacuated() == {ALL if is_kept else NONE}
+    fleet.store.set_evacuated(DOMAIN, False)
+    fleet.run(RESUME_DELAY_S + 1.0)
+    assert fleet.evacuated() == {NONE}
+    assert fleet.store.callers <= fleet.hubs()
+    views = [
+        link.board.read(regions.EVACUATION_FEED) for link in fleet.fleet.links.values()
+    ]
+    assert {view.era for view in views} == {1}
+
+
+def test_evacuation_stays_in_force_through_two_restores() -> None:
+    # Guards against a list from digests that a second restore ends at once.
+    fleet = EvacuatedFleet()
+    fleet.store.set_evacuated(DOMAIN, True)
+    fleet.run(1.0)
+    for _ in range(2):
+        fleet.store.restore()
+        fleet.run(2.0)
+        assert fleet.evacuated() == {ALL}
+    fleet.run(2.0 + RESUME_DELAY_S)
+    assert fleet.evacuated() == {NONE}
--- a/snipespring/controllers/tests/test_store_calls.py
+++ b/snipespring/controllers/tests/test_store_calls.py
@@ -3,7 +3,13 @@
 import pytest
 
 from snipespring.blackboard import Board
-from snipespring.blackboard.regions import CONFIGURATION, HOST_FEED, LEASE
+from snipespring.blackboard.regions import (
+    CONFIGURATION,
+    CONFIGURATION_FEED,
+    HOST_FEED,
+    LEASE,
+    SERVER_FEED,
+)
 from snipespring.controllers.tests.domain_fleet import DOMAINS
 from snipespring.controllers.tests.store_fleet import StoreFleet
 from snipespring.records import Configuration, HostId, LeaseHeld, ServiceName
@@ -155,3 +161,85 @@
     assert fleet.serving() == 0
     fleet.cut = set()
     run_until_serving(fleet, 5.0)
+
+
+def test_a_restore_costs_one_listing_of_the_servers_a_domain() -> None:
+    # Guards against hosts that all list anew after a restore, and against servers of
+    # the backup that had left before it.
+    fleet = started_fleet()
+    backup = fleet.revision
+    fleet.write("servers", "s0", None)
+    fleet.run(5.0)
+    fleet.take_costs()
+    fleet.calls_at.clear()
+    fleet.restore(backup)
+    used: set[str] = set()
+    for _ in range(60):
+        fleet.run(0.1)
+        for board in boards(fleet):
+            rules = board.read(CONFIGURATION).servers.get(ServiceName("ledger"), ())
+            used |= {str(rule.server) for rule in rules}
+    assert "ledger@10.9.0.1:9000" not in used
+    assert len(used) == 7
+    assert {board.read(SERVER_FEED).era for board in boards(fleet)} == {1}
+    assert fleet.serving() == ALL
+    costs = fleet.take_costs()
+    assert costs["servers list"] == len(DOMAINS)
+    assert costs["config list"] <= 2 * len(DOMAINS)
+    # Each watching host ends two watches, lists twice and may probe.
+    assert max(fleet.calls_at.values()) <= 5 * len(DOMAINS)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_a_restore_at_the_end_of_an_outage_is_read_by_the_hubs(restarts: bool) -> None:
+    # Guards against calls of all hosts when the store returns from a backup, and
+    # against a host that restarts meanwhile and stays in the earlier era.
+    fleet = started_fleet()
+    backup = fleet.revision
+    fleet.write("servers", "s0", None)
+    fleet.run(5.0)
+    fleet.cut = cut_off(*range(HOSTS))
+    fleet.run(10.0)
+    fleet.restore(backup)
+    if restarts:
+        fleet.start()
+        fleet.run(5.0)
+    fleet.cut = set()
+    fleet.take_costs()
+    fleet.calls_at.clear()
+    run_until_serving(fleet, 5.0 if restarts else 1.5)
+    fleet.run(3.0)
+    assert {board.read(SERVER_FEED).era for board in boards(fleet)} == {1}
+    feeds = [board.read(CONFIGURATION_FEED) for board in boards(fleet)]
+    assert not any(feed.is_stale for feed in feeds)
+    costs = fleet.take_costs()
+    # Hosts that start in an outage list once by themselves, with or without a restore.
+    assert costs["servers list"] <= (ALL if restarts else 2 * len(DOMAINS))
+    assert costs["config list"] <= (ALL if restarts else 2 * len(DOMAINS))
+    assert max(fleet.calls_at.values()) <= ALL
+
+
+@pytest.mark.parametrize("after_s", [0.3, 0.6, 1.0, 2.0])
+def test_a_restore_during_a_start_leaves_no_host_in_the_earlier_era(
+    after_s: float,
+) -> None:
+    # Guards against first listings from before the restore that a hub of the new era
+    # completes, and against fresh listings by all hosts at the same moment.
+    fleet = StoreFleet(hosts_per_domain=HOSTS)
+    backup = fleet.revision
+    fleet.run(5.0)
+    fleet.write("servers", "s0", None)
+    fleet.run(5.0)
+    fleet.start()
+    fleet.run(after_s)
+    fleet.calls_at.clear()
+    fleet.take_costs()
+    fleet.restore(backup)
+    fleet.run(2.5)
+    assert fleet.serving() == ALL
+    for board in boards(fleet):
+        feeds = (board.read(SERVER_FEED), board.read(CONFIGURATION_FEED))
+        assert [feed.is_stale for feed in feeds] == [False, False]
+        assert feeds[0].era == 1
+    costs = fleet.take_costs()
+    assert costs["config list"] + costs["servers list"] <= 6 * len(DOMAINS)
--- a/snipespring/daemons/gateway.py
+++ b/snipespring/daemons/gateway.py
@@ -18,6 +18,7 @@
     OutcomeRelay,
     Runner,
     SettingsReloader,
+    StartGate,
     SuspicionTracker,
     UsageLimiter,
 )
@@ -170,8 +171,10 @@
     )
     threads = compute_thread_count(settings)
     body_limiter = build_body_limiter(context)
+    start_gate = StartGate(board=process.board, clock=process.clock)
     requests = build_requests(
         process,
+        start_gate=start_gate,
         own_host=context.describe_host(),
         transport=HttpTransport(
             clock=process.clock,
@@ -203,6 +206,7 @@
         granter,
         outcome_relay,
         suspicion_tracker,
+        start_gate,
         *requests.controllers,
     )
     return Gateway(
--- a/snipespring/daemons/requests.py
+++ b/snipespring/daemons/requests.py
@@ -12,6 +12,7 @@
     Dispatcher,
     Forwarder,
     Sender,
+    StartGate,
     SubsetSelector,
 )
 from ..frontends.backends import Transport
@@ -47,11 +48,13 @@
     threads: int,
     floor_share: float = 0.0,
     retry_window_s: float = 10.0,
+    start_gate: StartGate | None = None,
 ) -> RequestPart:
     """Build the request controllers; at most `max_queued` requests wait for a slot.
 
     `threads` is the number of requests that the host handles at the same time.
-    Retries are bounded in any `retry_window_s` seconds.
+    Retries are bounded in any `retry_window_s` seconds. Requests that arrive during a
+    start wait at the `start_gate`, if there is one.
     While a service fails, at least `floor_share` of its servers get requests.
     """
     canceller = Canceller(board=process.board, clock=process.clock, transport=transport)
@@ -85,6 +88,7 @@
         sender=sender,
         concurrency_limiter=ConcurrencyLimiter(board=process.board, threads=threads),
         rng=process.rng,
+        start_gate=start_gate,
     )
     return RequestPart(
         forwarder=forwarder,
--- a/snipespring/decisions/first_reads.py
+++ b/snipespring/decisions/first_reads.py
@@ -5,7 +5,7 @@
 for fresh data only if it watches for its domain, or if no hub completes the listing.
 """
 
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from attrs import evolve, frozen
 
@@ -19,6 +19,7 @@
     "check_first_configuration",
     "check_first_servers",
     "has_stopped_growing",
+    "is_hub_restored",
     "latest_fresh_read_s",
     "mark_unsettled",
 ]
@@ -84,9 +85,9 @@
     """Return how to confirm a stale configuration.
 
     A relayed confirmation of the same version confirms it unless it is older than
-    `limit_s` seconds.
+    `limit_s` seconds, from a hub of another era, or a newer version was stated.
     """
-    if relay.is_watcher or now_s >= latest_s:
+    if relay.is_watcher or now_s >= latest_s or _is_outdated(view, relay):
         return QueryStore()
     version = max((cfg.version for cfg in view.items.values()), default=0)
     relayed = relay.relayed
@@ -94,7 +95,8 @@
         return ReadNewerVersion(version=relayed.version)
     if (
         relayed is not None
-        and relayed.version == version
+        and relayed.version == version >= view.stated_version
+        and (relay.servers is None or relay.servers.era == view.era)
         and now_s < relayed.confirmed_s + limit_s
     ):
         return ConfirmFirstRead(sent_s=relayed.confirmed_s)
@@ -112,22 +114,36 @@
     """Return how to complete a stale listing of servers.
 
     It is complete once it has every change that a hub which reached the store within
-    `limit_s` seconds knows of. Later changes are announced by that hub.
+    `limit_s` seconds knows of in the same era, and all of its withdrawals. Later
+    changes are announced by that hub.
     """
-    if relay.is_watcher or now_s >= latest_s:
+    if relay.is_watcher or now_s >= latest_s or _is_outdated(view, relay):
         return QueryStore()
-    relayed, mark, known = relay.relayed, relay.servers, view.revision or 0
+    awaited = relay.awaited
+    relayed, mark, known = relay.relayed, relay.servers, (view.era, view.revision or 0)
     if (
         relayed is not None
         and mark is not None
-        and mark.revision <= known
-        and (relay.awaited is None or relay.awaited.revision <= known)
+        and mark.era == view.era
+        and (mark.era, mark.revision) <= known
+        and mark.withdrawn <= len(view.withdrawn)
+        and (awaited is None or (awaited.era, awaited.revision) <= known)
         and now_s < relayed.reached_s + limit_s
     ):
         return ConfirmFirstRead(sent_s=relayed.reached_s)
     return AwaitFirstRelay(next_check_s=min(latest_s, now_s + CHECK_INTERVAL_S))
 
 
+def is_hub_restored(view: FeedView[Any], relay: StoreRelay) -> bool:
+    """Return whether a hub has a later era of the store than the first listing."""
+    return relay.servers is not None and relay.servers.era > view.era
+
+
+def _is_outdated(view: FeedView[Any], relay: StoreRelay) -> bool:
+    """Return whether a first listing precedes a restore, so that no hub confirms it."""
+    return view.revision is None or is_hub_restored(view, relay)
+
+
 def has_stopped_growing(
     earlier: FeedView[PublishedHost], later: FeedView[PublishedHost], own_id: HostId
 ) -> bool:
--- a/snipespring/decisions/places.py
+++ b/snipespring/decisions/places.py
@@ -26,6 +26,7 @@
     StoreRelay,
 )
 from .confirmations import QueryStore
+from .restores import begin_era
 from .server_relay import AwaitRelay
 
 __all__ = [
@@ -66,19 +67,21 @@
 def list_evacuated(view: View, *, now_s: float) -> frozenset[DomainName]:
     """Return the domains that get no requests.
 
-    A domain is among them for some time after the end of its evacuation.
+    A domain is among them for some time after the end of its evacuation. One that a
+    restored store does not show stays among them for two heartbeats, since it may have
+    been written after the backup.
     """
     return frozenset(
         evacuation.domain
         for name, evacuation in view.items.items()
         if evacuation.problem is None
-        and now_s < view.removed_s.get(name, inf) + RESUME_DELAY_S
+        and now_s < _end_time_s(view, name) + RESUME_DELAY_S
     )
 
 
 def next_resume_s(view: View, *, now_s: float) -> float:
     """Return when the next ended evacuation lets requests through, or infinity."""
-    times = (removed_s + RESUME_DELAY_S for removed_s in view.removed_s.values())
+    times = (_end_time_s(view, name) + RESUME_DELAY_S for name in view.removed_s)
     return min((time_s for time_s in times if time_s > now_s), default=inf)
 
 
@@ -131,35 +134,56 @@
             return EvacuationMark()
         case EvacuationsFollowed():
             pass
-    domains = [domain for domain in _list_active(view) if is_known(domain)]
+    domains = [domain for domain in _list_shown(view) if is_known(domain)]
     ended_s = max(view.removed_s.values(), default=-inf)
     if view.revision is None or not (domains or now_s < ended_s + ENDED_NOTICE_S):
         return None
-    return EvacuationMark(revision=view.revision, domains=tuple(sorted(domains)))
+    return EvacuationMark(
+        revision=view.revision, domains=tuple(sorted(domains)), era=view.era
+    )
 
 
 def apply_evacuation_mark(
-    view: View, mark: EvacuationMark | None, *, now_s: float
+    view: View, mark: EvacuationMark | None, *, now_s: float, grace_s: float = 0.0
 ) -> View:
     """Return the list after a digest; the same object if the digest is not newer.
 
     At the same revision domains are only added, as another host may know more of them.
+    A list of a newer era is taken over; evacuations that it lacks stay in force for
+    `grace_s` seconds. A host that has discarded its revision lists by itself.
     """
-    known = view.revision or 0
-    if mark is None or mark.revision == 0 or mark.revision < known:
+    if mark is None or mark.revision == 0 or mark.era < view.era:
         return view
-    active = _list_active(view)
-    added = frozenset(mark.domains) - active
-    ended = active - frozenset(mark.domains) if mark.revision > known else frozenset()
-    if mark.revision == known and not added:
+    known, is_newer = view.revision or 0, mark.era > view.era
+    if not is_newer:
+        is_discarded = view.revision is None and view.complete_after is not None
+        if is_discarded or mark.revision < known:
+            return view
+    shown = _list_shown(view)
+    added = frozenset(mark.domains) - shown
+    is_later = is_newer or mark.revision > known
+    ended = shown - frozenset(mark.domains) if is_later else frozenset()
+    if not is_later and not added:
         return view
-    items, removed = view.items, view.removed_s
-    for domain in added:
-        items = items.set(domain, Evacuation(domain=domain))
-        removed = removed.delete(domain) if domain in removed else removed
+    if is_newer:
+        view = begin_era(view, mark.era, recovered_s=None, grace_s=grace_s, now_s=now_s)
+    items, removed, unrestored = view.items, view.removed_s, view.unrestored
+    for domain in mark.domains:
+        if domain in added:
+            items = items.set(domain, Evacuation(domain=domain))
+            removed = removed.delete(domain) if domain in removed else removed
+        unrestored -= {domain}
     for domain in ended:
         removed = removed.set(domain, now_s)
-    return evolve(view, items=items, removed_s=removed, revision=mark.revision)
+    return evolve(
+        view,
+        items=items,
+        removed_s=removed,
+        unrestored=unrestored,
+        revision=mark.revision,
+        # A list from digests is kept after a restore as one from the store is.
+        complete_after=mark.revision,
+    )
 
 
 def confirm_evacuations(
@@ -171,20 +195,23 @@
 ) -> EvacuationsState:
     """Return the state after a digest whose sender reached the store at `reached_s`.
 
-    A digest without a mark confirms an empty list only. A host that missed the end of
-    an evacuation is not confirmed and reads the list itself.
+    A digest without a mark confirms an empty list only, one with a mark a list of the
+    same era. A host that missed the end of an evacuation is not confirmed and reads the
+    list itself.
     """
     match state, mark:
         case EvacuationsUnused(), _:
             return state
         case EvacuationsFollowed() as followed, None:
-            is_confirmed = not _list_active(view)
+            is_confirmed = not _list_shown(view) and not view.unrestored
         case EvacuationsFollowed() as followed, EvacuationMark(
-            revision=revision
+            revision=revision, era=era
         ) as mark:
-            is_confirmed = revision > 0 and (
-                (view.revision or 0) <= revision
-                or _list_active(view) == frozenset(mark.domains)
+            is_known = view.revision is not None and view.revision <= revision
+            is_confirmed = (
+                revision > 0
+                and era == view.era
+                and (is_known or _list_shown(view) == frozenset(mark.domains))
             )
     if not is_confirmed:
         return followed
@@ -250,7 +277,16 @@
     return NoUsableServer(reason="; ".join(reasons))
 
 
-def _list_active(view: View) -> frozenset[DomainName]:
+def _end_time_s(view: View, name: str) -> float:
+    """Return when an evacuation ended or will end, infinity while it is shown."""
+    removed_s = view.removed_s.get(name, inf)
+    if name in view.unrestored and view.unrestored_until_s is not None:
+        return max(removed_s, view.unrestored_until_s)
+    return removed_s
+
+
+def _list_shown(view: View) -> frozenset[DomainName]:
+    """Return the domains whose evacuations the store showed last."""
     return frozenset(
         evacuation.domain
         for name, evacuation in view.items.items()
--- a/snipespring/decisions/tests/test_places.py
+++ b/snipespring/decisions/tests/test_places.py
@@ -17,6 +17,7 @@
     list_evacuated,
     list_unknown_regions,
     make_evacuation_mark,
+    next_resume_s,
     region_of,
     select_usable_servers,
 )
@@ -41,9 +42,9 @@
 REGIONS = RegionMap(own_domain=NEAR, own_region="east", by_domain=Map({FAR: "west"}))
 
 
-def mark(revision: int, *names: str) -> EvacuationMark:
+def mark(revision: int, *names: str, era: int = 0) -> EvacuationMark:
     listed = tuple(DomainName(name) for name in names)
-    return EvacuationMark(revision=revision, domains=listed)
+    return EvacuationMark(revision=revision, domains=listed, era=era)
 
 
 @given(
@@ -81,6 +82,36 @@
     assert confirm_evacuations(followed, EMPTY, unread, reached_s=2.0) == followed
 
 
+def test_marks_count_in_their_era_only() -> None:
+    # Guards against a late digest from before a restore that ends or confirms an
+    # evacuation by a revision that the store has issued again.
+    view = apply_evacuation_mark(EMPTY, mark(9, NEAR), now_s=5.0, grace_s=3.0)
+    newer = mark(4, FAR, era=1)
+    assert confirm_evacuations(CONFIRMED, view, newer, reached_s=30.0) == CONFIRMED
+    view = apply_evacuation_mark(view, newer, now_s=10.0, grace_s=3.0)
+    assert (view.era, view.revision) == (1, 4)
+    for late in (mark(9, NEAR), mark(12)):
+        assert apply_evacuation_mark(view, late, now_s=11.0) is view
+        assert confirm_evacuations(CONFIRMED, view, late, reached_s=30.0) == CONFIRMED
+    assert confirm_evacuations(CONFIRMED, view, None, reached_s=30.0) == CONFIRMED
+    confirmed = confirm_evacuations(CONFIRMED, view, newer, reached_s=30.0)
+    assert confirmed == evolve(CONFIRMED, confirmed_s=30.0)
+    # What the restored store lacks is kept, but not passed on as listed by it.
+    known = {NEAR, FAR}.__contains__
+    assert make_evacuation_mark(view, CONFIRMED, known, now_s=11.0) == newer
+    ends_s = 13.0 + RESUME_DELAY_S
+    assert list_evacuated(view, now_s=ends_s - 0.01) == {NEAR, FAR}
+    assert next_resume_s(view, now_s=11.0) == ends_s
+    assert list_evacuated(view, now_s=ends_s) == {FAR}
+    again = apply_evacuation_mark(view, mark(5, NEAR, FAR, era=1), now_s=12.0)
+    assert list_evacuated(again, now_s=99.0) == {NEAR, FAR}
+    # A host that has discarded its revision reads the list itself.
+    unknown = evolve(view, revision=None)
+    late = mark(2, era=1)
+    assert apply_evacuation_mark(unknown, late, now_s=12.0) is unknown
+    assert confirm_evacuations(CONFIRMED, unknown, late, reached_s=30.0) == CONFIRMED
+
+
 @pytest.mark.parametrize(
     ("evacuated", "regions", "expected"),
     [
--- a/snipespring/frontends/tests/test_outer_names.py
+++ b/snipespring/frontends/tests/test_outer_names.py
@@ -227,7 +227,7 @@
 
 
 def test_datagrams_of_an_older_build_are_decoded() -> None:
-    """Digests changed and are refused; others gained fields with defaults."""
+    """Digests changed and are refused; other messages gained fields with defaults."""
     for line in read_golden("datagrams_without_states"):
         message = decode_datagram(bytes.fromhex(line))
         match message:
@@ -236,15 +236,16 @@
             case HostReport(host=host, request=request):
                 assert (host.capacity, request) == (HostCapacity(), None)
                 assert encode_datagram(message).hex()[6:] != line[6:]
-            case OutcomeNotification() | OutcomeBatch():
+            case OutcomeBatch():
                 assert _list_later_values(message) == [False]
-            case DomainSummary(reported_s=reported_s):
-                assert reported_s is None
-                assert _list_later_values(message) == [()]
-                assert encode_datagram(message).hex() == f"820287{line[6:]}80f6"
             case _:
                 assert not line.startswith("8201")
-                assert encode_datagram(message).hex() == line
+                kind, values = loads(bytes.fromhex(line))
+                known_kind, known = loads(encode_datagram(message))
+                assert (known_kind, known[: len(values)]) == (kind, values)
+                added = attrs.fields(type(message))[len(values) :]
+                for field in added:
+                    assert getattr(message, field.name) == field.default
 
 
 def test_datagrams_of_a_build_without_demand_are_decoded() -> None:
--- a/snipespring/records/domains.py
+++ b/snipespring/records/domains.py
@@ -79,7 +79,8 @@
     """Report a host's own state; `sequence` rises with each report.
 
     A host with `is_serving` is ready for requests and not about to stop. Without a
-    `request`, the digest only confirms the report.
+    `request`, the digest only confirms the report. `configuration` is the newest
+    configuration version that the host knows.
     """
 
     host: PublishedHost
@@ -90,6 +91,7 @@
     answers: tuple[ServerAnswers, ...] = ()
     request: StateRequest | None = None
     demand: tuple[ServiceDemand, ...] = ()
+    configuration: int = 0
 
 
 @frozen(kw_only=True)
@@ -97,12 +99,16 @@
     """Describe the configuration version that the store confirmed, and its age.
 
     `age_s` counts from when the confirming request was sent, `reached_age_s` from when
-    the latest request was sent that the store answered.
+    the latest request was sent that the store answered. With `is_store_behind`, a
+    restore has lost the version. `stated_version` is the newest version that any host
+    stated to the sender.
     """
 
     version: int
     age_s: float
     reached_age_s: float
+    is_store_behind: bool = False
+    stated_version: int = 0
 
 
 @frozen(kw_only=True)
@@ -189,7 +195,8 @@
 
     `serving` is None if it did not change, because bandwidth between domains is
     expensive. The sender has had reports for `reported_s` seconds; None stands for at
-    least a window of the rate limits.
+    least a window of the rate limits. `configuration` is the newest configuration
+    version that the sender knows.
     """
 
     sender: HostId
@@ -199,6 +206,7 @@
     usage: tuple[OrganisationUsage, ...] = ()
     demand: tuple[ServiceDemand, ...] = ()
     reported_s: float | None = None
+    configuration: int = 0
 
 
 @frozen(kw_only=True)
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -21,6 +21,7 @@
     "PublishedHost",
     "PublishedServer",
     "RelayNotice",
+    "StoreEra",
     "StoreReach",
     "StoreRelay",
     "RelayedVersion",
@@ -28,6 +29,7 @@
     "ServerChanges",
     "ServerMark",
     "ServerQuery",
+    "ServerWithdrawal",
 ]
 
 T = TypeVar("T")
@@ -92,6 +94,7 @@
 
     items: tuple[FeedItem[T], ...]
     revision: int
+    era: int = 0
     calls: int = 1
 
 
@@ -101,12 +104,15 @@
 
     changes: tuple[FeedItem[T | None], ...]
     revision: int
+    era: int = 0
 
 
 @frozen(kw_only=True)
 class FeedGap:
     """Report that the store no longer has the changes; list all items again."""
 
+    era: int = 0
+
 
 @frozen(kw_only=True)
 class FeedUnavailable:
@@ -126,6 +132,17 @@
     until_s: float
 
 
+@frozen(kw_only=True)
+class StoreEra:
+    """Record the newest era that an answer of the store stated, None before any.
+
+    The era rises by one whenever the store is restored from a backup, after which it
+    issues the revisions since the backup again.
+    """
+
+    era: int | None = None
+
+
 @frozen(kw_only=True)
 class FeedView(Generic[T]):
     """Represent the items of a feed as last received.
@@ -134,9 +151,18 @@
     holds every item that changed after `complete_after`. Times are local monotonic
     ones. `confirmed_s` is the time at which the latest answered request was sent,
     `removed_s` the time at which an item was found missing, and `available` the span
-    in which the store answered the calls of this feed. A view with `is_stale` is from a
-    listing that may be seconds old; it is not in force before a host that reaches the
-    store has confirmed it.
+    in which the store answered the calls of this feed.
+
+    `revision`, `complete_after` and `changed` belong to `era`. `restored_s` is the time
+    of the first listing after the last restore of the store. `unrestored` names the
+    items whose known state the store has not shown again since; servers among them are
+    in use until `unrestored_until_s`. `withdrawn` maps servers that left or drained
+    before a restore to the latest `born_ms` that is not used again; `refused` names
+    those that the store still shows. `stated_version` is the newest configuration
+    version that another host stated.
+
+    A view with `is_stale` is from a listing that may be seconds old; it is not in force
+    before a host that reaches the store has confirmed it in the same era.
     """
 
     items: Map[str, T] = field(default=Map(), repr=False)
@@ -146,6 +172,13 @@
     complete_after: int | None = None
     confirmed_s: float | None = None
     available: AvailableSpan | None = None
+    era: int = 0
+    restored_s: float | None = None
+    unrestored: frozenset[str] = frozenset()
+    unrestored_until_s: float | None = None
+    withdrawn: Map[str, int] = field(default=Map(), repr=False)
+    refused: frozenset[str] = frozenset()
+    stated_version: int = 0
     is_stale: bool = False
 
 
@@ -154,12 +187,14 @@
     """Record the configuration version that the store confirmed to another host.
 
     The confirming request was sent at the local time `confirmed_s` or later, and the
-    latest request that the store answered to that host at `reached_s` or later.
+    latest request that the store answered to that host at `reached_s` or later. With
+    `is_store_behind`, a restore of the store has lost the version.
     """
 
     version: int
     confirmed_s: float
     reached_s: float
+    is_store_behind: bool = False
 
 
 @frozen(kw_only=True)
@@ -177,9 +212,14 @@
 
 @frozen(kw_only=True)
 class ServerMark:
-    """State the revision up to which a host knows the registered servers."""
+    """State the revision up to which a host knows the registered servers.
+
+    `withdrawn` counts the servers that the host knows not to use again.
+    """
 
     revision: int
+    era: int = 0
+    withdrawn: int = 0
 
 
 @frozen(kw_only=True)
@@ -188,18 +228,23 @@
 
     revision: int
     since_s: float
+    era: int = 0
 
 
 @frozen(kw_only=True)
 class ServerQuery:
     """Ask a host for the changes to servers after a revision of the store.
 
-    With `is_first`, the sender has a stale listing only, and a complete list will do.
+    A host that knows a later era answers with all servers. `withdrawn` counts the
+    withdrawn servers that the asking host knows. With `is_first`, the sender has a
+    stale listing only, and a complete list will do.
     """
 
     sender: HostId
     after: int
     is_first: bool = False
+    era: int = 0
+    withdrawn: int = 0
 
 
 @frozen(kw_only=True)
@@ -210,13 +255,23 @@
     server: PublishedServer | None
 
 
+@frozen(kw_only=True)
+class ServerWithdrawal:
+    """Name a server that left or drained before a restore; do not use it again."""
+
+    name: str
+    born_ms: int
+
+
 @frozen(kw_only=True)
 class ServerChanges:
     """List the servers that changed after one revision and up to another.
 
+    With `is_complete`, all servers that were registered at `until` are listed: one that
+    is absent has left, or has not been written again if `era` is new to the receiver.
+
     `recovered_age_s` is the time in seconds since the store recovered from an outage as
     far as the sender knows, None before its first answer. Older builds rely on it.
-    With `is_complete`, all servers are listed, whatever changed.
     """
 
     sender: HostId
@@ -225,6 +280,8 @@
     recovered_age_s: float | None
     changes: tuple[ServerChange, ...] = ()
     is_complete: bool = False
+    era: int = 0
+    withdrawn: tuple[ServerWithdrawal, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -235,12 +292,14 @@
     `awaited` is None while this host knows all changes to servers that it heard of.
     `available` is the span in which other hosts are known to have reached the store,
     `servers` the latest mark that a host which knows the servers has relayed.
+    `stated_version` is the newest configuration version that another host stated.
     """
 
     is_watcher: bool = False
     relayed: RelayedVersion | None = None
     awaited: AwaitedServers | None = None
     available: AvailableSpan | None = None
+    stated_version: int = 0
     servers: ServerMark | None = None
 
 
@@ -248,10 +307,13 @@
 class RelayNotice:
     """State what of the relay the followers of the store react to at once.
 
-    `version` is the relayed version of the configuration, `awaited` the revision up
-    to which changes to servers are awaited; 0 stands for none.
+    `version` is the newest version of the configuration that another host relayed or
+    stated, `awaited` the revision up to which changes to servers are awaited in
+    `awaited_era`; 0 stands for none.
     """
 
     is_watcher: bool = False
     version: int = 0
     awaited: int = 0
+    awaited_era: int = 0
+    is_store_behind: bool = False
--- a/snipespring/records/places.py
+++ b/snipespring/records/places.py
@@ -28,13 +28,14 @@
 
 @frozen(kw_only=True)
 class EvacuationMark:
-    """List the evacuated domains as of a revision of the store.
+    """List the evacuated domains as of a revision of an era of the store.
 
     Revision 0 stands for a sender that has not read them yet.
     """
 
     revision: int = 0
     domains: tuple[DomainName, ...] = ()
+    era: int = 0
 
 
 @frozen(kw_only=True)
