Check a configuration of the platform before it is sent

Operators had no way to see mistakes before hosts use a configuration. snipespring config check reports errors, entries that no request can match and limits that contradict each other, and with the address of the store what differs from the version in force. Unreadable files are bad input with the reason.

--- a/snipespring/cli/commands.py
+++ b/snipespring/cli/commands.py
@@ -12,6 +12,8 @@
     "Addresses",
     "Apply",
     "Check",
+    "CheckConfiguration",
+    "ConfigurationCommand",
     "Diff",
     "Dump",
     "Explain",
@@ -126,6 +128,31 @@
     command: Subcommands[Check | Diff | Apply | Show]
 
 
+@cappa.command(name="check", invoke="snipespring.cli.configuration.check")
+@frozen(kw_only=True)
+class CheckConfiguration:
+    """Check a configuration of the platform before it is sent.
+
+    Reports errors, entries that no request can match and limits that contradict each
+    other, and with --store what differs from the version in force. Exits 0 if nothing
+    is reported, 1 if no error is among the findings, 2 on errors or bad input, 3 if the
+    store is unreachable.
+    """
+
+    file: Annotated[str, Arg(help="Configuration (JSON), as in the store's object")]
+    store: Annotated[
+        str | None, Arg(long=True, help="Address of the platform's store, as IP:PORT")
+    ] = None
+
+
+@cappa.command(name="config")
+@frozen(kw_only=True)
+class ConfigurationCommand:
+    """Check the configuration of the platform."""
+
+    command: Subcommands[CheckConfiguration]
+
+
 @cappa.command(name="status", invoke="snipespring.cli.reads.status")
 @frozen(kw_only=True)
 class Status:
@@ -185,5 +212,12 @@
     """
 
     command: Subcommands[
-        ProxyCommand | GatewayCommand | Rules | Status | Dump | Explain | Addresses
+        ProxyCommand
+        | GatewayCommand
+        | Rules
+        | ConfigurationCommand
+        | Status
+        | Dump
+        | Explain
+        | Addresses
     ]
--- a/snipespring/platform/feeds.py
+++ b/snipespring/platform/feeds.py
@@ -44,12 +44,14 @@
     "ObjectFeed",
     "configuration_feed",
     "evacuation_feed",
+    "read_stored_configuration",
     "server_feed",
 ]
 
 T = TypeVar("T")
 
 CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
 SERVER_KIND = "servers"
 EVACUATION_KIND = "evacuations"
 HOST_KIND = "snipespring-hosts"
@@ -171,6 +173,19 @@
                 return FeedUnavailable(reason=f"{result}")
 
 
+def read_stored_configuration(
+    store: ObjectStoreClient,
+) -> Configuration | InvalidItem | FeedUnavailable:
+    """Return the operators' newest configuration, or why there is none to read."""
+    match store.read(CONFIGURATION_KIND, CONFIGURATION_NAME):
+        case StoredObject(content=content):
+            return decode_configuration(content)
+        case ObjectAbsent():
+            return InvalidItem(reason="there is none")
+        case PlatformUnavailable(reason=reason):
+            return FeedUnavailable(reason=reason)
+
+
 def configuration_feed(store: ObjectStoreClient) -> ObjectFeed[Configuration]:
     """Return the feed of the operators' configuration."""
     return ObjectFeed(
