Keep the random phase of a host's retries after a refusal

A host whose even share of the fleet's retries is below one drew a new phase for each refused retry, because the budget was only stored after a retry was spent. The phase is now stored in either case.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -53,6 +53,7 @@
     make_fleet_budget,
     max_balance_per_host,
     overdue_delay_s,
+    renew_phase,
     spend_fleet_retry,
     spend_retry,
 )
@@ -501,8 +502,9 @@
             phase = self.rng.random()
             is_sent = self._spend(
                 service,
-                lambda budget, now_s: spend_fleet_retry(
-                    budget, fleet, phase=phase, now_s=now_s
+                lambda budget, now_s: spend_fleet_retry(budget, fleet, now_s=now_s),
+                prepare=lambda budget, now_s: renew_phase(
+                    budget, phase=phase, now_s=now_s
                 ),
             )
             rule, reason = "fleet", str(fleet)
@@ -537,17 +539,22 @@
         self,
         service: ServiceRule,
         decide: Callable[[RetryBudget, float], RetryBudget | BudgetExhausted],
+        *,
+        prepare: Callable[[RetryBudget, float], RetryBudget] = lambda budget, _: budget,
     ) -> bool:
+        """Spend a retry if `decide` allows it; keep what `prepare` changes anyway."""
         now_s = self.clock.monotonic_s()
 
         def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
             budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
+            budget = prepare(budget, now_s)
             match decide(budget, now_s):
                 case BudgetExhausted():
-                    return budgets, False
+                    is_sent = False
                 case RetryBudget() as remaining:
-                    by_service = budgets.by_service.set(service.name, remaining)
-                    return evolve(budgets, by_service=by_service), True
+                    budget, is_sent = remaining, True
+            by_service = budgets.by_service.set(service.name, budget)
+            return evolve(budgets, by_service=by_service), is_sent
 
         return self.board.transact(RETRY_BUDGETS, spend, writer=self.name)
 
--- a/snipespring/decisions/retries/__init__.py
+++ b/snipespring/decisions/retries/__init__.py
@@ -1,7 +1,7 @@
 """Limit the retries that this host and the fleet add to the load of a service."""
 
 from .budget import BudgetExhausted, earn_retry, max_balance_per_host, spend_retry
-from .fleet import FleetBudget, make_fleet_budget, spend_fleet_retry
+from .fleet import FleetBudget, make_fleet_budget, renew_phase, spend_fleet_retry
 from .hedging import hedge_delay_s, overdue_delay_s
 
 __all__ = [
@@ -12,6 +12,7 @@
     "make_fleet_budget",
     "max_balance_per_host",
     "overdue_delay_s",
+    "renew_phase",
     "spend_fleet_retry",
     "spend_retry",
 ]
--- a/snipespring/decisions/retries/fleet.py
+++ b/snipespring/decisions/retries/fleet.py
@@ -11,7 +11,7 @@
 from ...records import URGENCIES, RetryBound, RetryBudget, ServiceDemand
 from .budget import BudgetExhausted
 
-__all__ = ["FleetBudget", "make_fleet_budget", "spend_fleet_retry"]
+__all__ = ["FleetBudget", "make_fleet_budget", "renew_phase", "spend_fleet_retry"]
 
 # Part of the bound to use, by counts that are about 0.03 of it too cautious because of
 # their slices of time. The rest covers retries that no view shows, such as those of a
@@ -85,19 +85,28 @@
     )
 
 
+def renew_phase(budget: RetryBudget, *, phase: float, now_s: float) -> RetryBudget:
+    """Return the budget with this random phase if the one before is out of date.
+
+    It must be kept after a refusal too: a host that drew again for each refused retry
+    would get its share for each of them.
+    """
+    if now_s - budget.phase_at_s < UNSEEN_S:
+        return budget
+    return evolve(budget, phase=phase, phase_at_s=now_s)
+
+
 def spend_fleet_retry(
-    budget: RetryBudget, fleet: FleetBudget, *, phase: float, now_s: float
+    budget: RetryBudget, fleet: FleetBudget, *, now_s: float
 ) -> RetryBudget | BudgetExhausted:
     """Return the budget after one retry by this host, or BudgetExhausted.
 
     All hosts may spend at the same time, unseen by each other. Each therefore spends
     within `UNSEEN_S` no more than its even share of what was left before. A share
-    below one retry is given to some of the hosts, by the random `phase` that each draws
-    for this time.
+    below one retry is given to some of the hosts, by the phase that each has drawn for
+    this time.
     """
     recent = tuple(at_s for at_s in budget.spent_s if now_s - at_s < UNSEEN_S)
-    if now_s - budget.phase_at_s >= UNSEEN_S:
-        budget = evolve(budget, phase=phase, phase_at_s=now_s)
     share = (fleet.free + len(recent)) / fleet.hosts
     if fleet.free < 1.0 or len(recent) + 1 > floor(share + budget.phase):
         return BudgetExhausted()
--- a/snipespring/decisions/retries/tests/test_fleet.py
+++ b/snipespring/decisions/retries/tests/test_fleet.py
@@ -19,8 +19,10 @@
 )
 from snipespring.decisions.retries import (
     BudgetExhausted,
+    FleetBudget,
     earn_retry,
     make_fleet_budget,
+    renew_phase,
     spend_fleet_retry,
     spend_retry,
 )
@@ -129,9 +131,8 @@
             heard_hosts=HOSTS - self.deaf_hosts,
             known_hosts=HOSTS,
         )
-        return spend_fleet_retry(
-            host.budget, fleet, phase=self.rng.random(), now_s=now_s
-        )
+        host.budget = renew_phase(host.budget, phase=self.rng.random(), now_s=now_s)
+        return spend_fleet_retry(host.budget, fleet, now_s=now_s)
 
     def use_by_window(self) -> list[float]:
         """Return the part of the bound that is used, by window of ten seconds."""
@@ -196,3 +197,20 @@
     assert len(played[True].retries) > 1.2 * len(played[False].retries)
     assert played[True].served[0] > 1.03 * played[False].served[0]
     assert played[True].served[0] > played[True].served[2]
+
+
+def test_refused_retries_do_not_raise_the_share_of_a_host() -> None:
+    """Guard against hosts that draw their part of a retry anew after each refusal."""
+    fleet = FleetBudget(allowed=40.0, sent=0, reserved=0.0, hosts=200)
+    rng, sent = Random(5), 0
+    for _ in range(fleet.hosts):
+        budget = RetryBudget()
+        for attempt in range(10):
+            now_s = 100.0 + 0.1 * attempt
+            budget = renew_phase(budget, phase=rng.random(), now_s=now_s)
+            match spend_fleet_retry(budget, fleet, now_s=now_s):
+                case RetryBudget() as budget:
+                    sent += 1
+                case BudgetExhausted():
+                    pass
+    assert sent <= 1.4 * fleet.allowed
