End a second attempt that began after its cancellation

The transport ignores the cancellation of an attempt that is not under way yet. A second attempt that was being placed when the first answer came was then sent, paid for, and held its slot until its deadline. It now checks whether its result is still needed, as it does for a disconnected caller. It counts as cancelled, and so no longer as a late answer of a server that was given no time to answer.

--- a/snipespring/controllers/hedges.py
+++ b/snipespring/controllers/hedges.py
@@ -25,8 +25,18 @@
     cancel: Callable[[], None]
     _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _is_closed: bool = field(default=False, init=False)
+    _is_abandoned: bool = field(default=False, init=False)
     _fut: Future[T | None] | None = field(default=None, init=False)
 
+    @property
+    def is_abandoned(self) -> bool:
+        """Return whether the result of the second attempt is not needed any more.
+
+        `cancel` has no effect on an attempt that is about to be sent, so the attempt
+        must check this too.
+        """
+        return self._is_abandoned
+
     def start(self) -> None:
         """Start the second attempt on a thread of the executor."""
         with self._lock:
@@ -41,5 +51,6 @@
             return None
         if is_needed:
             return self._fut.result()
+        self._is_abandoned = True
         self.cancel()
         return None
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -282,7 +282,12 @@
 
         def run_second() -> _CompletedAttempt | None:
             hedged = self._run_hedge(
-                service, admitted, second, server, completed, is_disconnected
+                service,
+                admitted,
+                second,
+                server,
+                completed,
+                lambda: hedge.is_abandoned or is_disconnected(),
             )
             if hedged is not None and _is_final(hedged, admitted):
                 self.transport.cancel(first.request_id)
@@ -342,7 +347,7 @@
             case NotPlaced():
                 return None
             case Placed(server=server) if (
-                self._spend_retry(service, admitted) is not None
+                is_disconnected() or self._spend_retry(service, admitted) is not None
             ):
                 self.dispatcher.cancel(server)
                 return None
--- a/snipespring/controllers/tests/test_hedges.py
+++ b/snipespring/controllers/tests/test_hedges.py
@@ -49,6 +49,7 @@
     cancelled: list[str] = field(factory=list)
     other_is_held: bool = False
     other_let_go: threading.Event = field(factory=threading.Event)
+    early_cancels: int = 0  # so many come before the attempt is known, without effect
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         self.sent.append(attempt)
@@ -62,6 +63,9 @@
         return self._result_of(attempt)
 
     def cancel(self, attempt_id: str) -> None:
+        if self.early_cancels:
+            self.early_cancels -= 1
+            return
         self.cancelled.append(attempt_id)
         is_first = attempt_id == self.sent[0].request_id
         (self.let_go if is_first else self.other_let_go).set()
@@ -82,6 +86,7 @@
     transport: SilentTransport = field(factory=SilentTransport)
     clock: ManualClock = field(factory=ManualClock)
     board: Board = field(factory=lambda: make_board(3))
+    canceller: Canceller = field(init=False)
 
     def deliver(self, run: RunPolicy, *, retry_share: float) -> int:
         """Return the status of a request that is overdue before it ends."""
@@ -91,6 +96,7 @@
         board.write(RETRY_BUDGETS, budgets, writer="sender")
         metrics = MetricsRecorder(board=board)
         canceller = Canceller(board=board, clock=self.clock, transport=self.transport)
+        self.canceller = canceller
         sender = Sender(
             board=board,
             clock=self.clock,
@@ -141,6 +147,16 @@
     assert host.transport.cancelled == [host.transport.sent[1].request_id]
 
 
+def test_second_attempt_ends_though_it_began_after_its_cancellation() -> None:
+    # Guards against a slot that is held until the deadline by an attempt that was
+    # about to be sent when the first answer came.
+    host = Host(transport=SilentTransport(other_is_held=True, early_cancels=1))
+    assert host.deliver(RunIdempotent(), retry_share=1.0) == 200
+    assert host.transport.cancelled == []
+    host.canceller.step()
+    assert host.transport.cancelled == [host.transport.sent[1].request_id]
+
+
 @pytest.mark.parametrize(
     ("run", "retry_share"), [(RunIdempotent(), 0.0), (RunOnce(), 1.0)]
 )
