Do not pause the hub after a query that had no time for an answer

A request with less time left than the 0.04 s that a host waits for an answer stopped all queries of the host for 0.25 s, during which it refused requests that the hub would have admitted. Such a query is counted as 'deadline' and says nothing about the hub.

--- a/snipespring/controllers/admission_asker.py
+++ b/snipespring/controllers/admission_asker.py
@@ -116,6 +116,10 @@
             except TimeoutError:
                 continue
             break
+        if answer is None and timeout_s < self.timeout_s:
+            # The caller's deadline was too near to tell whether the hub is reached.
+            self.metrics.count("admission_queries", "deadline")
+            return None
         if answer is None:
             self._pause(hub, "unanswered")
             return None
