--- a/snipespring/decisions/sheds.py
+++ b/snipespring/decisions/sheds.py
@@ -66,10 +66,11 @@
 def sheds_as_whole(
     log: AnswerLog, servers: Collection[ServerId], *, now_s: float
 ) -> bool:
-    """Return whether many of a service's servers have shed with free slots lately."""
+    """Return whether many or all of a service's servers shed with free slots lately."""
     shedding = sum(
         any(now_s - at_s <= SHED_WINDOW_S for at_s in times)
         for server in servers
         if (times := log.by_instance.get(server.instance))
     )
-    return shedding > max(1.0, MAX_SHEDDING_SHARE * len(servers))
+    is_many = shedding > max(1.0, MAX_SHEDDING_SHARE * len(servers))
+    return is_many or 0 < len(servers) == shedding
--- a/snipespring/decisions/tests/test_sheds.py
+++ b/snipespring/decisions/tests/test_sheds.py
@@ -45,6 +45,13 @@
     assert not any(blames_server(log, s, SERVERS, now_s=10.5) for s in SERVERS)
 
 
+def test_only_server_of_a_service_is_not_blamed() -> None:
+    """Guard against suspecting the one server that could answer."""
+    log = record({0: 2})
+    assert not blames_server(log, SERVERS[0], SERVERS[:1], now_s=10.5)
+    assert blames_server(log, SERVERS[0], SERVERS[:2], now_s=10.5)
+
+
 def test_shed_for_a_stated_reason_is_no_evidence() -> None:
     """Guard against suspecting servers that drain, are full or name a limit."""
     free = ReportedLoad(busy=1, slots=3)
