Estimate the waits of a queue in one pass

The dispatcher looks for hopeless requests at each release, under its lock. The sum over all requests ahead of each one made that quadratic in the length of the queue.

--- a/snipespring/decisions/queueing/fairness.py
+++ b/snipespring/decisions/queueing/fairness.py
@@ -5,7 +5,6 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
 
 from attrs import evolve, frozen
 from immutables import Map
@@ -109,7 +108,8 @@
     )
     queue = sort_queue(evolve(queue, queued=(*queue.queued, request)), now_s=now_s)
     ahead = queue.queued[: queue.queued.index(request)]
-    wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
+    ahead_s = sum(times.of(other.slot_request) for other in ahead)
+    wait_s = _estimate_wait_s(ahead_s, times, in_flight=in_flight)
     retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
     remaining_s = slot_request.deadline_at_s - now_s
     if wait_s + answer_s > remaining_s and not has_free_slots:
@@ -154,9 +154,9 @@
     """
     times = _ServiceTimes(mean_s=service_s, by_route=service_s_by_route)
     hopeless: list[tuple[QueuedRequest, float]] = []
-    ahead: list[QueuedRequest] = []
+    ahead_s = 0.0
     for request in queue.queued:
-        wait_s = _estimate_wait_s(ahead, times, in_flight=in_flight)
+        wait_s = _estimate_wait_s(ahead_s, times, in_flight=in_flight)
         least_s = 0.0 if has_free_slots else wait_s / MAX_SPEEDUP
         if (
             now_s + least_s + times.of(request.slot_request)
@@ -164,7 +164,7 @@
         ):
             hopeless.append((request, max(MIN_RETRY_AFTER_S, wait_s)))
         else:
-            ahead.append(request)
+            ahead_s += times.of(request.slot_request)
     return tuple(hopeless)
 
 
@@ -276,12 +276,9 @@
         return self.by_route.get(slot_request.route, self.mean_s)
 
 
-def _estimate_wait_s(
-    ahead: Sequence[QueuedRequest], times: _ServiceTimes, *, in_flight: int
-) -> float:
-    """Return the wait for the end of an attempt in flight and of those ahead."""
-    total_s = times.mean_s + sum(times.of(request.slot_request) for request in ahead)
-    return total_s / max(1, in_flight)
+def _estimate_wait_s(ahead_s: float, times: _ServiceTimes, *, in_flight: int) -> float:
+    """Return the wait for an attempt in flight and for `ahead_s` of work ahead."""
+    return (times.mean_s + ahead_s) / max(1, in_flight)
 
 
 def _choose_evicted(
