--- a/snipespring/controllers/granter.py
+++ b/snipespring/controllers/granter.py
@@ -40,8 +40,6 @@
 __all__ = ["Granter"]
 
 CHECK_INTERVAL_S = 0.25
-# A longer pause between two steps means that the process was frozen.
-MAX_GAP_S = 0.6
 
 log = logging.getLogger(__name__)
 
@@ -75,7 +73,6 @@
             is_hub=is_listed and is_hub(hubs, self.own_host.host_id),
             is_first_hub=is_listed and is_first,
             now_s=now_s,
-            max_gap_s=MAX_GAP_S,
         )
         self.board.write(HUB_TENURE, tenure, writer=self.name)
         if tenure.since_s != old.since_s:
--- a/snipespring/decisions/domains/grants.py
+++ b/snipespring/decisions/domains/grants.py
@@ -33,6 +33,7 @@
     ReceivedSummary,
 )
 from .usage import (
+    BASELINE_REQUESTS,
     DEMAND_WINDOW_S,
     MIN_RETRY_AFTER_S,
     UNSEEN_DEMAND_FACTOR,
@@ -84,8 +85,6 @@
 ALL_ASK_DELAY_S = 2.0 * VIEW_LAG_S
 # Part of the window that is kept for the most urgent requests of an organisation.
 URGENT_SHARE = 0.05
-# Requests of a host within the demand window that do not indicate a surge.
-BASELINE_REQUESTS = 2
 NO_GRANTS = OrganisationGrants()
 
 
@@ -137,8 +136,8 @@
     """Return whether the known use of an organisation is above half of the window.
 
     Without a recent view of the others, as after the start and while the hubs are not
-    reached, nothing is known of the use.
-    Of a window that silent hosts share, it is half of the part of the heard hosts.
+    reached, nothing is known of the use. Of a window that silent hosts share, the half
+    of the part of the heard hosts counts.
     """
     if rule.rate_per_s == inf:
         return False
@@ -157,11 +156,10 @@
     is_hub: bool,
     is_first_hub: bool,
     now_s: float,
-    max_gap_s: float,
 ) -> HubTenure:
     """Return the tenure at this time; a pause of the process begins it again."""
     checked_s = tenure.checked_s
-    is_continued = checked_s is not None and now_s - checked_s <= max_gap_s
+    is_continued = checked_s is not None and now_s - checked_s <= MAX_TENURE_GAP_S
     since_s = tenure.since_s if is_continued else None
     hub_since_s = tenure.hub_since_s if is_continued else None
     if since_s is None:
--- a/snipespring/decisions/domains/tests/test_grants.py
+++ b/snipespring/decisions/domains/tests/test_grants.py
@@ -75,9 +75,7 @@
     """Guard against grants before the predecessor's grants are known."""
     assert ask(GrantLog(), 1, tenure=evolve(TENURE, since_s=99.8))[1] is None
     assert ask(GrantLog(), 1, tenure=evolve(TENURE, checked_s=98.0))[1] is None
-    paused = renew_tenure(
-        TENURE, is_hub=True, is_first_hub=True, now_s=103.0, max_gap_s=0.6
-    )
+    paused = renew_tenure(TENURE, is_hub=True, is_first_hub=True, now_s=103.0)
     assert paused.since_s == 103.0
 
 
--- a/snipespring/decisions/retries/fleet.py
+++ b/snipespring/decisions/retries/fleet.py
@@ -9,6 +9,7 @@
 from attrs import evolve, frozen
 
 from ...records import URGENCIES, RetryBound, RetryBudget, ServiceDemand
+from ..overload.demand import RECENT_S
 from .budget import BudgetExhausted
 
 __all__ = ["FleetBudget", "make_fleet_budget", "renew_phase", "spend_fleet_retry"]
@@ -22,8 +23,6 @@
 # Time in which others may spend retries that this host's view does not show. A report,
 # a summary and a digest are each sent every 0.25 s, and a view is used for 0.6 s.
 UNSEEN_S = 1.5
-# The window over which wanted retries are counted, as a number of seconds.
-WANTED_S = 2.0
 
 
 @frozen(kw_only=True)
@@ -75,7 +74,7 @@
     slack = bound.slack * max(1, heard_hosts) / hosts
     reserved = 0.0
     for level in range(min(urgency, URGENCIES - 1)):
-        expected = _at(demand.counts.wanted, level) * bound.window_s / WANTED_S
+        expected = _at(demand.counts.wanted, level) * bound.window_s / RECENT_S
         reserved += max(0.0, expected - _at(demand.counts.retries, level))
     return FleetBudget(
         allowed=USED_SHARE * (bound.share * firsts + slack),
