--- a/snipespring/decisions/domains/grants.py
+++ b/snipespring/decisions/domains/grants.py
@@ -64,8 +64,7 @@
 # can begin to admit. The rest follows the admissions.
 EVEN_PART = 0.5
 # After a longer time without queries the use may have fallen unobserved. Hubs of one
-# host often have no query for 1 s; with 0.6 s here they refused requests below the
-# limit.
+# host often have no query for 1 s; a gap of 0.6 s refuses requests below the limit.
 MAX_QUERY_GAP_S = 3.0
 # Longest time from a grant until the host has counted it. It exceeds the time for which
 # a host waits for an answer.
@@ -81,7 +80,7 @@
 OVERDUE_REPORT_S = 0.6
 # Twice the longest age of a view: by then all hosts know of a high use, and what they
 # admitted alone before is in the reports. With half of it, a surge to 12 times the rate
-# exceeded the window by 1 % where a tenth of the messages was lost.
+# exceeds the window by 1 % where a tenth of the messages is lost.
 ALL_ASK_DELAY_S = 2.0 * VIEW_LAG_S
 # Part of the window that is kept for the most urgent requests of an organisation.
 URGENT_SHARE = 0.05
--- a/snipespring/decisions/overload/admission.py
+++ b/snipespring/decisions/overload/admission.py
@@ -24,9 +24,8 @@
 MIN_WAITING_PER_SLOT = 0.5
 # The work admitted, as a multiple of the room, falls with the requests that wait for a
 # slot, from the first figure by the second for each. Errors of the expected work so
-# change the backlog and not the use of the slots: in the model of the tests, half of
-# the second figure lost more urgent requests to their deadlines, and a ratio below the
-# third left slots idle after a wave.
+# change the backlog and not the use of the slots. A slower fall loses urgent requests
+# to their deadlines, and a ratio below the third figure leaves slots idle after a wave.
 MAX_ADMITTED_RATIO = 1.2
 RATIO_PER_WAITING = 0.2
 MIN_ADMITTED_RATIO = 0.8
