End a first attempt whose cancellation came while it connected

The transport ignores a cancellation before the connection is there. The first attempt was then sent though the second one had answered, and the caller waited for it. The canceller now repeats the cancellation.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -279,6 +279,9 @@
         number = len(completed)
         first = self._make_backend_request(admitted, number)
         second = self._make_backend_request(admitted, number + 1)
+        # The transport ignores a cancellation while the first attempt connects; the
+        # canceller repeats it.
+        is_superseded = threading.Event()
 
         def run_second() -> _CompletedAttempt | None:
             hedged = self._run_hedge(
@@ -290,6 +293,7 @@
                 lambda: hedge.is_abandoned or is_disconnected(),
             )
             if hedged is not None and _is_final(hedged, admitted):
+                is_superseded.set()
                 self.transport.cancel(first.request_id)
             return hedged
 
@@ -319,6 +323,7 @@
             is_disconnected,
             overdue_after_s=overdue_s,
             on_overdue=on_overdue,
+            is_superseded=is_superseded.is_set,
         )
         hedged = hedge.finish(is_needed=not _is_final(ended, admitted))
         if hedged is None:
@@ -376,13 +381,14 @@
         *,
         overdue_after_s: float = inf,
         on_overdue: Callable[[], None] = lambda: None,
+        is_superseded: Callable[[], bool] = lambda: False,
     ) -> _CompletedAttempt:
         started_s = self.clock.monotonic_s()
         self._record_start(server, attempt.request_id)
         with self.canceller.watch(
             attempt.request_id,
             timeout_s=attempt.timeout_s,
-            is_disconnected=is_disconnected,
+            is_disconnected=lambda: is_superseded() or is_disconnected(),
             overdue_after_s=overdue_after_s,
             on_overdue=on_overdue,
         ):
--- a/snipespring/controllers/tests/test_hedges.py
+++ b/snipespring/controllers/tests/test_hedges.py
@@ -49,7 +49,9 @@
     cancelled: list[str] = field(factory=list)
     other_is_held: bool = False
     other_let_go: threading.Event = field(factory=threading.Event)
-    early_cancels: int = 0  # so many come before the attempt is known, without effect
+    # The first cancellation comes before the attempt is known, and has no effect.
+    is_early_cancel: bool = False
+    ignored: threading.Event = field(factory=threading.Event)
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         self.sent.append(attempt)
@@ -63,8 +65,8 @@
         return self._result_of(attempt)
 
     def cancel(self, attempt_id: str) -> None:
-        if self.early_cancels:
-            self.early_cancels -= 1
+        if self.is_early_cancel and not self.ignored.is_set():
+            self.ignored.set()
             return
         self.cancelled.append(attempt_id)
         is_first = attempt_id == self.sent[0].request_id
@@ -86,7 +88,6 @@
     transport: SilentTransport = field(factory=SilentTransport)
     clock: ManualClock = field(factory=ManualClock)
     board: Board = field(factory=lambda: make_board(3))
-    canceller: Canceller = field(init=False)
 
     def deliver(self, run: RunPolicy, *, retry_share: float) -> int:
         """Return the status of a request that is overdue before it ends."""
@@ -96,7 +97,6 @@
         board.write(RETRY_BUDGETS, budgets, writer="sender")
         metrics = MetricsRecorder(board=board)
         canceller = Canceller(board=board, clock=self.clock, transport=self.transport)
-        self.canceller = canceller
         sender = Sender(
             board=board,
             clock=self.clock,
@@ -126,6 +126,9 @@
             self.transport.let_go.set()
         if isinstance(run, RunOnce):
             self.transport.let_go.set()
+        if self.transport.is_early_cancel:
+            assert self.transport.ignored.wait(TIMEOUT_S)
+            canceller.step()
         thread.join(TIMEOUT_S)
         return statuses[0]
 
@@ -150,13 +153,19 @@
 def test_second_attempt_ends_though_it_began_after_its_cancellation() -> None:
     # Guards against a slot that is held until the deadline by an attempt that was
     # about to be sent when the first answer came.
-    host = Host(transport=SilentTransport(other_is_held=True, early_cancels=1))
+    host = Host(transport=SilentTransport(other_is_held=True, is_early_cancel=True))
     assert host.deliver(RunIdempotent(), retry_share=1.0) == 200
-    assert host.transport.cancelled == []
-    host.canceller.step()
     assert host.transport.cancelled == [host.transport.sent[1].request_id]
 
 
+def test_second_answer_ends_an_attempt_that_was_still_connecting() -> None:
+    # Guards against a caller that waits for the first server though the second one
+    # answered.
+    host = Host(transport=SilentTransport(is_early_cancel=True))
+    assert host.deliver(RunIdempotent(), retry_share=1.0) == 200
+    assert host.transport.cancelled == [host.transport.sent[0].request_id]
+
+
 @pytest.mark.parametrize(
     ("run", "retry_share"), [(RunIdempotent(), 0.0), (RunOnce(), 1.0)]
 )
