--- a/snipespring/controllers/tests/grants_fleet.py
+++ b/snipespring/controllers/tests/grants_fleet.py
@@ -121,10 +121,6 @@
         )
         return max(counts, default=0)
 
-    @property
-    def admitted_share(self) -> float:
-        return len(self.admitted_s) / max(1, self.allowed_by_bucket)
-
     def restart(self, number: int) -> None:
         incarnation = f"after-{self.clock.now_s}"
         self.members[number] = self._make_host(self._listed[number], incarnation)
