--- a/snipespring/controllers/demand_recorder.py
+++ b/snipespring/controllers/demand_recorder.py
@@ -16,10 +16,17 @@
     sum_demand,
 )
 from ..decisions.routing import mean_work_s_of, service_load_of, work_s_of
-from ..records import BackendResult, DemandCounts, DemandLog, ServiceDemand, ServiceName
+from ..records import (
+    BackendResult,
+    DemandCounts,
+    DemandLog,
+    FleetView,
+    ServiceDemand,
+    ServiceName,
+)
 from ..utils import Clock
 
-__all__ = ["DemandRecorder"]
+__all__ = ["DemandRecorder", "read_fresh_view"]
 
 # An older view of the fleet is not used. It is reached when a digest is lost.
 MAX_VIEW_AGE_S = 0.6
@@ -74,9 +81,8 @@
 
     def read_fleet(self, service: ServiceName) -> ServiceDemand | None:
         """Return the demand on a service by all heard hosts, None if it is too old."""
-        view = self.board.read(FLEET_VIEW)
-        now_s = self.clock.monotonic_s()
-        if view.as_of_s is None or now_s - view.as_of_s > MAX_VIEW_AGE_S:
+        view = read_fresh_view(self.board, self.clock)
+        if view is None:
             return None
         others = view.demand.get(service, ServiceDemand(service=service))
         return sum_demand([(others,), (self.read_own(service),)])[0]
@@ -90,3 +96,11 @@
             ),
             writer=self.name,
         )
+
+
+def read_fresh_view(board: Board, clock: Clock) -> FleetView | None:
+    """Return the view of the fleet, None if it is too old to judge demand by."""
+    view = board.read(FLEET_VIEW)
+    if view.as_of_s is None or clock.monotonic_s() - view.as_of_s > MAX_VIEW_AGE_S:
+        return None
+    return view
--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -71,7 +71,7 @@
     SlotRequest,
 )
 from ..utils import Clock
-from .demand_recorder import MAX_VIEW_AGE_S
+from .demand_recorder import read_fresh_view
 
 __all__ = ["Dispatcher", "NotPlaced", "Placed"]
 
@@ -450,11 +450,8 @@
     def _has_free_slots(self, service: ServiceName) -> bool:
         subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
         slots = 0 if subset is None else subset.slots
-        view = self.board.read(FLEET_VIEW)
-        is_fresh = view.as_of_s is not None and (
-            self.clock.monotonic_s() - view.as_of_s <= MAX_VIEW_AGE_S
-        )
-        others = view.demand.get(service) if is_fresh else None
+        view = read_fresh_view(self.board, self.clock)
+        others = None if view is None else view.demand.get(service)
         return has_free_slots(
             self._service_load(service),
             slots,
