--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -53,6 +53,7 @@
     make_fleet_budget,
     max_balance_per_host,
     overdue_delay_s,
+    renew_phase,
     spend_fleet_retry,
     spend_retry,
 )
@@ -278,12 +279,21 @@
         number = len(completed)
         first = self._make_backend_request(admitted, number)
         second = self._make_backend_request(admitted, number + 1)
+        # The transport ignores a cancellation while the first attempt connects; the
+        # canceller repeats it.
+        is_superseded = threading.Event()
 
         def run_second() -> _CompletedAttempt | None:
             hedged = self._run_hedge(
-                service, admitted, second, server, completed, is_disconnected
+                service,
+                admitted,
+                second,
+                server,
+                completed,
+                lambda: hedge.is_abandoned or is_disconnected(),
             )
             if hedged is not None and _is_final(hedged, admitted):
+                is_superseded.set()
                 self.transport.cancel(first.request_id)
             return hedged
 
@@ -313,6 +323,7 @@
             is_disconnected,
             overdue_after_s=overdue_s,
             on_overdue=on_overdue,
+            is_superseded=is_superseded.is_set,
         )
         hedged = hedge.finish(is_needed=not _is_final(ended, admitted))
         if hedged is None:
@@ -341,7 +352,7 @@
             case NotPlaced():
                 return None
             case Placed(server=server) if (
-                self._spend_retry(service, admitted) is not None
+                is_disconnected() or self._spend_retry(service, admitted) is not None
             ):
                 self.dispatcher.cancel(server)
                 return None
@@ -370,13 +381,14 @@
         *,
         overdue_after_s: float = inf,
         on_overdue: Callable[[], None] = lambda: None,
+        is_superseded: Callable[[], bool] = lambda: False,
     ) -> _CompletedAttempt:
         started_s = self.clock.monotonic_s()
         self._record_start(server, attempt.request_id)
         with self.canceller.watch(
             attempt.request_id,
             timeout_s=attempt.timeout_s,
-            is_disconnected=is_disconnected,
+            is_disconnected=lambda: is_superseded() or is_disconnected(),
             overdue_after_s=overdue_after_s,
             on_overdue=on_overdue,
         ):
@@ -501,8 +513,9 @@
             phase = self.rng.random()
             is_sent = self._spend(
                 service,
-                lambda budget, now_s: spend_fleet_retry(
-                    budget, fleet, phase=phase, now_s=now_s
+                lambda budget, now_s: spend_fleet_retry(budget, fleet, now_s=now_s),
+                prepare=lambda budget, now_s: renew_phase(
+                    budget, phase=phase, now_s=now_s
                 ),
             )
             rule, reason = "fleet", str(fleet)
@@ -537,17 +550,22 @@
         self,
         service: ServiceRule,
         decide: Callable[[RetryBudget, float], RetryBudget | BudgetExhausted],
+        *,
+        prepare: Callable[[RetryBudget, float], RetryBudget] = lambda budget, _: budget,
     ) -> bool:
+        """Spend a retry if `decide` allows it; keep what `prepare` changes anyway."""
         now_s = self.clock.monotonic_s()
 
         def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
             budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
+            budget = prepare(budget, now_s)
             match decide(budget, now_s):
                 case BudgetExhausted():
-                    return budgets, False
+                    is_sent = False
                 case RetryBudget() as remaining:
-                    by_service = budgets.by_service.set(service.name, remaining)
-                    return evolve(budgets, by_service=by_service), True
+                    budget, is_sent = remaining, True
+            by_service = budgets.by_service.set(service.name, budget)
+            return evolve(budgets, by_service=by_service), is_sent
 
         return self.board.transact(RETRY_BUDGETS, spend, writer=self.name)
 
--- a/snipespring/controllers/tests/test_hedges.py
+++ b/snipespring/controllers/tests/test_hedges.py
@@ -49,6 +49,9 @@
     cancelled: list[str] = field(factory=list)
     other_is_held: bool = False
     other_let_go: threading.Event = field(factory=threading.Event)
+    # The first cancellation comes before the attempt is known, and has no effect.
+    is_early_cancel: bool = False
+    ignored: threading.Event = field(factory=threading.Event)
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         self.sent.append(attempt)
@@ -62,6 +65,9 @@
         return self._result_of(attempt)
 
     def cancel(self, attempt_id: str) -> None:
+        if self.is_early_cancel and not self.ignored.is_set():
+            self.ignored.set()
+            return
         self.cancelled.append(attempt_id)
         is_first = attempt_id == self.sent[0].request_id
         (self.let_go if is_first else self.other_let_go).set()
@@ -120,6 +126,9 @@
             self.transport.let_go.set()
         if isinstance(run, RunOnce):
             self.transport.let_go.set()
+        if self.transport.is_early_cancel:
+            assert self.transport.ignored.wait(TIMEOUT_S)
+            canceller.step()
         thread.join(TIMEOUT_S)
         return statuses[0]
 
@@ -141,6 +150,22 @@
     assert host.transport.cancelled == [host.transport.sent[1].request_id]
 
 
+def test_second_attempt_ends_though_it_began_after_its_cancellation() -> None:
+    # Guards against a slot that is held until the deadline by an attempt that was
+    # about to be sent when the first answer came.
+    host = Host(transport=SilentTransport(other_is_held=True, is_early_cancel=True))
+    assert host.deliver(RunIdempotent(), retry_share=1.0) == 200
+    assert host.transport.cancelled == [host.transport.sent[1].request_id]
+
+
+def test_second_answer_ends_an_attempt_that_was_still_connecting() -> None:
+    # Guards against a caller that waits for the first server though the second one
+    # answered.
+    host = Host(transport=SilentTransport(is_early_cancel=True))
+    assert host.deliver(RunIdempotent(), retry_share=1.0) == 200
+    assert host.transport.cancelled == [host.transport.sent[0].request_id]
+
+
 @pytest.mark.parametrize(
     ("run", "retry_share"), [(RunIdempotent(), 0.0), (RunOnce(), 1.0)]
 )
