Drop old reports to the second hub

The first hub reports to the second one in every third round only. The entry to remove was looked up by a sequence number that had not been sent, so reports piled up, one every 0.75 s.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -109,7 +109,7 @@
 # enough to count as heard and to be known as serving when it replaces the first one.
 BACKUP_REPORT_ROUNDS = 3
 HUB_TIMEOUT_S = 1.0  # a hub that answers no report for this long is silent
-# Latest reports that are kept, since their digests may still arrive.
+# The reports of so many rounds are kept, since their digests may still arrive.
 MAX_PENDING_REPORTS = 8
 HUB_RETRY_S = 4.0  # a silent hub is used again after this time
 
@@ -412,7 +412,12 @@
         with self._lock:
             self._unanswered_since_s.setdefault(hub.host_id, now_s)
             self._sent[report.sequence] = _SentReport(report=report, sent_s=now_s)
-            self._sent.pop(report.sequence - MAX_PENDING_REPORTS, None)
+            # The reports to a second hub alone leave out sequence numbers.
+            self._sent = {
+                sequence: sent
+                for sequence, sent in self._sent.items()
+                if sent.report.sequence > report.sequence - MAX_PENDING_REPORTS
+            }
         self.datagrams.send(hub.peers, report)
 
     def _list_silent_hubs(self, now_s: float) -> frozenset[HostId]:
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -205,11 +205,13 @@
     assert not fleet.link("a-2").board.read(STORE_RELAY).is_watcher
 
 
-def digest_for(incarnation: str) -> ReportDigest:
+def digest_for(
+    incarnation: str, *, sender: str = "a-0", sequence: int = ROUNDS
+) -> ReportDigest:
     return ReportDigest(
-        sender=HostId("a-0"),
+        sender=HostId(sender),
         incarnation=Incarnation(incarnation),
-        sequence=ROUNDS,
+        sequence=sequence,
         confirmation=Confirmation(version=9, age_s=0.0, reached_age_s=0.0),
     )
 
@@ -223,3 +225,17 @@
     assert link.board.read(STORE_RELAY).relayed is None
     link.receive(digest_for("first"), hub)
     assert link.board.read(STORE_RELAY).relayed is not None
+
+
+def test_first_hub_forgets_its_reports_to_the_second_one() -> None:
+    # Guards against memory that grows with each report to the second hub, which gets
+    # every third one only.
+    fleet = SmallFleet()
+    fleet.run(5 * ROUNDS)
+    link, second = fleet.link("a-0"), fleet.link("a-1").own_host.peers
+    for sequence in range(1, 4 * ROUNDS + 1):
+        link.receive(digest_for("first", sender="a-1", sequence=sequence), second)
+    assert link.board.read(STORE_RELAY).relayed is None
+    late = 5 * ROUNDS - 1  # a multiple of 3
+    link.receive(digest_for("first", sender="a-1", sequence=late), second)
+    assert link.board.read(STORE_RELAY).relayed is not None
