State no empty list of evacuations while it is read anew

A hub that had discarded the revision of its list, after a restore or a gap, sent no mark, which confirms an empty list. A host that had just started then placed requests in evacuated domains.

--- a/snipespring/decisions/places.py
+++ b/snipespring/decisions/places.py
@@ -132,6 +132,8 @@
             return None
         case EvacuationsFollowed(confirmed_s=None):
             return EvacuationMark()
+        case EvacuationsFollowed() if _is_discarded(view):
+            return EvacuationMark()
         case EvacuationsFollowed():
             pass
     domains = [domain for domain in _list_shown(view) if is_known(domain)]
@@ -155,10 +157,8 @@
     if mark is None or mark.revision == 0 or mark.era < view.era:
         return view
     known, is_newer = view.revision or 0, mark.era > view.era
-    if not is_newer:
-        is_discarded = view.revision is None and view.complete_after is not None
-        if is_discarded or mark.revision < known:
-            return view
+    if not is_newer and (_is_discarded(view) or mark.revision < known):
+        return view
     shown = _list_shown(view)
     added = frozenset(mark.domains) - shown
     is_later = is_newer or mark.revision > known
@@ -277,6 +277,11 @@
     return NoUsableServer(reason="; ".join(reasons))
 
 
+def _is_discarded(view: View) -> bool:
+    """Return whether the list has to be read anew, after a restore or a gap."""
+    return view.revision is None and view.complete_after is not None
+
+
 def _end_time_s(view: View, name: str) -> float:
     """Return when an evacuation ended or will end, infinity while it is shown."""
     removed_s = view.removed_s.get(name, inf)
--- a/snipespring/decisions/tests/test_places.py
+++ b/snipespring/decisions/tests/test_places.py
@@ -82,6 +82,15 @@
     assert confirm_evacuations(followed, EMPTY, unread, reached_s=2.0) == followed
 
 
+def test_hub_that_reads_the_list_anew_confirms_nothing() -> None:
+    # Guards against a host that has just started and sends to an evacuated domain,
+    # because its hub discarded the revision after a restore or a gap.
+    view = evolve(apply_evacuation_mark(EMPTY, mark(3, NEAR), now_s=5.0), revision=None)
+    sent = make_evacuation_mark(view, CONFIRMED, {NEAR}.__contains__, now_s=6.0)
+    followed = EvacuationsFollowed(since_s=5.5)
+    assert confirm_evacuations(followed, EMPTY, sent, reached_s=5.8) == followed
+
+
 def test_marks_count_in_their_era_only() -> None:
     # Guards against a late digest from before a restore that ends or confirms an
     # evacuation by a revision that the store has issued again.
