List registered servers only in a complete list within an era

The list also named all servers that had left since the hub began to watch. After 256 of them no first listing could be completed, and each start listed fresh.

--- a/snipespring/decisions/server_relay.py
+++ b/snipespring/decisions/server_relay.py
@@ -156,7 +156,12 @@
     withdrawn = list_withdrawals(view, changed if is_informed else view.withdrawn)
     if after > view.revision or (after == view.revision and not withdrawn):
         return None
-    changes = _list_all(view) if is_complete else _list_changed(view, changed)
+    if is_complete:
+        registered = {name for name in view.items if name not in view.removed_s}
+        # Of a newer era, those that have left since the restore are named too, since an
+        # absent server may not have been written again.
+        changed = registered | changed if is_newer else registered
+    changes = _list_changed(view, changed)
     if len(changes) > MAX_CHANGES:
         return None
     return ServerChanges(
@@ -209,12 +214,6 @@
     return view
 
 
-def _list_all(view: FeedView[PublishedServer]) -> tuple[ServerChange, ...]:
-    """Return the registered servers and those removed since the restore."""
-    registered = (name for name in view.items if name not in view.removed_s)
-    return _list_changed(view, {*registered, *view.changed})
-
-
 def _list_changed(
     view: FeedView[PublishedServer], names: Iterable[str]
 ) -> tuple[ServerChange, ...]:
--- a/snipespring/decisions/tests/test_server_relay.py
+++ b/snipespring/decisions/tests/test_server_relay.py
@@ -194,6 +194,17 @@
     } == {"b", "c", "d"}
 
 
+def test_a_complete_list_does_not_grow_with_the_servers_that_left() -> None:
+    # Guards against hubs that complete no first listing after a day in which many
+    # servers left, so that each host that starts lists fresh.
+    left = [item(f"left{number}", 6, None) for number in range(MAX_CHANGES)]
+    hub = watch(list_all(["b"], 5), 6, *left)
+    first = FeedListing(items=(item("left0", 2, server("left0")),), revision=2)
+    own = confirm_view(catch_up(adopt_stale_items(first), hub), sent_s=2.0)
+    assert set(active(own)) == {"b"}
+    assert own.revision == 6
+
+
 def test_a_complete_list_of_another_era_completes_no_first_listing() -> None:
     # Guards against a stale first listing that a hub of another era confirms, and whose
     # servers get the grace of a restore although they may have left before it.
