Wake the probe of a host by the first relayed reach

The notice did not change if the host had heard the configuration version before, so the probe slept on. Without an answered probe a host calls the store no more once its hubs do not reach it.

--- a/snipespring/controllers/tests/test_platform_followers.py
+++ b/snipespring/controllers/tests/test_platform_followers.py
@@ -31,7 +31,7 @@
     WATCH_FRACTION,
 )
 from snipespring.decisions.catalog import RetryBounds
-from snipespring.decisions.confirmations import RelayLimits
+from snipespring.decisions.confirmations import RelayLimits, make_notice
 from snipespring.records import (
     Address,
     AvailableSpan,
@@ -355,6 +355,40 @@
     assert board.read(STORE_REACH).reached_s == started_s + 1.5
 
 
+def test_first_relayed_reach_wakes_a_probe_that_knew_of_none() -> None:
+    # Guards against a host that hears the version before the reach, and whose probe
+    # sleeps on: without a probe it never queries a store that its hubs do not reach.
+    board, clock, store = Board(), ManualClock(), FakeProbedStore()
+    probe = StoreProbe(
+        board=board,
+        clock=clock,
+        metrics=MetricsRecorder(board=board),
+        store=store,
+        host_id=HostId("own"),
+        interval_s=0.5,
+        outage_s=3.0,
+    )
+    stated = StoreRelay(stated_version=5)
+    board.write(RELAY_NOTICE, make_notice(stated), writer="domain_link")
+    assert probe.step() is None
+    subscription = board.subscribe(probe.watches)
+    reached_s = clock.monotonic_s()
+    relayed = RelayedVersion(version=5, confirmed_s=reached_s, reached_s=reached_s)
+    relay = evolve(stated, relayed=relayed)
+    board.write(STORE_RELAY, relay, writer="domain_link")
+    notice = make_notice(relay)
+    board.update(
+        RELAY_NOTICE,
+        lambda old: old if old == notice else notice,
+        writer="domain_link",
+    )
+    assert subscription.wait(0.0)
+    assert probe.step() == pytest.approx(probe.relay_limit_s)
+    clock.advance(probe.relay_limit_s)
+    probe.step()
+    assert store.probes == 1
+
+
 def test_only_the_newest_configuration_is_read_after_an_outage() -> None:
     followers = start_followers()
     followers.feed.answers.append(FeedUnavailable(reason="cut off"))
--- a/snipespring/decisions/confirmations.py
+++ b/snipespring/decisions/confirmations.py
@@ -215,6 +215,7 @@
         awaited=0 if awaited is None else awaited.revision,
         awaited_era=0 if awaited is None else awaited.era,
         is_store_behind=relayed is not None and relayed.is_store_behind,
+        is_reach_relayed=relayed is not None,
     )
 
 
--- a/snipespring/records/feeds.py
+++ b/snipespring/records/feeds.py
@@ -309,7 +309,8 @@
 
     `version` is the newest version of the configuration that another host relayed or
     stated, `awaited` the revision up to which changes to servers are awaited in
-    `awaited_era`; 0 stands for none.
+    `awaited_era`; 0 stands for none. With `is_reach_relayed`, another host has stated
+    when it reached the store.
     """
 
     is_watcher: bool = False
@@ -317,3 +318,4 @@
     awaited: int = 0
     awaited_era: int = 0
     is_store_behind: bool = False
+    is_reach_relayed: bool = False
