Keep the relay notice up with the relay

Two threads change the relay. The notice was made of the record of one change and written later, so it could replace a newer notice until the next report.

--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -87,6 +87,7 @@
     OutcomeBatch,
     OutcomeNotification,
     PublishedHost,
+    RelayNotice,
     ReportDigest,
     ServerChanges,
     ServerQuery,
@@ -259,13 +260,14 @@
         )
 
     def _update_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
-        relay = self.board.update(STORE_RELAY, change, writer=self.name)
-        notice = make_notice(relay)
-        self.board.update(
-            RELAY_NOTICE,
-            lambda old: old if old == notice else notice,
-            writer=self.name,
-        )
+        self.board.update(STORE_RELAY, change, writer=self.name)
+
+        def notify(old: RelayNotice) -> RelayNotice:
+            # Another thread may have changed the relay again meanwhile.
+            notice = make_notice(self.board.read(STORE_RELAY))
+            return old if old == notice else notice
+
+        self.board.update(RELAY_NOTICE, notify, writer=self.name)
 
     def _note_version(self, version: int) -> None:
         """Record the newest configuration version that a host knows."""
--- a/snipespring/controllers/tests/test_domain_link.py
+++ b/snipespring/controllers/tests/test_domain_link.py
@@ -1,10 +1,14 @@
 """Test the domain links of a small fleet over simulated datagrams."""
 
+from collections.abc import Callable
 from random import Random
+from typing import TypeVar
 
 import pytest
+from attrs import define, field
 from immutables import Map
 
+from snipespring.blackboard import Board, Region
 from snipespring.blackboard.regions import (
     CONFIGURATION_FEED,
     FLEET_VIEW,
@@ -22,6 +26,7 @@
     DomainName,
     FeedView,
     HostId,
+    HostReport,
     Incarnation,
     Leaving,
     OrganisationName,
@@ -31,9 +36,10 @@
     UsageLog,
 )
 
-from .domain_fleet import DOMAINS, ROUNDS, SmallFleet, all_hosts
+from .domain_fleet import DOMAINS, ROUNDS, SmallFleet, all_hosts, host
 
 NAME = OrganisationName("valeters")
+T = TypeVar("T")
 
 
 def test_every_host_lists_every_other_host() -> None:
@@ -239,3 +245,38 @@
     late = 5 * ROUNDS - 1  # a multiple of 3
     link.receive(digest_for("first", sender="a-1", sequence=late), second)
     assert link.board.read(STORE_RELAY).relayed is not None
+
+
+@define(kw_only=True, eq=False)
+class InterruptedBoard(Board):
+    """Run an action of another thread before the next write to the relay notice."""
+
+    interruptions: list[Callable[[], None]] = field(factory=list)
+
+    def update(self, region: Region[T], change: Callable[[T], T], *, writer: str) -> T:
+        if region.name == RELAY_NOTICE.name and self.interruptions:
+            self.interruptions.pop()()
+        return super().update(region, change, writer=writer)
+
+
+def test_notice_keeps_up_with_versions_stated_on_two_threads() -> None:
+    # Guards against a notice that goes back to an older version or role, so that the
+    # followers of the store react up to one report later.
+    fleet, board = SmallFleet(), InterruptedBoard()
+    link = fleet.make_bare_link(host("a", 2), board, lambda _: None)
+    sender = host("a", 1)
+
+    def receive(version: int) -> None:
+        report = HostReport(
+            host=sender,
+            incarnation=Incarnation("first"),
+            sequence=version,
+            is_serving=True,
+            configuration=version,
+        )
+        link.receive(report, sender.peers)
+
+    board.interruptions.append(lambda: receive(7))
+    receive(5)
+    assert board.read(STORE_RELAY).stated_version == 7
+    assert board.read(RELAY_NOTICE).version == 7
