--- a/snipespring/decisions/places.py
+++ b/snipespring/decisions/places.py
@@ -1,8 +1,9 @@
 """Decide which failure domains are evacuated, and which servers a request may use.
 
-Answers load: an operator takes all servers of a domain out of use at a moment of full
-traffic, and brings them back while they may be cold. The hosts of a domain learn of
-both from the digests of the host that watches the store, without a call of their own.
+Handles the load when an operator takes all servers of a domain out of use at a moment
+of full traffic, and brings them back while they may be cold. The hosts of a domain
+learn of both from the digests of the host that watches the store, and make no call
+themselves.
 """
 
 from collections.abc import Callable
--- a/snipespring/decisions/routing/warmup.py
+++ b/snipespring/decisions/routing/warmup.py
@@ -1,7 +1,7 @@
 """Hold this host's part of the requests that a cold server gets from all hosts.
 
-Answers load: servers that have just started, or that lost what they keep warm, and
-that crash under more than a few requests a second while their service needs all its
+Handles the load of servers that have just started, or that lost what they keep warm,
+and that crash under more than a few requests a second while their service needs all its
 servers. Each host has a turn for one request in an interval, and the turns of all hosts
 together make up the rate. No message between hosts is needed, so that a host that is
 cut off keeps to its part. A turn ends soon: if hosts could save unused turns, a burst
@@ -83,9 +83,8 @@
     """Return the loads with a turn for each server that has become cold.
 
     Each gets `rate_per_s` requests from all hosts together. `hosts` is None if their
-    number is not known. `phase` is a random number from
-    0 to 1. The first turn is at a random point of the interval, another one for each
-    server and warm-up.
+    number is not known. `phase` is a random number from 0 to 1, so that the first turn
+    is at a random point of the interval, which differs by server and warm-up.
     """
     interval_s = max(1, hosts or MAX_FLEET_HOSTS) / rate_per_s
     by_server = loads.by_server
