Choose among the subsets whose cold servers are limited

The subsets were read twice. A cold server in subsets that arrived between the two reads had no turns yet and got the usual share of requests.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -186,11 +186,14 @@
             self._change_loads(lambda loads: cancel_reservation(loads, server))
             self._dispatch(server.service)
 
-    def _adopt_subsets(self) -> None:
-        """Drop the loads of unused servers and begin the warm-ups of cold ones."""
+    def _adopt_subsets(self) -> ServerSubsets:
+        """Return the subsets, whose cold servers have begun their warm-ups.
+
+        The loads of unused servers are dropped.
+        """
         subsets = self.board.read(SERVER_SUBSETS)
         if subsets is self._known_subsets:
-            return
+            return subsets
         self._known_subsets = subsets
         members = [
             member
@@ -203,6 +206,7 @@
             lambda loads: remove_unused_servers(loads, used_servers, now_s=now_s)
         )
         self._begin_warmups(subsets, now_s)
+        return subsets
 
     def _begin_warmups(self, subsets: ServerSubsets, now_s: float) -> None:
         services = self.board.read(CONFIGURATION).services
@@ -379,9 +383,9 @@
         self._futures.pop(request.ticket).set_result(result)
 
     def _reserve(self, slot_request: SlotRequest) -> Chosen | NoServer | ServersBusy:
-        self._adopt_subsets()  # a server that has become cold is limited at once
+        subsets = self._adopt_subsets()  # a server that has become cold is limited
         service = slot_request.service
-        subset = self.board.read(SERVER_SUBSETS).by_service.get(service)
+        subset = subsets.by_service.get(service)
         is_incomplete = self.board.read(SERVER_FEED).is_stale
         if subset is None or (is_incomplete and not subset.members):
             return self._wait_for_subset(service)
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -1,11 +1,13 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
+from typing import Any
 
 import pytest
 from attrs import evolve
 from immutables import Map
 
+from snipespring.blackboard import Board, Region
 from snipespring.blackboard.regions import (
     CONFIGURATION,
     REQUEST_QUEUES,
@@ -190,3 +192,37 @@
     assert len(refused) == 2
     assert all("exceeds the deadline" in result.reason for result in refused)
     assert all(result.retry_after_s > 0.0 for result in refused)
+
+
+def test_cold_server_of_a_subset_that_arrives_meanwhile_gets_no_request(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a cold server that gets requests without a turn, because the
+    # subsets changed between the begin of the warm-ups and the choice.
+    dispatcher = make_dispatcher(1)
+    board, read = dispatcher.board, Board.read
+    cfg, known = board.read(CONFIGURATION), board.read(SERVER_SUBSETS)
+    service = evolve(SERVICE, cold_per_s=1.0)
+    cfg = evolve(cfg, services=Map({SERVICE.name: service}))
+    board.write(CONFIGURATION, cfg, writer=CONFIGURATION.writer)
+    subset = known.by_service[SERVICE.name]
+    cold = tuple(
+        evolve(member, rule=evolve(member.rule, warm_at_s=1e4))
+        for member in subset.members
+    )
+    later = [
+        ServerSubsets(by_service=Map({SERVICE.name: evolve(subset, members=cold)}))
+    ]
+    empty = ServerSubsets(by_service=Map({SERVICE.name: evolve(subset, members=())}))
+    board.write(SERVER_SUBSETS, empty, writer=SERVER_SUBSETS.writer)
+
+    def read_before_a_change(self: Board, region: Region[Any]) -> Any:
+        record = read(self, region)
+        if region == SERVER_SUBSETS and later:
+            board.write(SERVER_SUBSETS, later.pop(), writer=SERVER_SUBSETS.writer)
+        return record
+
+    monkeypatch.setattr(Board, "read", read_before_a_change)
+    for _ in range(2):
+        assert isinstance(dispatcher.place_at_once(make_slot_request(1e4)), NotPlaced)
+    assert not later
