--- a/snipespring/controllers/domain_link.py
+++ b/snipespring/controllers/domain_link.py
@@ -87,6 +87,7 @@
     OutcomeBatch,
     OutcomeNotification,
     PublishedHost,
+    RelayNotice,
     ReportDigest,
     ServerChanges,
     ServerQuery,
@@ -109,7 +110,7 @@
 # enough to count as heard and to be known as serving when it replaces the first one.
 BACKUP_REPORT_ROUNDS = 3
 HUB_TIMEOUT_S = 1.0  # a hub that answers no report for this long is silent
-# Latest reports that are kept, since their digests may still arrive.
+# The reports of so many rounds are kept, since their digests may still arrive.
 MAX_PENDING_REPORTS = 8
 HUB_RETRY_S = 4.0  # a silent hub is used again after this time
 
@@ -259,13 +260,14 @@
         )
 
     def _update_relay(self, change: Callable[[StoreRelay], StoreRelay]) -> None:
-        relay = self.board.update(STORE_RELAY, change, writer=self.name)
-        notice = make_notice(relay)
-        self.board.update(
-            RELAY_NOTICE,
-            lambda old: old if old == notice else notice,
-            writer=self.name,
-        )
+        self.board.update(STORE_RELAY, change, writer=self.name)
+
+        def notify(old: RelayNotice) -> RelayNotice:
+            # Another thread may have changed the relay again meanwhile.
+            notice = make_notice(self.board.read(STORE_RELAY))
+            return old if old == notice else notice
+
+        self.board.update(RELAY_NOTICE, notify, writer=self.name)
 
     def _note_version(self, version: int) -> None:
         """Record the newest configuration version that a host knows."""
@@ -412,7 +414,12 @@
         with self._lock:
             self._unanswered_since_s.setdefault(hub.host_id, now_s)
             self._sent[report.sequence] = _SentReport(report=report, sent_s=now_s)
-            self._sent.pop(report.sequence - MAX_PENDING_REPORTS, None)
+            # The reports to a second hub alone leave out sequence numbers.
+            self._sent = {
+                sequence: sent
+                for sequence, sent in self._sent.items()
+                if sent.report.sequence > report.sequence - MAX_PENDING_REPORTS
+            }
         self.datagrams.send(hub.peers, report)
 
     def _list_silent_hubs(self, now_s: float) -> frozenset[HostId]:
