Do not take overdue attempts for failures of their server

Sound servers whose work varies much are overdue too, and with fewer in use all became slower. Change: an overdue attempt only gives rise to a second one.

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -387,7 +387,7 @@
         subsets = self._adopt_subsets()  # a server that has become cold is limited
         service = slot_request.service
         subset = subsets.by_service.get(service)
-        if subset is None or (not subset.members and self._awaits_servers()):
+        if subset is None or (not subset.members and self._awaits_servers(service)):
             return self._wait_for_subset(service)
         now_s = self.clock.monotonic_s()
         known_s = find_known_s(self.board.read(EVACUATIONS), now_s=now_s)
@@ -440,11 +440,14 @@
             now_s=self.clock.monotonic_s(),
         )
 
-    def _awaits_servers(self) -> bool:
-        """Return whether the first listing of registered servers is not confirmed yet.
+    def _awaits_servers(self, service: ServiceName) -> bool:
+        """Return whether a service is about to get servers.
 
-        During a start, the configuration may be in force before the servers are.
+        Either they are known and not selected yet, or the first listing of registered
+        servers is not confirmed, which may come after that of the configuration.
         """
+        if self.board.read(CONFIGURATION).servers.get(service):
+            return True
         follows_store = self.board.read(CONFIGURATION_FEED).revision is not None
         return follows_store and self.board.read(SERVER_FEED).confirmed_s is None
 
--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -39,7 +39,6 @@
 from ..decisions.health import (
     record_attempt_end,
     record_attempt_start,
-    record_overdue_attempt,
 )
 from ..decisions.overload import HasRoom, Overloaded, admit_offered, make_room
 from ..decisions.places import allowed_regions
@@ -52,7 +51,6 @@
     hedge_delay_s,
     make_fleet_budget,
     max_balance_per_host,
-    overdue_delay_s,
     renew_phase,
     spend_fleet_retry,
     spend_retry,
@@ -303,26 +301,20 @@
             cancel=lambda: self.transport.cancel(second.request_id),
         )
         is_busy, load = self._read_load(service, admitted)
-        overdue_s = overdue_delay_s(admitted.route, load, is_busy=is_busy)
-        is_hedged = overdue_s == hedge_delay_s(
+        hedge_after_s = hedge_delay_s(
             admitted.route,
             load,
             is_busy=is_busy,
             remaining_s=self._remaining_s(admitted),
         )
 
-        def on_overdue() -> None:
-            self._record_overdue(server, first.request_id)
-            if is_hedged:
-                hedge.start()
-
         ended = self._run_attempt(
             admitted,
             first,
             server,
             is_disconnected,
-            overdue_after_s=overdue_s,
-            on_overdue=on_overdue,
+            overdue_after_s=hedge_after_s,
+            on_overdue=hedge.start,
             is_superseded=is_superseded.is_set,
         )
         hedged = hedge.finish(is_needed=not _is_final(ended, admitted))
@@ -577,13 +569,6 @@
             writer=self.name,
         )
 
-    def _record_overdue(self, server: ServerId, attempt_id: str) -> None:
-        self.board.update(
-            EVIDENCE,
-            lambda evidence: record_overdue_attempt(evidence, server, attempt_id),
-            writer=self.name,
-        )
-
     def _record_end(
         self, server: ServerId, attempt_id: str, result: BackendResult
     ) -> None:
--- a/snipespring/controllers/start_gate.py
+++ b/snipespring/controllers/start_gate.py
@@ -21,7 +21,10 @@
 
 @define(kw_only=True, eq=False)
 class StartGate:
-    """Hold requests until a configuration and the lease are; write no region."""
+    """Hold requests until the host knows what it needs; write no region.
+
+    That is a configuration, with its servers, and the lease.
+    """
 
     board: Board
     clock: Clock
@@ -37,7 +40,7 @@
     def step(self) -> None:
         """Let the waiting requests go on once they can be served."""
         is_leased = isinstance(self.board.read(LEASE), LeaseHeld)
-        if is_leased and self.board.read(CONFIGURATION).version:
+        if is_leased and self.board.read(CONFIGURATION).servers:
             self._opened.set()
 
     def wait(self) -> None:
--- a/snipespring/decisions/health/__init__.pyi
+++ b/snipespring/decisions/health/__init__.pyi
@@ -16,7 +16,6 @@
     make_server_reports,
     record_attempt_end,
     record_attempt_start,
-    record_overdue_attempt,
 )
 from .floors import (
     list_unusable,
@@ -107,7 +106,6 @@
     "receive_ejection_list",
     "record_attempt_end",
     "record_attempt_start",
-    "record_overdue_attempt",
     "remove_services",
     "renew_pool",
     "required_servers",
--- a/snipespring/decisions/health/evidence.py
+++ b/snipespring/decisions/health/evidence.py
@@ -31,7 +31,6 @@
     "make_server_reports",
     "record_attempt_end",
     "record_attempt_start",
-    "record_overdue_attempt",
 ]
 
 FIRST_CLIENT_ERROR_STATUS = 400
@@ -64,37 +63,16 @@
     """
     server_evidence = evidence.by_server.get(server, NO_EVIDENCE)
     started_s = server_evidence.started_s.get(attempt_id, now_s)
-    counts = server_evidence.counts
-    match result:
-        case AnswerLate() if attempt_id in server_evidence.overdue:
-            pass  # counted when it became overdue
-        case _:
-            counts = _count_result(counts, result, now_s - started_s)
+    counts = _count_result(server_evidence.counts, result, now_s - started_s)
     server_evidence = evolve(
         server_evidence,
         counts=counts,
         started_s=_remove_start(server_evidence.started_s, attempt_id),
-        overdue=server_evidence.overdue - {attempt_id},
         idle_sheds=server_evidence.idle_sheds + is_shed_with_free_slots(result),
     )
     return evolve(evidence, by_server=evidence.by_server.set(server, server_evidence))
 
 
-def record_overdue_attempt(
-    evidence: Evidence, server: ServerId, attempt_id: str
-) -> Evidence:
-    """Return the evidence with one more attempt whose answer is overdue."""
-    server_evidence = evidence.by_server.get(server, NO_EVIDENCE)
-    if attempt_id not in server_evidence.started_s:
-        return evidence
-    server_evidence = evolve(
-        server_evidence,
-        overdue=server_evidence.overdue | {attempt_id},
-        overdue_count=server_evidence.overdue_count + 1,
-    )
-    return evolve(evidence, by_server=evidence.by_server.set(server, server_evidence))
-
-
 def list_services(evidence: Evidence) -> frozenset[ServiceName]:
     """Return the services that this host has sent requests to."""
     return frozenset(server.service for server in evidence.by_server)
--- a/snipespring/decisions/retries/__init__.py
+++ b/snipespring/decisions/retries/__init__.py
@@ -2,7 +2,7 @@
 
 from .budget import BudgetExhausted, earn_retry, max_balance_per_host, spend_retry
 from .fleet import FleetBudget, make_fleet_budget, renew_phase, spend_fleet_retry
-from .hedging import hedge_delay_s, overdue_delay_s
+from .hedging import hedge_delay_s
 
 __all__ = [
     "BudgetExhausted",
@@ -11,7 +11,6 @@
     "hedge_delay_s",
     "make_fleet_budget",
     "max_balance_per_host",
-    "overdue_delay_s",
     "renew_phase",
     "spend_fleet_retry",
     "spend_retry",
--- a/snipespring/decisions/retries/hedging.py
+++ b/snipespring/decisions/retries/hedging.py
@@ -1,15 +1,14 @@
-"""Decide when an attempt is overdue, and when a second one is sent beside it.
+"""Decide when a second attempt is sent beside one that is overdue.
 
 The load is that of servers that accept requests and answer none for seconds, as gray
-failures do: waiting for the end of an attempt costs its caller the whole answer, and
-the other callers learn late which server fails.
+failures do: waiting for the end of an attempt costs its caller the whole answer.
 """
 
 from math import inf
 
 from ...records import RouteLoad, RouteRule, RunAsUpload, RunIdempotent, RunOnce
 
-__all__ = ["hedge_delay_s", "overdue_delay_s"]
+__all__ = ["hedge_delay_s"]
 
 # An answer is overdue after this multiple of the mean duration or so many mean absolute
 # deviations beyond it, whichever is later: the work of some routes varies far more than
@@ -21,7 +20,23 @@
 OBJECTIVE_SHARE = 0.5
 
 
-def overdue_delay_s(
+def hedge_delay_s(
+    route: RouteRule, load: RouteLoad | None, *, is_busy: bool, remaining_s: float
+) -> float:
+    """Return after how many seconds to send a second attempt, infinity for never.
+
+    The request must be idempotent, and the second attempt must have time for an answer.
+    """
+    match route.run:
+        case RunIdempotent():
+            delay_s = _overdue_delay_s(route, load, is_busy=is_busy)
+            answer_s = 0.0 if load is None else load.answer_s
+            return delay_s if delay_s + answer_s < remaining_s else inf
+        case RunOnce() | RunAsUpload():
+            return inf
+
+
+def _overdue_delay_s(
     route: RouteRule, load: RouteLoad | None, *, is_busy: bool
 ) -> float:
     """Return after how many seconds an attempt is overdue, infinity for never.
@@ -37,19 +52,3 @@
         OVERDUE_RATIO * load.answer_s,
         load.answer_s + OVERDUE_DEVIATIONS * load.deviation_s,
     )
-
-
-def hedge_delay_s(
-    route: RouteRule, load: RouteLoad | None, *, is_busy: bool, remaining_s: float
-) -> float:
-    """Return after how many seconds to send a second attempt, infinity for never.
-
-    The request must be idempotent, and the second attempt must have time for an answer.
-    """
-    match route.run:
-        case RunIdempotent():
-            delay_s = overdue_delay_s(route, load, is_busy=is_busy)
-            answer_s = 0.0 if load is None else load.answer_s
-            return delay_s if delay_s + answer_s < remaining_s else inf
-        case RunOnce() | RunAsUpload():
-            return inf
--- a/snipespring/decisions/tallies.py
+++ b/snipespring/decisions/tallies.py
@@ -15,9 +15,8 @@
 class OutcomeTally:
     """Count good answers, failures and attempts that reached no server.
 
-    An attempt whose answer is overdue counts as a failure before it ends. `late`
-    contains the waiting times of attempts that got no answer in time, and `idle_sheds`
-    counts sheds by a server with free slots.
+    `late` contains the waiting times of attempts that got no answer in time, and
+    `idle_sheds` counts sheds by a server with free slots.
     """
 
     good: int
@@ -67,7 +66,7 @@
     counts = evidence.counts
     return OutcomeTally(
         good=sum(counts.answered.counts),
-        bad=counts.errors + counts.broken + evidence.overdue_count,
+        bad=counts.errors + counts.broken,
         connect_failures=counts.unreachable,
         late=counts.late,
         idle_sheds=evidence.idle_sheds,
--- a/snipespring/records/health.py
+++ b/snipespring/records/health.py
@@ -52,15 +52,12 @@
 class ServerEvidence:
     """Collect the outcomes of attempts on one server.
 
-    `started_s` contains the monotonic start times of attempts under way, `overdue` the
-    ids of those whose answer is overdue, and `overdue_count` counts all that were.
-    `idle_sheds` counts the sheds while the server reported free slots.
+    `started_s` contains the monotonic start times of attempts under way. `idle_sheds`
+    counts the sheds while the server reported free slots.
     """
 
     counts: OutcomeCounts = OutcomeCounts()
     started_s: Map[str, float] = Map()
-    overdue: frozenset[str] = frozenset()
-    overdue_count: int = 0
     idle_sheds: int = 0
 
 
