Ask the store in time where changes must be in force within 2 s

Change: at least 0.9 s of the time allowed for a change are left for the reading: hosts wait 1.1 s instead of 1.4 s where 2 s are allowed; where 2.5 s are, nothing changes.

--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -82,15 +82,16 @@
 NOTICE_FRACTION = 0.4
 # Longest watch, as a fraction of the time in which a revoked key has to be refused. A
 # watch confirms the configuration as of the time when the watch began, so that the age
-# of a confirmation reaches twice the length of a watch. With 0.28, all hosts called the
-# store at the beginning of an outage, because their confirmations were too old.
+# of a confirmation reaches twice the length of a watch. Older ones would let all hosts
+# call the store at the beginning of an outage.
 WATCH_FRACTION = 0.24
 # A host queries the store itself after this fraction of that time without a newer
 # confirmation,
 CONFIRMED_FRACTION = 0.72
 # or after this fraction of the notice time in which the watching host did not show that
-# it reaches the store.
+# it reaches the store, but in time to read a change within the time allowed for it.
 RELAY_FRACTION = 0.7
+READ_TIME_S = 0.9
 # The watching host probes the store this often, as a fraction of the notice time.
 PROBE_FRACTION = 0.25
 # Longest watch of the list of servers. It may be long, since keep-alive probes detect
@@ -193,7 +194,7 @@
     )
     limits = RelayLimits(
         confirmed_s=CONFIRMED_FRACTION * platform.revoke_s,
-        reached_s=RELAY_FRACTION * notice_s,
+        reached_s=_compute_relay_limit_s(context),
     )
     return (
         ConfigurationFollower(feed_follower=follower, limits=limits),
@@ -264,7 +265,7 @@
         SERVER_WATCH_TIMEOUT_S,
     )
     return ServerFollower(
-        feed_follower=follower, limit_s=RELAY_FRACTION * _compute_notice_s(context)
+        feed_follower=follower, limit_s=_compute_relay_limit_s(context)
     )
 
 
@@ -309,6 +310,14 @@
     )
 
 
+def _compute_relay_limit_s(context: GatewayContext) -> float:
+    """Return after how many seconds without a relayed reach a host asks the store."""
+    platform = context.settings.platform
+    limit_s = RELAY_FRACTION * _compute_notice_s(context)
+    left_s = min(platform.apply_s, platform.drain_s) - READ_TIME_S
+    return min(limit_s, max(left_s, limit_s / 2.0))
+
+
 def _compute_notice_s(context: GatewayContext) -> float:
     """Return the time within which a host notices a change in the store."""
     platform = context.settings.platform
