--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -13,10 +13,6 @@
 from ..blackboard.regions import (
     CONFIGURATION,
     EVIDENCE,
-    FLEET_VIEW,
-    HOST_FEED,
-    RETRY_BUDGETS,
-    ROSTER,
     SERVER_LOADS,
     SERVER_SUBSETS,
 )
@@ -45,18 +41,9 @@
 from ..decisions.queueing import name_of, urgency_of
 from ..decisions.replies import make_outcome_reply, make_result_reply
 from ..decisions.retries import (
-    BudgetExhausted,
-    FleetBudget,
-    earn_retry,
     hedge_delay_s,
-    make_fleet_budget,
-    max_balance_per_host,
-    renew_phase,
-    spend_fleet_retry,
-    spend_retry,
 )
 from ..decisions.routing import (
-    answer_s_of,
     has_free_slots,
     route_load_of,
     service_load_of,
@@ -76,8 +63,6 @@
     OrganisationRule,
     Placement,
     Reply,
-    RetryBudget,
-    RetryBudgets,
     RouteLoad,
     RunAsUpload,
     RunIdempotent,
@@ -94,6 +79,7 @@
 from .dispatcher import Dispatcher, NotPlaced, Placed
 from .hedges import Hedge
 from .metrics_recorder import MetricsRecorder
+from .retry_limiter import RetryLimiter
 
 __all__ = ["Delivery", "Sender"]
 
@@ -129,7 +115,7 @@
 
 @define(kw_only=True, eq=False)
 class Sender:
-    """Place, send and retry requests; write the evidence and retry budgets regions."""
+    """Place, send and retry requests; write the evidence region."""
 
     board: Board
     clock: Clock
@@ -147,6 +133,7 @@
     )
     pause: Callable[[float], None] = field(default=_pause)
     name: str = "sender"
+    retry_limiter: RetryLimiter = field(init=False)
     # Callers may choose the ids of their requests, and may use one twice.
     _attempt_ids: Iterator[int] = field(factory=count, init=False)
     _hedges: ThreadPoolExecutor = field(
@@ -154,6 +141,16 @@
         init=False,
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Create the limiter of retries."""
+        self.retry_limiter = RetryLimiter(
+            board=self.board,
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
+            demand=self.demand,
+        )
+
     def deliver(
         self,
         service: ServiceRule,
@@ -190,7 +187,7 @@
                     )
                 case Placed(server=server, tag=tag):
                     if not completed:
-                        self._record_first(service, admitted)
+                        self.retry_limiter.earn(service, self._urgency_of(admitted))
                     completed += self._run_with_hedge(
                         service, admitted, server, completed, is_disconnected
                     )
@@ -344,7 +341,11 @@
             case NotPlaced():
                 return None
             case Placed(server=server) if (
-                is_disconnected() or self._spend_retry(service, admitted) is not None
+                is_disconnected()
+                or self.retry_limiter.spend(
+                    service, admitted, self._urgency_of(admitted)
+                )
+                is not None
             ):
                 self.dispatcher.cancel(server)
                 return None
@@ -456,7 +457,9 @@
                 self.pause(delay_s)
             if reached_no_server(completed[-1].result):
                 return None
-            refusal = self._spend_retry(service, admitted)
+            refusal = self.retry_limiter.spend(
+                service, admitted, self._urgency_of(admitted)
+            )
             if refusal is None:
                 return None
             match run:
@@ -468,99 +471,6 @@
     def _remaining_s(self, admitted: AdmittedRequest) -> float:
         return admitted.deadline_at_s - self.clock.monotonic_s()
 
-    def _record_first(self, service: ServiceRule, admitted: AdmittedRequest) -> None:
-        """Count a first attempt, which earns a part of a retry."""
-        self.demand.record_first(service.name, self._urgency_of(admitted))
-        now_s = self.clock.monotonic_s()
-        max_balance = self._max_retry_balance(service)
-
-        def earn(budgets: RetryBudgets) -> RetryBudgets:
-            budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
-            budget = earn_retry(
-                budget, service.retry_share, max_balance=max_balance, now_s=now_s
-            )
-            by_service = budgets.by_service.set(service.name, budget)
-            return evolve(budgets, by_service=by_service)
-
-        self.board.update(RETRY_BUDGETS, earn, writer=self.name)
-
-    def _max_retry_balance(self, service: ServiceRule) -> float:
-        if service.retry_reserve is None:
-            return max_balance_per_host(len(self.board.read(ROSTER).hosts))
-        return service.retry_reserve / max(1, len(self.board.read(HOST_FEED).items))
-
-    def _spend_retry(
-        self, service: ServiceRule, admitted: AdmittedRequest
-    ) -> str | None:
-        """Count a retry that is wanted; return why not to send it, if so."""
-        urgency = self._urgency_of(admitted)
-        fleet = self._read_fleet_budget(service, urgency)
-        if fleet is None:
-            is_sent = self._spend(service, spend_retry)
-            rule, reason = "host", "this host's own retry budget is empty"
-        elif fleet.is_short and not self._may_answer_in_time(admitted):
-            is_sent, rule = False, "late"
-            reason = f"{fleet}; an answer would probably come after the deadline"
-        else:
-            phase = self.rng.random()
-            is_sent = self._spend(
-                service,
-                lambda budget, now_s: spend_fleet_retry(budget, fleet, now_s=now_s),
-                prepare=lambda budget, now_s: renew_phase(
-                    budget, phase=phase, now_s=now_s
-                ),
-            )
-            rule, reason = "fleet", str(fleet)
-        self.metrics.count(
-            "retry_budget", f"{rule} {'spent' if is_sent else 'refused'}"
-        )
-        self.demand.record_retry(service.name, urgency, is_sent=is_sent)
-        return None if is_sent else reason
-
-    def _read_fleet_budget(
-        self, service: ServiceRule, urgency: int
-    ) -> FleetBudget | None:
-        """Return the budget of all hosts, None without a fresh view of them."""
-        demand = self.demand.read_fleet(service.name)
-        if service.retry_bound is None or demand is None:
-            return None
-        return make_fleet_budget(
-            service.retry_bound,
-            demand,
-            urgency=urgency,
-            heard_hosts=self.board.read(FLEET_VIEW).heard_hosts,
-            known_hosts=len(self.board.read(HOST_FEED).items),
-        )
-
-    def _may_answer_in_time(self, admitted: AdmittedRequest) -> bool:
-        """Return whether an answer as slow as the mean meets the deadline."""
-        load = service_load_of(self.board.read(SERVER_LOADS), admitted.route.service)
-        answer_s = answer_s_of(load, name_of(admitted.route))
-        return answer_s <= self._remaining_s(admitted)
-
-    def _spend(
-        self,
-        service: ServiceRule,
-        decide: Callable[[RetryBudget, float], RetryBudget | BudgetExhausted],
-        *,
-        prepare: Callable[[RetryBudget, float], RetryBudget] = lambda budget, _: budget,
-    ) -> bool:
-        """Spend a retry if `decide` allows it; keep what `prepare` changes anyway."""
-        now_s = self.clock.monotonic_s()
-
-        def spend(budgets: RetryBudgets) -> tuple[RetryBudgets, bool]:
-            budget = budgets.by_service.get(service.name, RetryBudget(at_s=now_s))
-            budget = prepare(budget, now_s)
-            match decide(budget, now_s):
-                case BudgetExhausted():
-                    is_sent = False
-                case RetryBudget() as remaining:
-                    budget, is_sent = remaining, True
-            by_service = budgets.by_service.set(service.name, budget)
-            return evolve(budgets, by_service=by_service), is_sent
-
-        return self.board.transact(RETRY_BUDGETS, spend, writer=self.name)
-
     def _record_start(self, server: ServerId, attempt_id: str) -> None:
         now_s = self.clock.monotonic_s()
         self.board.update(
