--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -8,6 +8,7 @@
 from .claim_owner import ClaimOwner
 from .claimant import Claimant
 from .concurrency_limiter import ConcurrencyLimiter
+from .configuration_follower import ConfigurationFollower
 from .configurator import Configurator
 from .demand_recorder import DemandRecorder
 from .dispatcher import Dispatcher, NotPlaced, Placed
@@ -15,12 +16,7 @@
 from .domain_link import DomainLink
 from .era_tracker import EraTracker
 from .evacuation_follower import EvacuationFollower
-from .feed_follower import (
-    ConfigurationFollower,
-    Feed,
-    FeedFollower,
-    ServerFollower,
-)
+from .feed_follower import Feed, FeedFollower
 from .fence_tracker import FenceTracker
 from .forwarder import Forwarder
 from .granter import Granter
@@ -50,6 +46,7 @@
 from .runner import Controller, Runner
 from .segment_fetcher import SegmentFetcher
 from .sender import Delivery, Sender
+from .server_follower import ServerFollower
 from .server_state_updater import ServerStateUpdater
 from .settings_keeper import SettingsReloader
 from .share_borrower import ShareBorrower
--- a/snipespring/controllers/feed_follower.py
+++ b/snipespring/controllers/feed_follower.py
@@ -1,8 +1,4 @@
-"""Follow the feeds of the platform's store.
-
-A host does not query the store for the configuration while another host relays recent
-confirmations that the version in use is still the newest.
-"""
+"""Read and watch one feed of the platform's store."""
 
 from collections.abc import Callable
 from random import Random
@@ -18,15 +14,6 @@
     STORE_REACH,
     STORE_RELAY,
 )
-from ..decisions.confirmations import (
-    QueryStore,
-    ReadNewerVersion,
-    RelayLimits,
-    UseRelayedConfirmation,
-    adopt_stale_listing,
-    adopt_stated_version,
-    check_relay,
-)
 from ..decisions.feeds import (
     SkippedItem,
     adopt_stale_items,
@@ -35,33 +22,20 @@
     confirm_view,
 )
 from ..decisions.first_reads import (
-    AwaitFirstRelay,
-    ConfirmFirstRead,
     FirstReadLimits,
-    check_first_configuration,
-    check_first_servers,
     is_hub_restored,
     latest_fresh_read_s,
 )
 from ..decisions.membership import draw_backoff_s
 from ..decisions.outages import extend_span
 from ..decisions.restores import is_store_behind
-from ..decisions.server_relay import (
-    AwaitRelay,
-    apply_server_changes,
-    check_server_relay,
-    is_of_earlier_era,
-)
 from ..decisions.store_calls import earliest_call_s, find_reach_s
 from ..records import (
-    Configuration,
     FeedChanges,
     FeedGap,
     FeedListing,
     FeedUnavailable,
     FeedView,
-    PublishedServer,
-    ServerChanges,
     StoreRelay,
     StoreStep,
 )
@@ -70,13 +44,7 @@
 from .metrics_recorder import MetricsRecorder
 from .store_availability import read_recovery_s
 
-__all__ = [
-    "ConfigurationFollower",
-    "Feed",
-    "FeedFollower",
-    "ServerFollower",
-    "count_listing",
-]
+__all__ = ["Feed", "FeedFollower", "count_listing"]
 
 T = TypeVar("T")
 
@@ -97,9 +65,6 @@
 STALE_RETRY_S = 2.0
 # How often a host checks whether the store has answered a probe or the relay is back.
 RECHECK_INTERVAL_S = 0.25
-# A watching host whose confirmation is older than this share of the limit has just
-# begun to watch, and reads the configuration instead of waiting for a change.
-LATE_CONFIRMATION_SHARE = 0.6
 
 
 class Feed(Protocol[T]):
@@ -388,181 +353,3 @@
             return bool(changes)
         case FeedGap():
             return False
-
-
-@define(kw_only=True, eq=False)
-class ConfigurationFollower:
-    """Follow the configuration by relayed confirmations or by the store.
-
-    The store is queried once the relayed confirmations exceed the limits.
-    """
-
-    feed_follower: FeedFollower[Configuration]
-    limits: RelayLimits
-    _tried_version: int = field(default=0, init=False)
-    watches: tuple[Region[Any], ...] = field(
-        default=(RELAY_NOTICE, STORE_REACH), init=False
-    )
-
-    @property
-    def name(self) -> str:
-        """Return the name under which this controller writes to the blackboard."""
-        return self.feed_follower.name
-
-    def step(self) -> float:
-        """Use a relayed confirmation or query the store; return seconds to wait."""
-        follower, board = self.feed_follower, self.feed_follower.board
-        now_s = follower.clock.monotonic_s()
-        relay = board.read(STORE_RELAY)
-        known = board.update(
-            follower.region,
-            lambda view: adopt_stated_version(view, relay),
-            writer=self.name,
-        )
-        if follower.is_unread() and not relay.is_watcher:
-            return follower.read_stale_when_due()
-        if known.is_stale:
-            return self._complete_first_read(known, relay, now_s)
-        match check_relay(known, relay, self.limits, now_s=now_s):
-            case ReadNewerVersion(version=version) if (
-                follower.is_due() and self._read_version(version)
-            ):
-                return 0.0
-            case ReadNewerVersion():
-                return follower.step_when_due(is_behind=True)
-            case QueryStore():
-                is_late = known.confirmed_s is not None and (
-                    now_s - known.confirmed_s
-                    > LATE_CONFIRMATION_SHARE * self.limits.confirmed_s
-                )
-                return follower.query_when_allowed(
-                    is_behind=is_late and relay.is_watcher
-                )
-            case UseRelayedConfirmation(view=view, next_query_s=next_query_s):
-                if view != known:
-                    board.write(follower.region, view, writer=self.name)
-                return next_query_s - now_s
-
-    def _complete_first_read(
-        self, known: FeedView[Configuration], relay: StoreRelay, now_s: float
-    ) -> float:
-        follower = self.feed_follower
-        decision = check_first_configuration(
-            known,
-            relay,
-            limit_s=self.limits.confirmed_s,
-            latest_s=follower.find_fresh_read_s(),
-            now_s=now_s,
-        )
-        match decision:
-            case ReadNewerVersion(version=version) if (
-                follower.is_due() and self._read_version(version)
-            ):
-                return 0.0
-            case ReadNewerVersion() | QueryStore():
-                return follower.list_when_due(known, relay)
-            case AwaitFirstRelay(next_check_s=next_check_s):
-                return next_check_s - now_s
-            case ConfirmFirstRead(sent_s=sent_s):
-                follower.confirm_first_read(sent_s)
-                return 0.0
-
-    def _read_version(self, version: int) -> bool:
-        """Read a version by a stale read, which costs least; return whether it has it.
-
-        Each version is tried once, so that a store that lags is asked for fresh data.
-        """
-        if version <= self._tried_version:
-            return False
-        self._tried_version = version
-        follower = self.feed_follower
-        match follower.list_items("stale", may_be_stale=True):
-            case FeedUnavailable():
-                return False
-            case FeedListing() as listing:
-                view = adopt_stale_listing(
-                    follower.board.read(follower.region), listing, version
-                )
-        if view is None:
-            return False
-        follower.board.write(follower.region, view, writer=self.name)
-        return True
-
-
-@define(kw_only=True, eq=False)
-class ServerFollower:
-    """Follow the registered servers by relayed changes or by the store.
-
-    The store is queried while no other host of the failure domain has shown within
-    `limit_s` seconds that it reaches the store.
-    """
-
-    feed_follower: FeedFollower[PublishedServer]
-    limit_s: float
-    watches: tuple[Region[Any], ...] = field(
-        default=(RELAY_NOTICE, STORE_REACH), init=False
-    )
-
-    @property
-    def name(self) -> str:
-        """Return the name under which this controller writes to the blackboard."""
-        return self.feed_follower.name
-
-    def step(self) -> float:
-        """Wait for relayed changes or query the store; return seconds to wait."""
-        follower, board = self.feed_follower, self.feed_follower.board
-        now_s = follower.clock.monotonic_s()
-        known, relay = board.read(follower.region), board.read(STORE_RELAY)
-        if follower.is_unread() and not relay.is_watcher:
-            return follower.read_stale_when_due()
-        if known.is_stale:
-            return self._complete_first_read(known, relay, now_s)
-        match check_server_relay(known, relay, limit_s=self.limit_s, now_s=now_s):
-            case QueryStore():
-                if known.revision is not None and is_of_earlier_era(known, relay):
-                    return follower.discard_revision()
-                return follower.query_when_allowed()
-            case AwaitRelay(next_check_s=next_check_s):
-                return next_check_s - now_s
-
-    def _complete_first_read(
-        self, known: FeedView[PublishedServer], relay: StoreRelay, now_s: float
-    ) -> float:
-        follower = self.feed_follower
-        decision = check_first_servers(
-            known,
-            relay,
-            limit_s=self.limit_s,
-            latest_s=follower.find_fresh_read_s(),
-            now_s=now_s,
-        )
-        match decision:
-            case QueryStore():
-                return follower.list_when_due(known, relay)
-            case AwaitFirstRelay(next_check_s=next_check_s):
-                return next_check_s - now_s
-            case ConfirmFirstRead(sent_s=sent_s):
-                follower.confirm_first_read(sent_s)
-                return 0.0
-
-    def receive_changes(self, changes: ServerChanges) -> None:
-        """Apply changes to servers that another host has relayed."""
-        follower = self.feed_follower
-        board, outage_s = follower.board, follower.outage_s
-        now_s = follower.clock.monotonic_s()
-        recovered_s = read_recovery_s(board, outage_s=outage_s)
-
-        def apply(
-            before: FeedView[PublishedServer],
-        ) -> tuple[FeedView[PublishedServer], FeedView[PublishedServer]]:
-            after = apply_server_changes(
-                before,
-                changes,
-                now_s=now_s,
-                recovered_s=recovered_s,
-                grace_s=outage_s,
-            )
-            return after, before
-
-        before = board.transact(follower.region, apply, writer=self.name)
-        follower.record_restore(before, board.read(follower.region))
