Prepare a second attempt only where one may be sent

Cause: the headers and the id of a second request, and the objects that run it, were made for every attempt, also for requests that may run once and for busy services, on the path of each request. Change: an attempt that is never overdue is run as before second attempts existed. No change of what is sent. Result: the tests of the sender, of second attempts and of overload pass.

--- a/snipespring/controllers/sender.py
+++ b/snipespring/controllers/sender.py
@@ -273,6 +273,15 @@
         """
         number = len(completed)
         first = self._make_backend_request(admitted, number)
+        is_busy, load = self._read_load(service, admitted)
+        hedge_after_s = hedge_delay_s(
+            admitted.route,
+            load,
+            is_busy=is_busy,
+            remaining_s=self._remaining_s(admitted),
+        )
+        if hedge_after_s == inf:
+            return [self._run_attempt(admitted, first, server, is_disconnected)]
         second = self._make_backend_request(admitted, number + 1)
         # The transport ignores a cancellation while the first attempt connects; the
         # canceller repeats it.
@@ -297,13 +306,6 @@
             run=run_second,
             cancel=lambda: self.transport.cancel(second.request_id),
         )
-        is_busy, load = self._read_load(service, admitted)
-        hedge_after_s = hedge_delay_s(
-            admitted.route,
-            load,
-            is_busy=is_busy,
-            remaining_s=self._remaining_s(admitted),
-        )
 
         ended = self._run_attempt(
             admitted,
