Parse header fields of answers in linear time

What callers saw (CONFIG): a gateway answered no request of any service, nor its readiness check, and did not end within Grace. A server of one service had sent a head with a field of 12,000 blanks and a NUL byte.

Cause: in the expression for a field, three adjacent parts matched blanks, so that a line that does not match was tried in every division of them, with the interpreter's lock. No time limit and no signal handler runs meanwhile.

Change: a field is cut at its first colon and stripped; name and value are matched with one class of characters each.

Ruled out by reading: chunk lines (their parts match different characters), trailers, interim answers and the status line are linear and limited.

--- a/snipespring/frontends/backends/heads.py
+++ b/snipespring/frontends/backends/heads.py
@@ -8,6 +8,7 @@
 
 from ...exception import SnipespringError
 from ...records import Header
+from ..http_fields import parse_field
 
 __all__ = ["AnswerHead", "MalformedAnswerError", "encode_request_head", "read_head"]
 
@@ -21,10 +22,6 @@
     rb"HTTP/1\.(?P<minor>[01]) (?P<status>[1-5][0-9]{2})"
     rb"(?: [\t\x20-\x7e\x80-\xff]*)?\r\n"
 )
-FIELD_LINE = re.compile(
-    rb"(?P<name>[!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*"
-    rb"(?P<value>[\t\x20-\x7e\x80-\xff]*?)[ \t]*\r\n"
-)
 STATUS_LINE_START = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 MAX_FIELDS = 100
 MAX_SHOWN_BYTES = 40
@@ -91,13 +88,12 @@
         line = _read_line(reader)
         if line == CRLF:
             return
-        found = FIELD_LINE.fullmatch(line)
-        if found is None or STATUS_LINE_START.search(line):
+        header = parse_field(line.removesuffix(CRLF)) if line.endswith(CRLF) else None
+        if header is None or STATUS_LINE_START.search(line):
             raise MalformedAnswerError(
                 f"not a header field: {line[:MAX_SHOWN_BYTES]!r}"
             )
-        name, value = found["name"].decode("ascii"), found["value"].decode("latin-1")
-        yield Header(name=name, value=value)
+        yield header
     raise MalformedAnswerError(f"the head has more than {MAX_FIELDS} fields")
 
 
--- a/snipespring/frontends/backends/tests/test_heads.py
+++ b/snipespring/frontends/backends/tests/test_heads.py
@@ -14,7 +14,9 @@
     encode_request_head,
     read_head,
 )
+from snipespring.frontends.backends.transport import MAX_HEAD_BYTES
 from snipespring.records import Header
+from standins.harness import run_limited
 
 NAME_CHARS = "!#$%&'*+-.^_`|~0123456789" + "abcdefghijklmnopqrstuvwxyz"
 VALUE_CHARS = "\t" + "".join(map(chr, [*range(0x20, 0x7F), *range(0x80, 0x100)]))
@@ -170,3 +172,34 @@
     assert encode_request_head("GET", "/a%2Fb?c", headers) == (
         b"GET /a%2Fb?c HTTP/1.1\r\nA: b \xe9\r\na: \r\n\r\n"
     )
+
+
+COUNT_VALUE_BYTES = """
+import sys
+from snipespring.frontends.backends.heads import MalformedAnswerError, read_head
+try:
+    print(sum(len(field.value) for field in read_head(sys.stdin.buffer).headers))
+except MalformedAnswerError:
+    print("malformed")
+"""
+READING_LIMIT_S = 20.0
+LONG = MAX_HEAD_BYTES - 100
+
+
+@pytest.mark.parametrize(
+    ("field", "result"),
+    [
+        (b"A: " + b" " * LONG + b"\x00", "malformed"),
+        (b"A:" + b"\t " * (LONG // 2) + b"\x7f", "malformed"),
+        (b"A: b" + b" " * LONG + b"\x00", "malformed"),
+        (b"A: " + b" b" * (LONG // 2) + b"\x00", "malformed"),
+        (b"A" * LONG, "malformed"),
+        (b"A: b" + b" " * LONG + b"b", str(LONG + 2)),
+        (b"A: b" + b" " * LONG, "1"),
+    ],
+)
+def test_a_head_of_any_form_is_read_in_linear_time(field: bytes, result: str) -> None:
+    # Guards against a field that stops the whole process while it is parsed (CONFIG).
+    head = b"HTTP/1.1 200 OK\r\n" + field + b"\r\n\r\n"
+    found = run_limited(COUNT_VALUE_BYTES, head, limit_s=READING_LIMIT_S)
+    assert found == result
--- a/standins/harness.py
+++ b/standins/harness.py
@@ -17,7 +17,15 @@
 import yaml
 from attrs import define, field, frozen
 
-__all__ = ["Answer", "Fleet", "FleetPlan", "call", "find_free_network", "wait_until"]
+__all__ = [
+    "Answer",
+    "Fleet",
+    "FleetPlan",
+    "call",
+    "find_free_network",
+    "run_limited",
+    "wait_until",
+]
 
 WAIT_TIMEOUT_S = 20.0
 EXIT_TIMEOUT_S = 30.0
@@ -108,6 +116,21 @@
     raise TimeoutError(f"timed out waiting for {description}")
 
 
+def run_limited(code: str, content: bytes, *, limit_s: float) -> str:
+    """Run Python code on standard input in a process of its own; return its output.
+
+    Raise TimeoutExpired after `limit_s` seconds, CalledProcessError if the code fails.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        input=content,
+        stdout=subprocess.PIPE,
+        timeout=limit_s,
+        check=True,
+    )
+    return done.stdout.decode().strip()
+
+
 def find_free_network() -> str:
     """Reserve an unused loopback network for this process; return it as `127.N`.
 
--- /dev/null
+++ b/tests/test_costly_bytes.py
@@ -0,0 +1,68 @@
+"""Drive gateway processes with bytes whose parsing could take more than linear time."""
+
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from threading import Event
+
+import pytest
+
+from tests.gateway_fleet import GatewayFleet, ReceivedRequest
+
+HEAD_BYTES = 60_000
+LOAD_S = 2.0
+PAUSES_S = {"ledger": 0.05, "histories": 0.05}
+
+ANSWER = (
+    "HTTP/1.1 200 OK\r\nSnipespring-Request-Id: {id}\r\n"
+    "Snipespring-Server-Seal: 3e1b\r\n{field}Content-Length: 2\r\n\r\nok"
+)
+
+
+class Backend:
+    """Answer requests, with a spoiled field in the head while there is one."""
+
+    def __init__(self) -> None:
+        self.spoiled_field = ""
+        self.has_spoiled = Event()
+
+    def answer(self, conn: socket.socket, req: ReceivedRequest) -> bool:
+        answer = ANSWER.format(id=req.request_id, field=self.spoiled_field)
+        if self.spoiled_field:
+            self.has_spoiled.set()
+        conn.sendall(answer.encode())
+        return not self.spoiled_field
+
+
+@pytest.fixture
+def faulty() -> Backend:
+    return Backend()
+
+
+@pytest.fixture
+def fleet(tmp_path: Path, faulty: Backend) -> Iterator[GatewayFleet]:
+    running = GatewayFleet(
+        folder=tmp_path, kinds={"ledger": "safe", "histories": "safe"}
+    )
+    running.add_server("ledger", faulty.answer)
+    for _ in range(2):
+        running.add_server("histories", Backend().answer)
+    running.start_gateway()
+    yield running
+    running.close()
+
+
+def serve_both(fleet: GatewayFleet) -> dict[str, list[int | None]]:
+    callers = {"ledger": 2, "histories": 2}
+    return fleet.load(callers, LOAD_S, pauses_s=PAUSES_S)
+
+
+def test_a_gateway_serves_others_while_a_server_sends_fields_of_blanks(
+    fleet: GatewayFleet, faulty: Backend
+) -> None:
+    # Guards against a spoiled answer that stops the whole process (CONFIG).
+    faulty.spoiled_field = "X-Note: " + " " * HEAD_BYTES + "\0\r\n"
+    statuses = serve_both(fleet)
+    assert faulty.has_spoiled.is_set()
+    assert set(statuses["histories"]) == {200}
+    assert None not in statuses["ledger"]
