Parse requests in linear time, within a limit for their heads

Cause: the HTTP library matches fields, and the request line, with expressions that try every division of blanks, or of a target, before they reject a line: time of the second power of up to 256 KiB, with the interpreter's lock, in the thread of all connections. It also searches all of a head, a chunk line or a trailer again for each piece that arrives.

Change: the parser collects a head itself, searches only new bytes for its end, and checks line by line before the library sees the head. The library gets stripped values, with each name once, which its expressions match at the first attempt. A receiver of our own reads chunks and trailers, with the limits that answers have. A request that is refused while it is read gets Snipespring-Outcome: not-run, as it never ran.

--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -386,6 +386,7 @@
         address=context.own_host.callers,
         app=PlatformCallersApp(handle=forwarder.handle),
         threads=threads,
+        max_head_bytes=options.max_head_bytes,
         max_body_bytes=MAX_BODY_BYTES,
         connections=int(options.descriptors * CONNECTION_FRACTION),
         body_budget=body_limiter,
--- a/snipespring/daemons/proxy.py
+++ b/snipespring/daemons/proxy.py
@@ -206,6 +206,7 @@
             handle=requests.forwarder.handle, list_addresses=address_lister.answer
         ),
         threads=options.threads + options.queue,
+        max_head_bytes=options.max_head_bytes,
         max_body_bytes=options.max_body_bytes,
         connections=options.connections,
         body_budget=body_limiter,
--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -5,7 +5,13 @@
 
 from attrs import define, field, frozen
 
-from ..http_bodies import BodyBudget, is_mostly_framing
+from ..http_bodies import (
+    MAX_CHUNK_LINE_BYTES,
+    MAX_TRAILER_BYTES,
+    MAX_TRAILER_FIELDS,
+    BodyBudget,
+    is_mostly_framing,
+)
 from .heads import AnswerHead, MalformedAnswerError
 
 __all__ = [
@@ -20,9 +26,6 @@
 ]
 
 READ_BYTES = 65536
-MAX_CHUNK_LINE_BYTES = 4096
-MAX_TRAILER_BYTES = 16384
-MAX_TRAILER_FIELDS = 100
 CRLF = b"\r\n"
 BODILESS_STATUSES = frozenset({204, 304})
 # Content up to this size is not counted in the budget for bodies in memory.
--- a/snipespring/frontends/http_server.py
+++ b/snipespring/frontends/http_server.py
@@ -16,7 +16,8 @@
 
 from ..records import Address
 from ..utils import SystemClock
-from .http_bodies import BodyBudget, RawFieldsParser, UnlimitedBodies
+from .http_bodies import BodyBudget, UnlimitedBodies
+from .http_requests import DEFAULT_MAX_HEAD_BYTES, RequestParser
 from .sockets import is_readable
 
 __all__ = ["FIELDS_KEY", "Environ", "HttpServer", "StartResponse", "WsgiApp"]
@@ -93,7 +94,7 @@
     """Serve requests by draining tasks, within the memory budget for bodies."""
 
     task_class = _DrainingTask
-    parser_class = RawFieldsParser
+    parser_class = RequestParser
     request: Any = None
     linger_until_s: float | None = None
     _is_writing = False
@@ -232,6 +233,7 @@
     threads: int
     max_body_bytes: int
     connections: int
+    max_head_bytes: int = DEFAULT_MAX_HEAD_BYTES
     body_budget: BodyBudget = field(factory=UnlimitedBodies)
     _server: TcpWSGIServer = field(init=False, default=None)
     _thread: threading.Thread | None = field(init=False, default=None)
@@ -243,6 +245,7 @@
         adj = Adjustments(
             host=self.address.ip,
             port=self.address.port,
+            max_request_header_size=self.max_head_bytes,
             max_request_body_size=self.max_body_bytes,
             connection_limit=self.connections,
             inbuf_overflow=SPILL_THRESHOLD_BYTES,
--- a/snipespring/frontends/tests/test_http_server.py
+++ b/snipespring/frontends/tests/test_http_server.py
@@ -14,6 +14,7 @@
 from snipespring.blackboard import Board
 from snipespring.blackboard.regions import BUFFERED_BODIES
 from snipespring.controllers import BodyMemoryLimiter
+from snipespring.frontends.http_requests import DEFAULT_MAX_HEAD_BYTES
 from snipespring.frontends.http_server import (
     Environ,
     HttpServer,
@@ -137,6 +138,27 @@
         assert post(address, b"x").status == 200
 
 
+@pytest.mark.parametrize(
+    ("head", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nA: \x00\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nA: " + b"b" * DEFAULT_MAX_HEAD_BYTES, b"431"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9999999999\r\n\r\n", b"413"),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", b"501"),
+        (CHUNKED_HEAD + b"g\r\n", b"400"),
+    ],
+)
+def test_a_request_refused_while_it_is_read_is_answered_as_not_run(
+    head: bytes, status: bytes
+) -> None:
+    with run_server(echo) as (address, _):
+        with socket.create_connection((address.ip, address.port), TIMEOUT_S) as sock:
+            sock.sendall(head)
+            answer = sock.recv(4096)
+        assert answer.split(b" ")[1] == status
+        assert b"\r\nSnipespring-Outcome: not-run\r\n" in answer
+
+
 def test_the_rest_of_a_refused_body_is_not_read_as_a_request() -> None:
     # Guards against a request that runs though its caller was told otherwise (REFUSED).
     targets: list[str] = []
--- a/snipespring/settings/records.py
+++ b/snipespring/settings/records.py
@@ -52,7 +52,8 @@
 # Maps failure domains to regions.
 RegionTable = NewType("RegionTable", Map[DomainName, str])
 
-MEBIBYTE_BYTES = 1024 * 1024
+KIBIBYTE_BYTES = 1024
+MEBIBYTE_BYTES = 1024 * KIBIBYTE_BYTES
 
 
 @frozen(kw_only=True)
@@ -126,10 +127,12 @@
     """Limit the resources that callers can use on this host.
 
     At most `queue` requests wait for a slot; the HTTP server has `threads + queue`
-    threads. Callers may use a list of addresses for `address_lifetime_s`.
+    threads. The head of a request (first line and header fields) may have fewer than
+    `max_head_bytes`. Callers may use a list of addresses for `address_lifetime_s`.
     """
 
     threads: Count = Count(32)
+    max_head_bytes: ByteCount = ByteCount(32 * KIBIBYTE_BYTES)
     max_body_bytes: ByteCount = ByteCount(8 * MEBIBYTE_BYTES)
     connections: Count = Count(500)
     address_lifetime_s: Seconds = Seconds(10.0)
@@ -193,13 +196,15 @@
     """Limit the resources that callers can use on this host.
 
     `memory_bytes` determines the number of threads and the memory for request bodies,
-    `descriptors` (file descriptors) the number of callers' connections. Callers may
-    use a list of addresses for `address_lifetime_s`. The host has `cpu_share` of each
-    of its `cores`, and a link of `link_mbps`.
+    `descriptors` (file descriptors) the number of callers' connections. The head of a
+    request (first line and header fields) may have fewer than `max_head_bytes`. Callers
+    may use a list of addresses for `address_lifetime_s`. The host has `cpu_share` of
+    each of its `cores`, and a link of `link_mbps`.
     """
 
     memory_bytes: ByteCount = ByteCount(300 * MEBIBYTE_BYTES)
     descriptors: Count = Count(4100)
+    max_head_bytes: ByteCount = ByteCount(32 * KIBIBYTE_BYTES)
     cpu_share: Amount = Amount(1.0)
     cores: Amount = Amount(1.0)
     link_mbps: Amount = Amount(1000.0)
--- a/tests/test_costly_bytes.py
+++ b/tests/test_costly_bytes.py
@@ -3,7 +3,7 @@
 import socket
 from collections.abc import Iterator
 from pathlib import Path
-from threading import Event
+from threading import Event, Thread
 
 import pytest
 
@@ -11,6 +11,8 @@
 
 HEAD_BYTES = 60_000
 LOAD_S = 2.0
+SENDING_PAUSE_S = 0.5
+READ_TIMEOUT_S = 4.0
 PAUSES_S = {"ledger": 0.05, "histories": 0.05}
 
 ANSWER = (
@@ -66,3 +68,33 @@
     assert faulty.has_spoiled.is_set()
     assert set(statuses["histories"]) == {200}
     assert None not in statuses["ledger"]
+
+
+def send_heads(fleet: GatewayFleet, head: bytes, stopping: Event) -> None:
+    while not stopping.wait(SENDING_PAUSE_S):
+        with socket.create_connection((f"{fleet.network}.1.1", 8080)) as conn:
+            conn.settimeout(READ_TIMEOUT_S)
+            conn.sendall(head)
+            conn.recv(4096)
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        b"X-Note: " + b" " * HEAD_BYTES + b"\0",
+        b"X-Note: " + b" " * (HEAD_BYTES // 2) + b"\0",
+        b"X-Note: " + b"b " * (HEAD_BYTES // 4) + b"\0",
+    ],
+)
+def test_a_gateway_serves_others_while_a_caller_sends_fields_of_blanks(
+    fleet: GatewayFleet, field: bytes
+) -> None:
+    # Guards against a malformed request that stops the whole process (CONFIG).
+    head = b"GET /ledger/x HTTP/1.1\r\nHost: a\r\n" + field + b"\r\n\r\n"
+    stopping = Event()
+    sender = Thread(target=send_heads, args=(fleet, head, stopping))
+    sender.start()
+    statuses = serve_both(fleet)
+    stopping.set()
+    sender.join()
+    assert set(statuses["histories"] + statuses["ledger"]) == {200}
