Parse replies of the store in linear time, within a limit

Cause: where the JSON reader gives up on the depth, strings and brackets are searched by an expression that matches a string with its end only. Without an end, the search starts again at each later quote, which may be an escaped one: time of the second power.

Change: the expression passes over a string as a whole, with or without an end, and never goes back into it. A reply is limited to 32 MiB, a version to 16 digits and an era to 18.

Why this works: each character belongs to one match or to none, so that the search passes over the text once. A page with a deep entry keeps its other entries, as before.

--- a/snipespring/platform/objects.py
+++ b/snipespring/platform/objects.py
@@ -48,6 +48,7 @@
 SERVER_STATES = {"ready": False, "draining": True}
 MAX_NUMBER = 2**53  # larger whole numbers are not exact in all JSON readers
 MAX_PORT = 65535
+MAX_VERSION_DIGITS = 16
 HOST_FIELDS = ("Zone", "Front", "Peers", "Cores", "LinkMbps")
 
 Spec = Mapping[str, Any]
@@ -142,10 +143,7 @@
 
 
 def _read_configuration(spec: Spec) -> Configuration:
-    try:
-        version = int(_read_field(spec, "Version", str), 16)
-    except ValueError as exc:
-        raise _InvalidContentError("Version: not a hexadecimal number") from exc
+    version = _read_version(spec)
     tenants = spec.get("Tenants") or {}
     access: Access = KeyAccess() if tenants else OpenAccess()
     routes = [
@@ -176,6 +174,16 @@
     )
 
 
+def _read_version(spec: Spec) -> int:
+    text = _read_field(spec, "Version", str)
+    if len(text) > MAX_VERSION_DIGITS:
+        raise _InvalidContentError(f"Version: more than {MAX_VERSION_DIGITS} digits")
+    try:
+        return int(text, 16)
+    except ValueError as exc:
+        raise _InvalidContentError("Version: not a hexadecimal number") from exc
+
+
 def _index_routes(
     routes: list[tuple[str, RouteRule]],
 ) -> Map[str, tuple[RouteRule, ...]]:
--- a/snipespring/platform/store.py
+++ b/snipespring/platform/store.py
@@ -6,7 +6,7 @@
 import socket
 import threading
 from collections.abc import Callable, Mapping
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPConnection, HTTPException, HTTPResponse, IncompleteRead
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -42,7 +42,11 @@
 MS_PER_S = 1000
 MAX_JSON_DEPTH = 32  # of a page; valid objects are less deep
 MAX_INT_DIGITS = 400  # above the digits of the largest float
-_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+MAX_REPLY_BYTES = 32 * 1024 * 1024
+MAX_ERA_DIGITS = 18
+# Takes a string as a whole even if it has no end: a search from each of its characters
+# would take time of the second power.
+_STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*+"?|[\[\]{}]', re.DOTALL)
 
 Json = Any
 
@@ -274,7 +278,7 @@
                 watch = self._begin_watch(conn, watched_era)
             conn.request(method, path, body=data, headers=headers)
             resp = conn.getresponse()
-            content = resp.read()
+            content = _read_content(resp)
         except (OSError, HTTPException) as exc:
             self._close_connection()
             return _NoResponse(
@@ -381,7 +385,19 @@
 
 def _parse_era(text: str | None) -> int:
     """Return the era in a header, 0 if there is none or it is malformed."""
-    return int(text) if text is not None and text.isdecimal() else 0
+    if text is None or not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+        return 0
+    return int(text)
+
+
+def _read_content(resp: HTTPResponse) -> bytes:
+    """Read a whole reply; raise HTTPException if it is cut or too long."""
+    content = resp.read(MAX_REPLY_BYTES + 1)
+    if len(content) > MAX_REPLY_BYTES:
+        raise HTTPException(f"the reply exceeds {MAX_REPLY_BYTES} bytes")
+    if resp.length:
+        raise IncompleteRead(content, resp.length)
+    return content
 
 
 def _parse_json(content: bytes) -> Json:
--- a/snipespring/platform/tests/test_store.py
+++ b/snipespring/platform/tests/test_store.py
@@ -10,6 +10,7 @@
 
 from snipespring.platform.feeds import HostRegistry, server_feed
 from snipespring.platform.store import (
+    MAX_REPLY_BYTES,
     ObjectChanges,
     ObjectListing,
     ObjectStoreClient,
@@ -30,6 +31,7 @@
     PublishedServer,
     WriteUncertain,
 )
+from standins.harness import run_limited
 from standins.http import Header, Request, Response, Server, start_server
 from standins.store import (
     LostAnswers,
@@ -189,7 +191,7 @@
 @define(kw_only=True)
 class FixedPage:
     body: bytes
-    eras: tuple[int, ...] = ()
+    eras: tuple[int | str, ...] = ()
     calls: int = 0
 
     def connect(self) -> bool:
@@ -265,6 +267,62 @@
     assert isinstance(healthy.content, PublishedServer)
 
 
+PARSE = """
+import sys
+from snipespring.platform.store import _parse_json
+content = _parse_json(sys.stdin.buffer.read())
+print("malformed" if content is None else len(content["items"]))
+"""
+PARSING_LIMIT_S = 30.0
+DEEP = "[" * 100_000 + "]" * 100_000
+MEBIBYTE = 1 << 20
+
+
+@pytest.mark.parametrize(
+    ("page", "result"),
+    [
+        (f'[{DEEP}, "' + '\\"' * MEBIBYTE, "malformed"),
+        (f'[{DEEP}, "' + "\\" * (2 * MEBIBYTE + 1), "malformed"),
+        (f'{{"items": [{DEEP}, "' + '\\"[' * MEBIBYTE + '"]}', "2"),
+        (f'{{"items": [{DEEP}, ' + "9" * MEBIBYTE + "]}", "2"),
+        (f'{{"items": [{DEEP}, 0.' + "9" * MEBIBYTE + "]}", "2"),
+        ("[" * 8 * MEBIBYTE, "malformed"),
+        ('{"a":' * MEBIBYTE, "malformed"),
+    ],
+)
+def test_a_reply_of_any_form_is_parsed_in_linear_time(page: str, result: str) -> None:
+    # Guards against a page of the store that stops the whole process (CONFIG).
+    found = run_limited(PARSE, page.encode(), limit_s=PARSING_LIMIT_S)
+    assert found == result
+
+
+def test_a_reply_that_is_too_long_or_cut_counts_as_none() -> None:
+    # Guards against a host that keeps a reply without end, and against a write that is
+    # taken for done though its reply was cut.
+    padding = b" " * MAX_REPLY_BYTES
+    app = FixedPage(body=make_page("{}") + padding)
+    server = start_server(listen="127.0.0.1:0", app=app)
+    address = Address(ip="127.0.0.1", port=server.server_port)
+    store = ObjectStoreClient(address=address, timeout_s=5.0)
+    assert isinstance(store.list_objects(KIND), PlatformUnavailable)
+    assert isinstance(store.create(KIND, "a", {}), WriteUncertain)
+    app.body = make_page("{}")
+    assert isinstance(store.list_objects(KIND), ObjectListing)
+    server.server_close()
+
+
+@pytest.mark.parametrize("era", ["9" * 5_000, "\xb2", "-1", ""])
+def test_a_malformed_era_counts_as_none(era: str) -> None:
+    # Guards against a follower of the store that an exception ends.
+    app = FixedPage(body=make_page("{}"), eras=(era,))
+    server = start_server(listen="127.0.0.1:0", app=app)
+    address = Address(ip="127.0.0.1", port=server.server_port)
+    listing = ObjectStoreClient(address=address, timeout_s=5.0).list_objects(KIND)
+    server.server_close()
+    assert isinstance(listing, ObjectListing)
+    assert listing.era == 0
+
+
 def test_answer_of_an_earlier_era_counts_as_none() -> None:
     # Guards against entries of before a restore that a slow answer brings back.
     app = FixedPage(body=make_page("{}"), eras=(3, 2, 3))
