Refuse CBOR tags in messages between hosts

Cause: the library computes tagged values while it decodes. A decimal of a whole number takes time of the second power: 0.07 s for 30,000 bytes and 1.1 s for 120,000; a datagram may have 60,000 bytes and a message between hosts 4 MiB. Expressions are compiled, and shared values let content grow beyond the bytes received.

Change: each tag that the library interprets raises an error before the value behind it is decoded, and keys of tables are texts or bytes. No message of hosts has tags: the encodings pinned in frontends/tests/golden are as before.

--- a/snipespring/frontends/cbor.py
+++ b/snipespring/frontends/cbor.py
@@ -1,4 +1,4 @@
-"""Decode CBOR strictly: exact types, finite numbers, no unknown fields."""
+"""Decode CBOR strictly: no tags, exact types, finite numbers, no unknown fields."""
 
 from math import isfinite
 from typing import Any
@@ -6,11 +6,18 @@
 import cattrs
 from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
 from cattrs.preconf.cbor2 import make_converter
-from cbor2 import CBORDecodeError
+from cbor2 import CBORDecodeError, loads
 
 from .outer_names import FIELD_NAMES
 
-__all__ = ["DECODING_ERRORS", "make_strict_converter"]
+__all__ = ["DECODING_ERRORS", "decode_cbor", "make_strict_converter"]
+
+# The tags that the library interprets. Some take more than linear time (decimals,
+# expressions), and shared values make content larger than its bytes.
+TAGS = (
+    *(0, 1, 2, 3, 4, 5, 25, 28, 29, 30, 35, 36, 37, 52, 54, 100),
+    *(256, 258, 260, 261, 1004, 43000, 55799),
+)
 
 DECODING_ERRORS = (
     CBORDecodeError,
@@ -27,6 +34,18 @@
 )
 
 
+def decode_cbor(content: bytes) -> Any:
+    """Return plain values; raise CBORDecodeError for malformed content or tags."""
+    return loads(content, semantic_decoders=_TAG_DECODERS, strict_hashable_types=True)
+
+
+def _refuse_tag(*_: Any) -> Any:
+    raise CBORDecodeError("tags are not allowed")
+
+
+_TAG_DECODERS = dict.fromkeys(TAGS, _refuse_tag)
+
+
 def make_strict_converter() -> cattrs.Converter:
     """Return a converter that raises one of DECODING_ERRORS for invalid content."""
     converter = make_converter(forbid_extra_keys=True, detailed_validation=False)
--- a/snipespring/frontends/datagrams.py
+++ b/snipespring/frontends/datagrams.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from attrs import NOTHING, define, field, fields, has
-from cbor2 import dumps, loads
+from cbor2 import dumps
 
 from ..records import (
     Address,
@@ -28,7 +28,7 @@
     ServerQuery,
     ServiceDemand,
 )
-from .cbor import DECODING_ERRORS, make_strict_converter
+from .cbor import DECODING_ERRORS, decode_cbor, make_strict_converter
 
 __all__ = ["DatagramSender", "DatagramSocket", "decode_datagram", "encode_datagram"]
 
@@ -124,7 +124,7 @@
 
 
 def _decode_part(content: bytes, kind: Any) -> tuple[Any, ...]:
-    part: tuple[Any, ...] = _converter.structure(loads(content), tuple[kind, ...])
+    part: tuple[Any, ...] = _converter.structure(decode_cbor(content), tuple[kind, ...])
     return part
 
 
@@ -153,7 +153,7 @@
 def decode_datagram(content: bytes) -> DomainMessage | None:
     """Return the decoded message, or None for malformed content."""
     try:
-        kind, fields = loads(content)
+        kind, fields = decode_cbor(content)
         message: DomainMessage = _converter.structure(fields, MESSAGE_KINDS[kind])
     except DECODING_ERRORS:
         return None
--- a/snipespring/frontends/fleet_objects/codec.py
+++ b/snipespring/frontends/fleet_objects/codec.py
@@ -1,13 +1,13 @@
 """Encode the fleet's objects in the platform's store as CBOR."""
 
 from attrs import frozen
-from cbor2 import dumps, loads
+from cbor2 import dumps
 from immutables import Map
 
 from ...decisions.membership import restore_roster
 from ...decisions.rules import RootRecord
 from ...records import Host, Roster, RosterChange
-from ..cbor import DECODING_ERRORS, make_strict_converter
+from ..cbor import DECODING_ERRORS, decode_cbor, make_strict_converter
 
 __all__ = [
     "CONFIGURATION_OBJECT",
@@ -59,7 +59,7 @@
 def decode_roster(content: bytes, *, version: int) -> Roster | None:
     """Return the decoded roster, or None for malformed content."""
     try:
-        decoded = _converter.structure(loads(content), _RosterContent)
+        decoded = _converter.structure(decode_cbor(content), _RosterContent)
     except DECODING_ERRORS:
         return None
     base_hosts = Map({host.host_id: host for host in decoded.hosts})
@@ -82,7 +82,7 @@
 def decode_root(content: bytes, *, version: int) -> RootRecord | None:
     """Return the decoded root, or None for malformed content."""
     try:
-        decoded = _converter.structure(loads(content), _RootContent)
+        decoded = _converter.structure(decode_cbor(content), _RootContent)
     except DECODING_ERRORS:
         return None
     return RootRecord(
--- a/snipespring/frontends/peers/codec.py
+++ b/snipespring/frontends/peers/codec.py
@@ -3,10 +3,10 @@
 from typing import Any, get_args
 
 from attrs import frozen
-from cbor2 import dumps, loads
+from cbor2 import dumps
 
 from ...records import Message
-from ..cbor import DECODING_ERRORS, make_strict_converter
+from ..cbor import DECODING_ERRORS, decode_cbor, make_strict_converter
 from ..outer_names import outer_kind_name
 
 __all__ = ["DecodeFailed", "decode_message", "encode_message"]
@@ -37,7 +37,7 @@
     if len(content) > MAX_MESSAGE_BYTES:
         return DecodeFailed(reason="the message is too large")
     try:
-        kind, fields = loads(content)
+        kind, fields = decode_cbor(content)
         message: Message = _converter.structure(fields, MESSAGE_KINDS[kind])
     except DECODING_ERRORS as exc:
         # Formatting the error may itself fail on hostile content.
--- a/snipespring/frontends/tests/test_datagrams.py
+++ b/snipespring/frontends/tests/test_datagrams.py
@@ -1,3 +1,4 @@
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -32,12 +33,14 @@
     ServiceName,
     StateRequest,
 )
+from standins.harness import run_limited
 
 names = st.text(min_size=1, max_size=12)
 counts = st.integers(0, 1 << 40)
 addresses = st.builds(
     Address, ip=st.just("10.0.0.1"), port=st.integers(min_value=1, max_value=65535)
 )
+
 usage = st.lists(
     st.builds(
         OrganisationUsage,
@@ -180,3 +183,30 @@
 ) -> None:
     content = encode_datagram(message)
     assert decode_datagram(content[: max(0, len(content) - removed_bytes)]) is None
+
+
+BIG_NUMBER = b"\xc2\x5a" + (16 << 20).to_bytes(4, "big") + b"\xff" * (16 << 20)
+SHARED = b"\xd8\x1c\x82\x01" + b"\xd8\x1d\x00"  # a list that contains itself
+DECODE = """
+import sys
+from snipespring.frontends.datagrams import decode_datagram
+print(decode_datagram(sys.stdin.buffer.read()))
+"""
+DECODING_LIMIT_S = 20.0
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xc4\x82\x00" + BIG_NUMBER,  # a decimal
+        b"\xd8\x1e\x82" + BIG_NUMBER + BIG_NUMBER,  # a fraction
+        b"\xd8\x23\x7a" + (1 << 23).to_bytes(4, "big") + b"(a?)" * (1 << 21),
+        BIG_NUMBER,
+        SHARED,
+    ],
+)
+def test_tagged_values_are_refused_before_they_are_computed(value: bytes) -> None:
+    # Guards against a message that stops the whole process while it is decoded.
+    content = b"\x82\x00" + value
+    found = run_limited(DECODE, content, limit_s=DECODING_LIMIT_S)
+    assert found == "None"
