Limit the size and the depth of settings files

Cause: the YAML library keeps a possible key for each open bracket of the last 1,024 characters and goes through all of them for each token; the file had no limit.

Change: the depth is counted while the file is scanned, which ends beyond 32; a file has 64 KiB at most. Problems are reported with the same texts as before.

--- a/snipespring/settings/document.py
+++ b/snipespring/settings/document.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Document", "read_document"]
 
+MAX_DEPTH = 32
+
 FieldPath = tuple[str, ...]
 
 
@@ -32,7 +34,7 @@
 
 
 def read_document(text: str, file: str) -> Document | SettingsProblems:
-    """Parse a YAML document; aliases and duplicate fields are problems."""
+    """Parse a YAML document; aliases, duplicate fields and deep values are problems."""
     try:
         return _compose_document(text, file)
     except yaml.MarkedYAMLError as exc:
@@ -46,10 +48,18 @@
 
 
 def _compose_document(text: str, file: str) -> Document | SettingsProblems:
+    depth = 0
     for event in yaml.parse(text, Loader=yaml.SafeLoader):
-        if isinstance(event, yaml.AliasEvent):
-            line = event.start_mark.line + 1 if event.start_mark else 0
-            return _single_problem(file, line, "aliases are not allowed")
+        match event:
+            case yaml.AliasEvent():
+                line = event.start_mark.line + 1 if event.start_mark else 0
+                return _single_problem(file, line, "aliases are not allowed")
+            case yaml.CollectionStartEvent():
+                depth += 1
+            case yaml.CollectionEndEvent():
+                depth -= 1
+        if depth > MAX_DEPTH:
+            return _single_problem(file, 0, "not valid YAML: nested too deeply")
     node = yaml.compose(text, Loader=yaml.SafeLoader)
     if node is None:
         return _single_problem(file, 0, "the file is empty")
--- a/snipespring/settings/load.py
+++ b/snipespring/settings/load.py
@@ -52,6 +52,7 @@
 T = TypeVar("T")
 
 HEARTBEAT_VARIABLE = "SNIPESPRING_HEARTBEAT"
+MAX_FILE_BYTES = 65536
 _SECRET_FILE = "secret_file"
 _SECRET_ENV = "secret_env"
 _READERS: tuple[tuple[Any, Callable[[Any], object]], ...] = (
@@ -99,8 +100,8 @@
 def _load(path: Path, kind: type[T]) -> T | SettingsProblems:
     file = str(path)
     try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
+        text = _read_limited(path)
+    except (OSError, ValueError) as exc:
         problem = SettingsProblem(
             file=file, line=0, field="", reason=f"cannot be read: {exc}"
         )
@@ -111,6 +112,15 @@
     return _structure_settings(document, kind)
 
 
+def _read_limited(path: Path) -> str:
+    """Return the text of a file; raise OSError, or ValueError if it is not valid."""
+    with path.open("rb") as source:
+        content = source.read(MAX_FILE_BYTES + 1)
+    if len(content) > MAX_FILE_BYTES:
+        raise ValueError(f"larger than {MAX_FILE_BYTES} bytes")
+    return content.decode("utf-8")
+
+
 def _structure_settings(document: Document, kind: type[T]) -> T | SettingsProblems:
     try:
         return _make_converter().structure(document.content, kind)
--- a/snipespring/settings/tests/test_load.py
+++ b/snipespring/settings/tests/test_load.py
@@ -19,6 +19,7 @@
     load_settings,
     read_secret,
 )
+from standins.harness import run_limited
 
 EXAMPLES = Path(__file__).parents[3] / "docs" / "examples"
 MINIMAL = """\
@@ -145,6 +146,7 @@
         ("a: \x00", "host.yaml: not valid YAML"),
         ("[" * 1000 + "]" * 1000, "host.yaml: not valid YAML: nested too deeply"),
         ("a: \udcff", "host.yaml: cannot be read"),
+        ("#" * 100_000, "host.yaml: cannot be read: larger than 65536 bytes"),
     ],
 )
 def test_unreadable_files_are_problems(tmp_path: Path, text: str, start: str) -> None:
@@ -152,5 +154,25 @@
     assert problem.startswith(start)
 
 
+LOAD = """
+import sys
+from pathlib import Path
+from snipespring.settings import load_settings
+print(len(load_settings(Path(sys.stdin.read())).problems))
+"""
+LOADING_LIMIT_S = 20.0
+
+
+@pytest.mark.parametrize("piece", ["[", "{a: ", "- ", "? ", "a: 1:", '"\\', "b\n "])
+def test_a_file_of_any_form_is_loaded_in_linear_time(
+    tmp_path: Path, piece: str
+) -> None:
+    # Guards against a changed file that stops a running host while it is loaded.
+    path = tmp_path / "host.yaml"
+    path.write_text(piece * (60_000 // len(piece)))
+    found = run_limited(LOAD, str(path).encode(), limit_s=LOADING_LIMIT_S)
+    assert found == "1"
+
+
 def test_absent_file_is_a_problem(tmp_path: Path) -> None:
     assert isinstance(load_settings(tmp_path / "none.yaml"), SettingsProblems)
