Set the action of SIGHUP in the test that watches a start

Cause: the test process inherits that SIGHUP is ignored, as under nohup, so that no module is loaded under the default action. The product is sound there.

Change: the process sets the default action first, and the test expects what it expected.

--- a/tests/test_gateway_signals.py
+++ b/tests/test_gateway_signals.py
@@ -18,6 +18,9 @@
 WATCH_IMPORTS = """
 import signal, sys
 
+# A process inherits that SIGHUP is ignored, for example from nohup.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
 class Watch:
     def find_spec(self, name, path=None, target=None):
         if name.startswith("snipespring.") and not name.startswith("snipespring.cli"):
