Compute the encoded forms of a key once a request

Cause: the key is searched in each parameter and each part of a cookie, and its three base64 forms and its hexadecimal form were computed again for each: time of the second power of the head.

Evidence: the new test on the code before this commit does not end within 30 s.

Change: the forms are computed once and passed on. The texts searched are the same.

--- a/snipespring/decisions/keys.py
+++ b/snipespring/decisions/keys.py
@@ -61,6 +61,15 @@
     key: str | None
 
 
+@frozen(kw_only=True)
+class _KeyForms:
+    """Represent the plain and the encoded texts by which a key is found."""
+
+    texts: tuple[str, ...]
+    hex_text: str
+    key_chars: int
+
+
 @frozen(kw_only=True)
 class KeyRefused:
     """Explain why a request is refused for its key."""
@@ -102,7 +111,7 @@
     key = find_key(request)
     if key is not None and len(key) < MIN_KEY_CHARS:
         return KeyRefused(reason=f"the key has fewer than {MIN_KEY_CHARS} characters")
-    if key is not None and _contains_key(urlsplit(request.path).path, key):
+    if _contains_key(urlsplit(request.path).path, _make_forms(key)):
         return KeyRefused(reason="the request path contains the key")
     return _check_access(cfg, route, key)
 
@@ -137,66 +146,81 @@
             return request
         case KeyInRequest():
             pass
+    forms = _make_forms(key)
     headers = tuple(
         stripped
         for header in request.headers
-        if (stripped := _strip_header(header, key)) is not None
+        if (stripped := _strip_header(header, forms)) is not None
     )
-    return evolve(request, headers=headers, path=_strip_query(request.path, key))
+    return evolve(request, headers=headers, path=_strip_query(request.path, forms))
 
 
-def _strip_header(header: Header, key: str | None) -> Header | None:
+def _make_forms(key: str | None) -> _KeyForms | None:
+    """Return the texts to search, None without a key that is long enough."""
+    if key is None or len(key) < MIN_KEY_CHARS:
+        return None
+    encoded = key.encode()
+    return _KeyForms(
+        texts=(key, *_list_base64_fragments(encoded)),
+        hex_text=encoded.hex(),
+        key_chars=len(key),
+    )
+
+
+def _strip_header(header: Header, forms: _KeyForms | None) -> Header | None:
     name = header.name.lower().replace("_", "-")
-    if name in IDENTITY_HEADERS or _contains_key(header.name, key):
+    if name in IDENTITY_HEADERS or _contains_key(header.name, forms):
         return None
-    if not _contains_key(header.value, key):
+    if not _contains_key(header.value, forms):
         return header
     if name != COOKIE:
         return None
-    parts = [part for part in header.value.split(";") if not _contains_key(part, key)]
+    parts = [part for part in header.value.split(";") if not _contains_key(part, forms)]
     value = ";".join(parts).strip()
     return (
-        None if not value or _contains_key(value, key) else evolve(header, value=value)
+        None
+        if not value or _contains_key(value, forms)
+        else evolve(header, value=value)
     )
 
 
-def _strip_query(path: str, key: str | None) -> str:
+def _strip_query(path: str, forms: _KeyForms | None) -> str:
     base, _, query = path.partition("?")
     parts = query.split("&")
-    if not any(_is_key_parameter(part, key) for part in parts) and not _contains_key(
-        query, key
-    ):
+    has_key = any(_is_key_parameter(part, forms) for part in parts)
+    if not has_key and not _contains_key(query, forms):
         return path
-    remaining = [part for part in parts if part and not _is_key_parameter(part, key)]
+    remaining = [part for part in parts if part and not _is_key_parameter(part, forms)]
     stripped = "&".join(remaining)
     # The key may extend over several parameters, none of which contains it alone.
     return (
-        base if not stripped or _contains_key(stripped, key) else f"{base}?{stripped}"
+        base if not stripped or _contains_key(stripped, forms) else f"{base}?{stripped}"
     )
 
 
-def _is_key_parameter(part: str, key: str | None) -> bool:
+def _is_key_parameter(part: str, forms: _KeyForms | None) -> bool:
     name = unquote_plus(part.partition("=")[0]).lower()
-    return name == KEY_PARAMETER or _contains_key(part, key)
+    return name == KEY_PARAMETER or _contains_key(part, forms)
 
 
-def _contains_key(text: str, key: str | None) -> bool:
+def _contains_key(text: str, forms: _KeyForms | None) -> bool:
     """Return whether the text contains the key, plain or encoded.
 
     Also return True for a text with more than `MAX_DECODINGS` decoded forms, since no
     more than these are searched.
     """
-    if key is None or len(key) < MIN_KEY_CHARS:
+    if forms is None:
         return False
-    forms = (key, *_list_base64_fragments(key.encode()))
-    hex_form = key.encode().hex()
     seen = {text}
     queue = [text]
     while queue:
         current = queue.pop()
-        if hex_form in current.lower() or any(form in current for form in forms):
+        if forms.hex_text in current.lower():
+            return True
+        if any(text in current for text in forms.texts):
             return True
-        new = {other for other in _decode_once(current, len(key)) if other not in seen}
+        decoded = _decode_once(current, forms.key_chars)
+        new = {other for other in decoded if other not in seen}
         seen |= new
         queue.extend(new)
         if len(seen) > MAX_DECODINGS:
--- a/snipespring/decisions/tests/test_keys.py
+++ b/snipespring/decisions/tests/test_keys.py
@@ -25,6 +25,7 @@
     RunIdempotent,
     ServiceName,
 )
+from standins.harness import run_limited
 
 OWNER = OrganisationName("valeters")
 OTHER = OrganisationName("hauliers")
@@ -188,3 +189,24 @@
         authenticate(make_configuration("the-valid-key"), ROUTE, request), Authenticated
     )
     assert isinstance(authenticate(Configuration(), ROUTE, request), KeyRefused)
+
+
+STRIP = """
+import sys
+from snipespring.decisions.keys import strip_key
+from snipespring.records import Header, Request
+key = "k" * int(sys.stdin.read())
+cookie = Header(name="Cookie", value="a;" * len(key) + key)
+request = Request(
+    request_id="r", method="GET", path="/x?" + "a&" * len(key) + key, host="h",
+    headers=(Header(name="Api-Key", value=key), cookie), body=b"", deadline_s=None,
+)
+stripped = strip_key(request, key)
+print(key in stripped.path or any(key in header.value for header in stripped.headers))
+"""
+STRIPPING_LIMIT_S = 30.0
+
+
+def test_a_long_key_is_removed_in_linear_time() -> None:
+    # Guards against a request that occupies a host by a key and many parameters.
+    assert run_limited(STRIP, b"100000", limit_s=STRIPPING_LIMIT_S) == "False"
