Ignore loads that no server can have

What callers would see (LOST): a server that reports a load with a number of 400 digits makes its callers get 500 for requests that have run, and 503 for others.

Cause: a whole number of any size was read, and the mean of the loads, a float, cannot be computed with it: an exception ends the request after the server has answered.

Evidence: the new tests on the code before this commit: a gateway gives 200, 500 and 503 where all requests run; loads of 400 digits and below 0 are taken.

Change: numbers of requests and slots have nine digits at most, and a load beyond is ignored like a malformed one. Seconds and rates of all kinds of servers are finite and not negative, as was the case on the users' platform.

Measured: the same tests pass; the gateway gives 200 only.

--- a/snipespring/frontends/backends/__init__.py
+++ b/snipespring/frontends/backends/__init__.py
@@ -5,7 +5,8 @@
     NativeEncoding,
     ServerAnswer,
     find_header,
-    parse_seconds,
+    parse_count,
+    parse_number,
 )
 from .pool import ConnectionPool
 from .transport import HttpTransport, Transport
@@ -18,5 +19,6 @@
     "ServerAnswer",
     "Transport",
     "find_header",
-    "parse_seconds",
+    "parse_count",
+    "parse_number",
 ]
--- a/snipespring/frontends/backends/encoding.py
+++ b/snipespring/frontends/backends/encoding.py
@@ -1,5 +1,7 @@
 """Encode attempts for backend servers and decode their answers."""
 
+import re
+from math import isfinite, nan
 from typing import Protocol
 
 from attrs import field, frozen
@@ -21,13 +23,16 @@
     "ServerAnswer",
     "find_header",
     "find_repeated_header",
+    "parse_count",
     "parse_reported_load",
-    "parse_seconds",
+    "parse_number",
 ]
 
 MS_PER_S = 1000.0
 REQUEST_ID = "Request-Id"
 SHED = "Shed"
+# Arithmetic fails with whole numbers beyond those of a float.
+COUNT = re.compile(r"[0-9]{1,9}")
 
 
 @frozen(kw_only=True)
@@ -103,7 +108,7 @@
             return AnswerBroken(reason="the answer's length could not be verified")
         load = parse_reported_load(find_header(answer.headers, "Load"))
         if find_header(answer.headers, SHED) == "not-run":
-            retry_after_s = parse_seconds(find_header(answer.headers, "Retry-After"))
+            retry_after_s = parse_number(find_header(answer.headers, "Retry-After"))
             return ShedByServer(retry_after_s=retry_after_s, load=load)
         return Answered(
             status=answer.status, headers=answer.headers, body=answer.body, load=load
@@ -132,17 +137,25 @@
     fields = dict(part.strip().partition("=")[::2] for part in text.split(";"))
     try:
         return ReportedLoad(
-            busy=int(fields["busy"]),
-            slots=int(fields["slots"]),
+            busy=parse_count(fields["busy"]),
+            slots=parse_count(fields["slots"]),
             draining=fields.get("draining") == "1",
         )
     except (KeyError, ValueError):
         return None
 
 
-def parse_seconds(text: str | None) -> float | None:
-    """Return the seconds in a header, or None if it is absent or malformed."""
+def parse_count(text: str) -> int:
+    """Return a whole number; raise ValueError if it is malformed or too large."""
+    if COUNT.fullmatch(text.strip()) is None:
+        raise ValueError("not a whole number of up to nine digits")
+    return int(text)
+
+
+def parse_number(text: str | None) -> float | None:
+    """Return a finite number from 0, or None if the text is absent or another."""
     try:
-        return None if text is None else float(text)
+        number = nan if text is None else float(text)
     except ValueError:
         return None
+    return number if isfinite(number) and number >= 0.0 else None
--- a/snipespring/platform/backends.py
+++ b/snipespring/platform/backends.py
@@ -1,8 +1,11 @@
 """Encode attempts for the platform's backend servers and decode their answers."""
 
-from math import isfinite, nan
-
-from ..frontends.backends import ServerAnswer, find_header
+from ..frontends.backends import (
+    ServerAnswer,
+    find_header,
+    parse_count,
+    parse_number,
+)
 from ..records import (
     AnswerBroken,
     Answered,
@@ -87,7 +90,7 @@
                     reason=f"status {answer.status} with the mark that nothing ran",
                     notices=notices,
                 )
-            retry_after_s = _parse_number(find_header(answer.headers, RETRY_AFTER))
+            retry_after_s = parse_number(find_header(answer.headers, RETRY_AFTER))
             return ShedByServer(retry_after_s=retry_after_s, load=load, notices=notices)
         if find_header(answer.headers, "Content-Encoding") is not None:
             return AnswerBroken(reason="the answer has a content encoding")
@@ -115,9 +118,9 @@
     leaving = find_header(answer.headers, SERVER_LEAVING)
     is_unavailable = answer.status == STATUS_UNAVAILABLE
     return ServerNotices(
-        limit_per_s=_parse_number(find_header(answer.headers, SERVER_LIMIT)),
+        limit_per_s=parse_number(find_header(answer.headers, SERVER_LIMIT)),
         is_leaving=leaving is not None and leaving.strip() == "1",
-        pause_s=_parse_number(find_header(answer.headers, RETRY_AFTER))
+        pause_s=parse_number(find_header(answer.headers, RETRY_AFTER))
         if is_unavailable
         else None,
     )
@@ -130,21 +133,12 @@
     )
 
 
-def _parse_number(text: str | None) -> float | None:
-    """Return a finite number from 0, or None if the text is absent or another."""
-    try:
-        number = nan if text is None else float(text)
-    except ValueError:
-        return None
-    return number if isfinite(number) and number >= 0.0 else None
-
-
 def _parse_load(text: str | None) -> ReportedLoad | None:
     """Return the load in `RUNNING,WAITING,SLOTS`, or None if it is malformed."""
     if text is None:
         return None
     try:
-        running, waiting, slots = (int(part) for part in text.split(","))
+        running, waiting, slots = (parse_count(part) for part in text.split(","))
     except ValueError:
         return None
     return ReportedLoad(busy=running + waiting, slots=slots)
--- a/snipespring/platform/tests/test_backends.py
+++ b/snipespring/platform/tests/test_backends.py
@@ -62,6 +62,17 @@
     assert result.load == ReportedLoad(busy=5, slots=3)
 
 
+@pytest.mark.parametrize(
+    "load",
+    ["9" * 400 + ",0,3", "1,2," + "9" * 5000, "-1,0,3", "1,2", "1,2,3,4", "a,b,c"],
+)
+def test_a_load_that_no_server_can_have_is_ignored(load: str) -> None:
+    # Guards against an answer whose load ends its request with an exception.
+    result = decode(200, SEAL, ("Snipespring-Server-Load", load))
+    assert isinstance(result, Answered)
+    assert result.load is None
+
+
 @pytest.mark.parametrize(
     ("status", "fields"),
     [
--- a/tests/test_costly_bytes.py
+++ b/tests/test_costly_bytes.py
@@ -98,3 +98,13 @@
     stopping.set()
     sender.join()
     assert set(statuses["histories"] + statuses["ledger"]) == {200}
+
+
+def test_a_gateway_delivers_answers_that_report_an_impossible_load(
+    fleet: GatewayFleet, faulty: Backend
+) -> None:
+    # Guards against answers that are lost since no float holds the load (LOST).
+    faulty.spoiled_field = "Snipespring-Server-Load: " + "9" * 400 + ",0,3\r\n"
+    statuses = serve_both(fleet)
+    assert faulty.has_spoiled.is_set()
+    assert set(statuses["histories"] + statuses["ledger"]) == {200}
