--- a/snipespring/decisions/keys.py
+++ b/snipespring/decisions/keys.py
@@ -177,11 +177,9 @@
         return None
     parts = [part for part in header.value.split(";") if not _contains_key(part, forms)]
     value = ";".join(parts).strip()
-    return (
-        None
-        if not value or _contains_key(value, forms)
-        else evolve(header, value=value)
-    )
+    if not value or _contains_key(value, forms):
+        return None
+    return evolve(header, value=value)
 
 
 def _strip_query(path: str, forms: _KeyForms | None) -> str:
@@ -217,7 +215,7 @@
         current = queue.pop()
         if forms.hex_text in current.lower():
             return True
-        if any(text in current for text in forms.texts):
+        if any(form in current for form in forms.texts):
             return True
         decoded = _decode_once(current, forms.key_chars)
         new = {other for other in decoded if other not in seen}
--- a/tests/test_costly_bytes.py
+++ b/tests/test_untrusted_bytes.py
@@ -1,4 +1,4 @@
-"""Drive gateway processes with bytes whose parsing could take more than linear time."""
+"""Drive gateway processes with bytes that are costly to parse or impossible."""
 
 import socket
 from collections.abc import Iterator
