Wait in a test until the waiting request has opened its account

Cause, traced: the host of the test holds none of the slots, so that no account exists until the waiting thread asks for credit. The test read the account at once, which fails when that thread starts late. With a thread that starts 0.2 s late it failed each time. The product is not at fault.

Change: the test waits until there is an account with a waiting request, and expects what it expected.

Measured: with the late thread it passes; the three tests of the module pass.

--- a/snipespring/controllers/tests/test_limiter.py
+++ b/snipespring/controllers/tests/test_limiter.py
@@ -63,6 +63,11 @@
     )
 
 
+def has_waiting_requests(model: ModelHost) -> bool:
+    account = model.board.read(SHARE_LEDGER).accounts.get(VALETERS)
+    return account is not None and account.waiting > 0
+
+
 def test_request_without_credit_waits_for_a_loan() -> None:
     models = make_steady_models()
     model = models[0]
@@ -84,7 +89,8 @@
     )
     arrivals_before = model.share_manager.count_arrivals()
     waiting.start()
-    while not model.board.read(SHARE_LEDGER).accounts[VALETERS].waiting:
+    # This host holds no slots, so that the waiting request opens the account.
+    while not has_waiting_requests(model):
         waiting.join(0.001)
     borrower.step()
     model.share_manager.wait_for_credit(arrivals_before, 5.0)
