Leave the limit of a request's head to the library alone

Cause, on reading the change again: the parser compared the size of a head with the limit and built the 431 itself, with a parsed head of its own for the response, beside the same code in the library, which still checked complete heads. The wrapper of refusals had a special case for one error's Retry-After, and CRLF was defined in four modules.

Change: a head that is complete or too large goes to the library, which refuses it; the error of the body budget adds its own Retry-After; CRLF stands in http_fields. Status and headers of refusals stay; the text of a 431 is the library's again, as before this issue.

--- a/snipespring/frontends/backends/bodies.py
+++ b/snipespring/frontends/backends/bodies.py
@@ -12,6 +12,7 @@
     BodyBudget,
     is_mostly_framing,
 )
+from ..http_fields import CRLF
 from .heads import AnswerHead, MalformedAnswerError
 
 __all__ = [
@@ -26,7 +27,6 @@
 ]
 
 READ_BYTES = 65536
-CRLF = b"\r\n"
 BODILESS_STATUSES = frozenset({204, 304})
 # Content up to this size is not counted in the budget for bodies in memory.
 UNCOUNTED_BYTES = 65536
--- a/snipespring/frontends/backends/heads.py
+++ b/snipespring/frontends/backends/heads.py
@@ -8,11 +8,10 @@
 
 from ...exception import SnipespringError
 from ...records import Header
-from ..http_fields import parse_field
+from ..http_fields import CRLF, parse_field
 
 __all__ = ["AnswerHead", "MalformedAnswerError", "encode_request_head", "read_head"]
 
-CRLF = b"\r\n"
 METHOD = re.compile(r"[^\x00-\x20\x7f]+")
 TARGET = re.compile(r"[\x21-\x7e]+")
 SENT_NAME = re.compile(r"[^:\s][^:\r\n]*")
--- a/snipespring/frontends/http_chunks.py
+++ b/snipespring/frontends/http_chunks.py
@@ -7,11 +7,10 @@
 from waitress.utilities import BadRequest, Error
 
 from .http_bodies import MAX_CHUNK_LINE_BYTES, MAX_TRAILER_BYTES, MAX_TRAILER_FIELDS
-from .http_fields import TOKEN
+from .http_fields import CRLF, TOKEN
 
 __all__ = ["ChunkedReceiver"]
 
-CRLF = b"\r\n"
 QUOTED_STRING = (
     rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*"'
 )
--- a/snipespring/frontends/http_fields.py
+++ b/snipespring/frontends/http_fields.py
@@ -4,8 +4,9 @@
 
 from ..records import Header
 
-__all__ = ["TOKEN", "parse_field"]
+__all__ = ["CRLF", "TOKEN", "parse_field"]
 
+CRLF = b"\r\n"
 BLANKS = b" \t"
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
--- a/snipespring/frontends/http_requests.py
+++ b/snipespring/frontends/http_requests.py
@@ -11,17 +11,16 @@
 
 from attrs import frozen
 from waitress.parser import HTTPRequestParser, ParsingError
-from waitress.utilities import BadRequest, Error, RequestHeaderFieldsTooLarge
+from waitress.utilities import BadRequest, Error
 
 from ..records import Header
 from .http_bodies import is_mostly_framing
 from .http_chunks import ChunkedReceiver
-from .http_fields import TOKEN, parse_field
+from .http_fields import CRLF, TOKEN, parse_field
 
 __all__ = ["DEFAULT_MAX_HEAD_BYTES", "RequestParser"]
 
 DEFAULT_MAX_HEAD_BYTES = 32768
-CRLF = b"\r\n"
 HEAD_END = CRLF + CRLF
 REQUEST_LINE = re.compile(TOKEN.pattern + rb" [^ ]+(?: HTTP/[0-9]\.[0-9])?")
 MAX_SHOWN_BYTES = 40
@@ -32,6 +31,10 @@
     code = 503
     reason = "Service Unavailable"
 
+    def to_response(self, ident: str | None = None) -> Any:
+        status, headers, body = super().to_response(ident)
+        return status, [*headers, ("Retry-After", RETRY_AFTER_S)], body
+
 
 @frozen(kw_only=True)
 class _Refusal:
@@ -42,11 +45,7 @@
     def to_response(self, ident: str | None = None) -> Any:
         """Return the status, the headers and the body."""
         status, headers, body = self.error.to_response(ident)
-        headers = [*headers, ("Snipespring-Outcome", "not-run")]
-        match self.error:
-            case _BodyBudgetExceededError():
-                headers.append(("Retry-After", RETRY_AFTER_S))
-        return status, headers, body
+        return status, [*headers, ("Snipespring-Outcome", "not-run")], body
 
 
 class RequestParser(HTTPRequestParser):  # type: ignore[misc]
@@ -104,23 +103,14 @@
     def _receive_head(self, data: bytes) -> int:
         searched_bytes = max(len(self._head) - len(HEAD_END) + 1, 0)
         self._head += data
-        start = self._head.find(HEAD_END, searched_bytes)
-        if start >= 0:
-            head = bytes(self._head[: start + len(HEAD_END)])
-            excess_bytes = len(self._head) - len(head)
-            self._head.clear()
-            super().received(head)
-            return len(data) - excess_bytes
-        max_bytes = self.adj.max_request_header_size
-        if len(self._head) >= max_bytes:
+        end = self._head.find(HEAD_END, searched_bytes)
+        size_bytes = len(self._head) if end < 0 else end + len(HEAD_END)
+        consumed = len(data) - (len(self._head) - size_bytes)
+        if end >= 0 or size_bytes >= self.adj.max_request_header_size:
+            # The library refuses a head that is too large, complete or not.
+            super().received(bytes(self._head[:size_bytes]))
             self._head.clear()
-            # The library reads attributes of the parsed head when it responds.
-            self.parse_header(b"GET / HTTP/1.0\r\n")
-            self.error = RequestHeaderFieldsTooLarge(
-                f"the head exceeds {max_bytes} bytes"
-            )
-            self.completed = True
-        return len(data)
+        return consumed
 
     def _receive_body(self, data: bytes) -> int:
         consumed: int = super().received(data)
--- a/snipespring/frontends/tests/test_http_requests.py
+++ b/snipespring/frontends/tests/test_http_requests.py
@@ -15,8 +15,8 @@
 CHUNKED = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def make_parser(kind: type[Any], max_head_bytes: int = 4096) -> Any:
-    adj = Adjustments(max_request_header_size=max_head_bytes)
+def make_parser(kind: type[Any]) -> Any:
+    adj = Adjustments(max_request_header_size=4096)
     adj.body_budget = UnlimitedBodies()
     return kind(adj)
 
