Reserve the slots of each service under a lock of its own

What callers saw: while all servers of one service are silent, requests of a sound service wait up to 2 s in the host before they are sent.

Cause: one lock of the dispatcher for all services. Whoever is given it needs the interpreter's lock before going on, so that each turn takes milliseconds while the processor is busy; when 40 waits end together, that adds up. Ruled out: a busy processor alone (refusals meanwhile took 0.18 s at most), missing threads or slots (8 and 2 were free), a slow attempt.

Change: a lock for each service; the queues, which evict across services, move to WaitingRequests, and whoever takes a request out of its queue resolves it. A test of evacuations enqueued under the old lock; its only thread needs none now.

test_threads_of_one_service_hold_up_no_other failed before (TimeoutError).

--- a/snipespring/controllers/dispatcher.py
+++ b/snipespring/controllers/dispatcher.py
@@ -36,12 +36,8 @@
 from ..decisions.queueing import (
     Enqueued,
     EnqueueRefused,
-    dequeue,
     enqueue,
-    get_queue,
     list_hopeless,
-    refresh_order,
-    remove_request,
 )
 from ..decisions.routing import (
     Chosen,
@@ -73,6 +69,7 @@
 )
 from ..utils import Clock
 from .demand_recorder import read_fresh_view
+from .waiting_requests import WaitingRequests
 
 __all__ = ["Dispatcher", "NotPlaced", "Placed"]
 
@@ -104,7 +101,8 @@
 class Dispatcher:
     """Reserve and release slots; write the server loads and request queues regions.
 
-    While a service fails, at least `floor_share` of its servers get requests.
+    While a service fails, at least `floor_share` of its servers get requests. Each
+    service has a lock of its own, so that none waits for threads of another.
     """
 
     board: Board
@@ -113,9 +111,14 @@
     max_queued: int
     floor_share: float = 0.0
     name: str = "dispatcher"
-    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+    _waiting: WaitingRequests[Placed | NotPlaced] = field(init=False)
+    _service_locks: dict[ServiceName, threading.Lock] = field(factory=dict, init=False)
+    _adoption_lock: threading.Lock = field(factory=threading.Lock, init=False)
     _known_subsets: ServerSubsets | None = field(default=None, init=False)
-    _futures: dict[int, Future[Placed | NotPlaced]] = field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the queues."""
+        self._waiting = WaitingRequests(board=self.board, clock=self.clock)
 
     @property
     def watches(self) -> tuple[Region[Any], ...]:
@@ -124,11 +127,12 @@
 
     def step(self) -> float | None:
         """Place queued requests; return seconds until the next may be placed."""
-        with self._lock:
-            self._adopt_subsets()
-            queues = self.board.read(REQUEST_QUEUES).by_service
-            services = [name for name, queue in queues.items() if queue.queued]
-            free_at_s = min((self._dispatch(name) for name in services), default=inf)
+        self._adopt_subsets()
+        queues = self.board.read(REQUEST_QUEUES).by_service
+        free_at_s = inf
+        for service in [name for name, queue in queues.items() if queue.queued]:
+            with self._lock_of(service):
+                free_at_s = min(free_at_s, self._dispatch(service))
         if free_at_s < inf:
             return max(MIN_STEP_DELAY_S, free_at_s - self.clock.monotonic_s())
         has_queued = any(
@@ -139,7 +143,7 @@
 
     def place(self, slot_request: SlotRequest) -> Placed | NotPlaced:
         """Reserve a slot for a request, queueing it while no slot is free."""
-        with self._lock:
+        with self._lock_of(slot_request.service):
             placed = self._place_without_waiting(slot_request)
             if placed is not None:
                 return placed
@@ -149,7 +153,7 @@
 
     def place_at_once(self, slot_request: SlotRequest) -> Placed | NotPlaced:
         """Reserve a slot that is free now, without queueing the request."""
-        with self._lock:
+        with self._lock_of(slot_request.service):
             placed = self._place_without_waiting(slot_request)
         if placed is None:
             return NotPlaced(reason="no slot is free", retry_after_s=RETRY_AFTER_S)
@@ -165,7 +169,7 @@
     ) -> None:
         """Release the slot of a completed attempt and record its result."""
         now_s = self.clock.monotonic_s()
-        with self._lock:
+        with self._lock_of(server.service):
             hosts, phase = self._count_hosts(), self.rng.random()
             self._change_loads(
                 lambda loads: release_server(
@@ -183,10 +187,14 @@
 
     def cancel(self, server: ServerId) -> None:
         """Release a slot on which no attempt was sent."""
-        with self._lock:
+        with self._lock_of(server.service):
             self._change_loads(lambda loads: cancel_reservation(loads, server))
             self._dispatch(server.service)
 
+    def _lock_of(self, service: ServiceName) -> threading.Lock:
+        """Return the lock under which a service's slots are reserved and released."""
+        return self._service_locks.setdefault(service, threading.Lock())
+
     def _adopt_subsets(self) -> ServerSubsets:
         """Return the subsets, whose cold servers have begun their warm-ups.
 
@@ -195,7 +203,14 @@
         subsets = self.board.read(SERVER_SUBSETS)
         if subsets is self._known_subsets:
             return subsets
-        self._known_subsets = subsets
+        with self._adoption_lock:
+            subsets = self.board.read(SERVER_SUBSETS)
+            if subsets is not self._known_subsets:
+                self._begin_use(subsets)
+                self._known_subsets = subsets
+        return subsets
+
+    def _begin_use(self, subsets: ServerSubsets) -> None:
         members = [
             member
             for subset in subsets.by_service.values()
@@ -207,7 +222,6 @@
             lambda loads: remove_unused_servers(loads, used_servers, now_s=now_s)
         )
         self._begin_warmups(subsets, now_s)
-        return subsets
 
     def _begin_warmups(self, subsets: ServerSubsets, now_s: float) -> None:
         services = self.board.read(CONFIGURATION).services
@@ -233,7 +247,7 @@
     ) -> Placed | NotPlaced | None:
         if self.clock.monotonic_s() >= slot_request.deadline_at_s:
             return NotPlaced(reason="the deadline has passed", retry_after_s=0.0)
-        queue = get_queue(self.board.read(REQUEST_QUEUES), slot_request.service)
+        queue = self._waiting.queue_of(slot_request.service)
         if queue.queued:
             return None
         match self._reserve(slot_request):
@@ -270,28 +284,29 @@
     ) -> tuple[Future[Placed | NotPlaced], int]:
         future: Future[Placed | NotPlaced] = Future()
         load = self._service_load(slot_request.service)
-        result = enqueue(
-            self.board.read(REQUEST_QUEUES),
-            slot_request,
-            max_queued=self.max_queued,
-            in_flight=load.in_flight,
-            service_s=load.mean_service_s,
-            now_s=self.clock.monotonic_s(),
-            service_s_by_route=list_answer_times(load),
-            has_free_slots=self._has_free_slots(slot_request.service),
+        result, evicted_future = self._waiting.add(
+            partial(
+                enqueue,
+                slot_request=slot_request,
+                max_queued=self.max_queued,
+                in_flight=load.in_flight,
+                service_s=load.mean_service_s,
+                now_s=self.clock.monotonic_s(),
+                service_s_by_route=list_answer_times(load),
+                has_free_slots=self._has_free_slots(slot_request.service),
+            ),
+            future,
         )
         match result:
             case EnqueueRefused(reason=reason, retry_after_s=wait_s):
                 retry_after_s = spread_retry_after(wait_s, rng=self.rng)
                 future.set_result(NotPlaced(reason=reason, retry_after_s=retry_after_s))
                 return future, -1
-            case Enqueued(queues=queues, request=request, evicted=evicted):
-                self._futures[request.ticket] = future
-                self.board.write(REQUEST_QUEUES, queues, writer=self.name)
-                if evicted is not None:
+            case Enqueued(request=request, evicted=evicted):
+                if evicted is not None and evicted_future is not None:
                     retry_after_s = self._retry_after_s(evicted.slot_request.service)
-                    self._resolve(
-                        evicted, _make_evicted_result(evicted, request, retry_after_s)
+                    evicted_future.set_result(
+                        _make_evicted_result(evicted, request, retry_after_s)
                     )
                 return future, request.ticket
 
@@ -304,11 +319,8 @@
             return future.result(max(0.0, latest_s - self.clock.monotonic_s()))
         except TimeoutError:
             pass
-        with self._lock:
-            if future.done():
-                return future.result()
-            self._remove_request(ticket)
-            del self._futures[ticket]
+        if self._waiting.take_unserved(ticket) is None:
+            return future.result()
         reason = "no slot became free before the deadline"
         retry_after_s = self._retry_after_s(slot_request.service)
         return NotPlaced(reason=reason, retry_after_s=retry_after_s)
@@ -316,51 +328,36 @@
     def _retry_after_s(self, service: ServiceName) -> float:
         """Return when the requests that wait now will have got their slots."""
         load = self._service_load(service)
-        queued = len(get_queue(self.board.read(REQUEST_QUEUES), service).queued)
+        queued = len(self._waiting.queue_of(service).queued)
         wait_s = (queued + 1) * load.mean_service_s / max(1, load.in_flight)
         return spread_retry_after(max(RETRY_AFTER_S, wait_s), rng=self.rng)
 
     def _dispatch(self, service: ServiceName) -> float:
         """Place queued requests in order; return when the next slot may be free."""
         free_at_s = inf
-        self._refresh_order(service)
-        for request in get_queue(self.board.read(REQUEST_QUEUES), service).queued:
+        for request in self._waiting.refresh(service).queued:
             match self._reserve(request.slot_request):
                 case Chosen(server=server):
-                    queues = dequeue(
-                        self.board.read(REQUEST_QUEUES),
-                        request,
-                        now_s=self.clock.monotonic_s(),
-                    )
-                    self.board.write(REQUEST_QUEUES, queues, writer=self.name)
-                    self._resolve(request, Placed(server=server, tag=request.tag))
+                    self._hand_over(server, request)
                 case NoServer(reason=reason):
-                    self._remove_request(request.ticket)
                     not_placed = NotPlaced(reason=reason, retry_after_s=RETRY_AFTER_S)
-                    self._resolve(request, not_placed)
+                    self._refuse(request, not_placed)
                 case ServersBusy() as busy:
                     free_at_s = min(free_at_s, busy.free_at_s)
                     refused = self._refuse_if_too_late(request.slot_request, busy)
                     if refused is not None:
-                        self._remove_request(request.ticket)
-                        self._resolve(request, refused)
+                        self._refuse(request, refused)
                         continue
                     if _accepts_any_server(request):
                         break
         self._refuse_hopeless(service)
         return free_at_s
 
-    def _refresh_order(self, service: ServiceName) -> None:
-        queues, now_s = self.board.read(REQUEST_QUEUES), self.clock.monotonic_s()
-        ordered = refresh_order(queues, service, now_s=now_s)
-        if ordered is not queues:
-            self.board.write(REQUEST_QUEUES, ordered, writer=self.name)
-
     def _refuse_hopeless(self, service: ServiceName) -> None:
         """Refuse the queued requests that will miss their deadlines."""
         load = self._service_load(service)
         hopeless = list_hopeless(
-            get_queue(self.board.read(REQUEST_QUEUES), service),
+            self._waiting.queue_of(service),
             in_flight=load.in_flight,
             service_s=load.mean_service_s,
             now_s=self.clock.monotonic_s(),
@@ -368,20 +365,24 @@
             has_free_slots=self._has_free_slots(service),
         )
         for request, wait_s in hopeless:
-            self._remove_request(request.ticket)
             reason = f"an estimated wait of {wait_s:.3f} s more exceeds the deadline"
             retry_after_s = spread_retry_after(wait_s, rng=self.rng)
             not_placed = NotPlaced(reason=reason, retry_after_s=retry_after_s)
-            self._resolve(request, not_placed)
+            self._refuse(request, not_placed)
 
-    def _remove_request(self, ticket: int) -> None:
-        queues = remove_request(
-            self.board.read(REQUEST_QUEUES), ticket, now_s=self.clock.monotonic_s()
-        )
-        self.board.write(REQUEST_QUEUES, queues, writer=self.name)
-
-    def _resolve(self, request: QueuedRequest, result: Placed | NotPlaced) -> None:
-        self._futures.pop(request.ticket).set_result(result)
+    def _hand_over(self, server: ServerId, request: QueuedRequest) -> None:
+        """Give a reserved slot to a request, or free it if the request has left."""
+        future = self._waiting.take_served(request)
+        if future is None:
+            self._change_loads(lambda loads: cancel_reservation(loads, server))
+        else:
+            future.set_result(Placed(server=server, tag=request.tag))
+
+    def _refuse(self, request: QueuedRequest, not_placed: NotPlaced) -> None:
+        """Refuse a queued request unless it has left."""
+        future = self._waiting.take_unserved(request.ticket)
+        if future is not None:
+            future.set_result(not_placed)
 
     def _reserve(self, slot_request: SlotRequest) -> Chosen | NoServer | ServersBusy:
         subsets = self._adopt_subsets()  # a server that has become cold is limited
--- a/snipespring/controllers/tests/routing_fakes.py
+++ b/snipespring/controllers/tests/routing_fakes.py
@@ -1,6 +1,6 @@
 """Build a blackboard with the servers of one service, and a scripted transport."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 from immutables import Map
 
 from snipespring.blackboard import Board
@@ -56,11 +56,31 @@
     return board
 
 
+def add_service(board: Board, service: ServiceName) -> None:
+    """Give a further service the subset of the first, at other addresses."""
+    by_service = board.read(SERVER_SUBSETS).by_service
+    subset = by_service[SERVICE.name]
+    members = tuple(
+        evolve(
+            member,
+            rule=evolve(
+                member.rule, server=evolve(member.rule.server, service=service)
+            ),
+        )
+        for member in subset.members
+    )
+    added = evolve(subset, service=service, members=members)
+    subsets = ServerSubsets(by_service=by_service.set(service, added))
+    board.write(SERVER_SUBSETS, subsets, writer="subset_keeper")
+
+
 def make_slot_request(
-    deadline_at_s: float, organisation: str = "valeters"
+    deadline_at_s: float,
+    organisation: str = "valeters",
+    service: ServiceName = SERVICE.name,
 ) -> SlotRequest:
     return SlotRequest(
-        service=SERVICE.name,
+        service=service,
         organisation=OrganisationName(organisation),
         placement=Placement(domain=LOCAL_DOMAIN, repeatable=True),
         deadline_at_s=deadline_at_s,
--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -15,21 +15,32 @@
     SERVER_LOADS,
     SERVER_SUBSETS,
 )
+from snipespring.controllers import dispatcher as dispatcher_module
 from snipespring.controllers.dispatcher import Dispatcher, NotPlaced, Placed
 from snipespring.decisions.queueing import count_queued
-from snipespring.decisions.routing import load_of
+from snipespring.decisions.routing import choose_server, load_of
 from snipespring.records import (
     Configuration,
     FeedView,
     ServerNotices,
+    ServerSubset,
     ServerSubsets,
+    ServiceName,
     ShedByServer,
 )
 from snipespring.utils import ManualClock
 
-from .routing_fakes import OK, SERVICE, make_board, make_server_id, make_slot_request
+from .routing_fakes import (
+    OK,
+    SERVICE,
+    add_service,
+    make_board,
+    make_server_id,
+    make_slot_request,
+)
 
 TIMEOUT_S = 30.0
+STOCK = ServiceName("stock")
 
 
 def make_dispatcher(servers: int, cap: int = 1, max_queued: int = 64) -> Dispatcher:
@@ -151,6 +162,76 @@
     assert all(load_of(loads, make_server_id(n)).in_flight == 0 for n in range(2))
 
 
+def test_threads_of_one_service_hold_up_no_other(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a lock of all services: requests of a sound service waited for 2 s
+    # while many of a silent one ended.
+    dispatcher = make_dispatcher(1)
+    add_service(dispatcher.board, STOCK)
+    is_choosing, may_choose = threading.Event(), threading.Event()
+
+    def choose_late(subset: ServerSubset, *args: Any, **kwargs: Any) -> Any:
+        if subset.service == STOCK:
+            is_choosing.set()
+            may_choose.wait(TIMEOUT_S)
+        return choose_server(subset, *args, **kwargs)
+
+    monkeypatch.setattr(dispatcher_module, "choose_server", choose_late)
+    with ThreadPoolExecutor(2) as pool:
+        stock = pool.submit(dispatcher.place, make_slot_request(1e4, service=STOCK))
+        assert is_choosing.wait(TIMEOUT_S)
+        ledger = pool.submit(dispatcher.place, make_slot_request(1e4))
+        try:
+            placed = ledger.result(2.0)
+        finally:
+            may_choose.set()
+        assert isinstance(placed, Placed)
+        assert isinstance(stock.result(TIMEOUT_S), Placed)
+
+
+def test_slot_of_a_request_that_leaves_the_queue_meanwhile_stays_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    dispatcher = make_dispatcher(1)
+    first = dispatcher.place(make_slot_request(1e4))
+    assert isinstance(first, Placed)
+    with ThreadPoolExecutor(1) as pool:
+        queued = pool.submit(dispatcher.place, make_slot_request(1000.3))
+        wait_for_queued(dispatcher, 1)
+
+        def choose_after_the_deadline(*args: Any, **kwargs: Any) -> Any:
+            choice = choose_server(*args, **kwargs)
+            assert isinstance(queued.result(TIMEOUT_S), NotPlaced)
+            return choice
+
+        monkeypatch.setattr(
+            dispatcher_module, "choose_server", choose_after_the_deadline
+        )
+        dispatcher.release(first.server, OK, started_s=1000.0)
+    assert load_of(dispatcher.board.read(SERVER_LOADS), first.server).in_flight == 0
+
+
+def test_threads_of_two_services_resolve_every_request_and_release_every_slot() -> None:
+    dispatcher = make_dispatcher(2, max_queued=3)
+    add_service(dispatcher.board, STOCK)
+
+    def work(number: int) -> None:
+        service = (SERVICE.name, STOCK)[number % 2]
+        request = make_slot_request(1e4, f"{service} {number % 3}", service)
+        placed = dispatcher.place(evolve(request, priority=number % 5))
+        if isinstance(placed, Placed):
+            assert placed.server.service == service
+            dispatcher.release(placed.server, OK, started_s=1000.0)
+
+    with ThreadPoolExecutor(16) as pool:
+        for future in [pool.submit(work, number) for number in range(600)]:
+            future.result(TIMEOUT_S)
+    loads = dispatcher.board.read(SERVER_LOADS)
+    assert all(load.in_flight == 0 for load in loads.by_server.values())
+    assert count_queued(dispatcher.board.read(REQUEST_QUEUES)) == 0
+
+
 def test_request_waits_until_servers_of_a_new_service_are_selected() -> None:
     selected = make_board(1).read(SERVER_SUBSETS)
     dispatcher = make_dispatcher(1)
--- a/snipespring/controllers/tests/test_evacuations.py
+++ b/snipespring/controllers/tests/test_evacuations.py
@@ -210,8 +210,7 @@
         follower.step()
         assert isinstance(dispatcher.place(request), controllers.Placed)
     store.set_evacuated(LOCAL_DOMAIN, True)
-    with dispatcher._lock:
-        future, _ = dispatcher._enqueue(request)
+    future, _ = dispatcher._enqueue(request)
     dispatcher.step()
     assert not future.done()
     clock.advance(0.5)
