Let no attempt wait for the cancellation of another

Cause: the transport shut down the connection of a cancelled attempt, a system call, under the lock that every attempt takes when it begins and ends.

Change: a lock for each attempt. It keeps an abort from reaching a connection that another attempt reuses, as before.

test_an_abort_under_way_holds_up_no_other_attempt failed before (TimeoutError).

--- a/snipespring/frontends/backends/tests/test_transport.py
+++ b/snipespring/frontends/backends/tests/test_transport.py
@@ -1,6 +1,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -197,6 +198,41 @@
         assert transport.pool.count_idle() == 1
 
 
+def test_an_abort_under_way_holds_up_no_other_attempt(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a lock of all attempts that is held during a system call: requests
+    # waited while many attempts of a silent service were cancelled.
+    started, is_aborting, may_abort = (threading.Event() for _ in range(3))
+    abort = pool.PooledConnection.abort
+
+    def abort_late(conn: pool.PooledConnection) -> None:
+        is_aborting.set()
+        may_abort.wait(TIMEOUT_S)
+        abort(conn)
+
+    def stay_silent(conn: socket.socket, request_id: str) -> bool:
+        started.set()
+        return True
+
+    monkeypatch.setattr(pool.PooledConnection, "abort", abort_late)
+    transport = make_transport()
+    with (
+        run_server(stay_silent, answer_completely) as server,
+        ThreadPoolExecutor(3) as threads,
+    ):
+        silent = threads.submit(transport.send, server.server_id, make_attempt(1))
+        started.wait(TIMEOUT_S)
+        threads.submit(transport.cancel, "r1")
+        is_aborting.wait(TIMEOUT_S)
+        other = threads.submit(transport.send, server.server_id, make_attempt(2))
+        try:
+            assert isinstance(other.result(2.0), Answered)
+        finally:
+            may_abort.set()
+        assert isinstance(silent.result(TIMEOUT_S), AnswerLate)
+
+
 def test_refused_connection_or_unencodable_request_is_a_connect_failure() -> None:
     with run_server(answer_completely) as server:
         server_id = server.server_id
--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -67,6 +67,26 @@
         """Keep idle connections to these servers only."""
 
 
+@define(kw_only=True, eq=False)
+class _RunningAttempt:
+    """Let another thread abort an attempt until it ends."""
+
+    conn: PooledConnection
+    _lock: threading.Lock = field(factory=threading.Lock, init=False)
+    _has_ended: bool = field(default=False, init=False)
+
+    def abort(self) -> None:
+        """Abort the connection, unless the attempt has ended."""
+        with self._lock:
+            if not self._has_ended:
+                self.conn.abort()
+
+    def end(self) -> None:
+        """Keep the connection from being aborted: another attempt may reuse it."""
+        with self._lock:
+            self._has_ended = True
+
+
 @define(kw_only=True, eq=False)
 class HttpTransport:
     """Send attempts over HTTP/1.1; never reuse a connection after a failure.
@@ -79,8 +99,7 @@
     pool: ConnectionPool = field(factory=ConnectionPool)
     body_budget: BodyBudget = field(factory=UnlimitedBodies)
     connect_timeout_s: float = CONNECT_TIMEOUT_S
-    _lock: threading.Lock = field(factory=threading.Lock, init=False)
-    _running: dict[str, PooledConnection] = field(factory=dict, init=False)
+    _running: dict[str, _RunningAttempt] = field(factory=dict, init=False)
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         """Run one attempt within its timeout and return its result."""
@@ -94,14 +113,13 @@
             )
         except OSError as exc:
             return ConnectFailed(reason=str(exc))
-        with self._lock:
-            self._running[attempt.request_id] = conn
+        running = self._running[attempt.request_id] = _RunningAttempt(conn=conn)
         is_reusable = False
         try:
             result, is_reusable = self._exchange(conn, server, attempt, started_s)
         finally:
-            with self._lock:
-                del self._running[attempt.request_id]
+            del self._running[attempt.request_id]
+            running.end()
             if is_reusable and not conn.is_aborted:
                 self.pool.release(conn)
             else:
@@ -110,10 +128,9 @@
 
     def cancel(self, attempt_id: str) -> None:
         """Abort a running attempt; its connection is never reused."""
-        with self._lock:
-            conn = self._running.get(attempt_id)
-            if conn is not None:
-                conn.abort()
+        running = self._running.get(attempt_id)
+        if running is not None:
+            running.abort()
 
     def keep_only(self, addresses: frozenset[Address]) -> None:
         """Keep idle connections to these servers only."""
