Watch attempts without a lock around the blackboard's

Cause: each attempt took the canceller's lock twice, and the blackboard's within it.

Change: an attempt enters the dictionaries before the region and leaves them after it; the canceller that becomes idle looks once more after it has written so. The state machine of the tests holds as before; a new test begins an attempt between the look and the write.

--- a/snipespring/controllers/canceller.py
+++ b/snipespring/controllers/canceller.py
@@ -3,7 +3,6 @@
 Report attempts whose answer is overdue.
 """
 
-import threading
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from math import inf
@@ -25,13 +24,16 @@
 
 @define(kw_only=True, eq=False)
 class Canceller:
-    """Write the running attempts and attempt watch regions."""
+    """Write the running attempts and attempt watch regions.
+
+    Threads of requests wait for no lock but the blackboard's: an attempt enters the
+    dictionaries before the region and leaves them after it.
+    """
 
     board: Board
     clock: Clock
     transport: Transport
     name: str = "canceller"
-    _lock: threading.Lock = field(factory=threading.Lock, init=False)
     _disconnect_checks: dict[str, Callable[[], bool]] = field(factory=dict, init=False)
     _overdue_callbacks: dict[str, Callable[[], None]] = field(factory=dict, init=False)
 
@@ -69,18 +71,18 @@
 
     def step(self) -> float | None:
         """Cancel attempts as needed; return seconds until the next check."""
-        with self._lock:
-            running = list(self.board.read(RUNNING_ATTEMPTS).by_id.values())
+        running = self._list_running()
+        if not running:
+            self._set_active(False)
+            # An attempt that began before this write is seen now; a later one sees the
+            # write and wakes the controller.
+            running = self._list_running()
             if not running:
-                self._set_active(False)
                 return None
-            disconnect_checks = {
-                attempt.attempt_id: self._disconnect_checks[attempt.attempt_id]
-                for attempt in running
-            }
+            self._set_active(True)
         now_s = self.clock.monotonic_s()
         for attempt in running:
-            if now_s >= attempt.end_s or disconnect_checks[attempt.attempt_id]():
+            if now_s >= attempt.end_s or self._is_disconnected(attempt.attempt_id):
                 self.transport.cancel(attempt.attempt_id)
             elif now_s >= attempt.overdue_s:
                 self._report_overdue(attempt.attempt_id)
@@ -92,9 +94,15 @@
         remaining_s = [time_s - now_s for time_s in times_s if time_s > now_s]
         return max(MIN_STEP_DELAY_S, min([CHECK_INTERVAL_S, *remaining_s]))
 
+    def _list_running(self) -> list[RunningAttempt]:
+        return list(self.board.read(RUNNING_ATTEMPTS).by_id.values())
+
+    def _is_disconnected(self, attempt_id: str) -> bool:
+        check = self._disconnect_checks.get(attempt_id)
+        return check is not None and check()
+
     def _report_overdue(self, attempt_id: str) -> None:
-        with self._lock:
-            on_overdue = self._overdue_callbacks.pop(attempt_id, None)
+        on_overdue = self._overdue_callbacks.pop(attempt_id, None)
         if on_overdue is not None:
             on_overdue()
 
@@ -109,20 +117,18 @@
         def add(running: RunningAttempts) -> RunningAttempts:
             return evolve(running, by_id=running.by_id.set(attempt_id, attempt))
 
-        with self._lock:
-            self._disconnect_checks[attempt_id] = is_disconnected
-            self._overdue_callbacks[attempt_id] = on_overdue
-            self.board.update(RUNNING_ATTEMPTS, add, writer=self.name)
-            self._set_active(True)
+        self._disconnect_checks[attempt_id] = is_disconnected
+        self._overdue_callbacks[attempt_id] = on_overdue
+        self.board.update(RUNNING_ATTEMPTS, add, writer=self.name)
+        self._set_active(True)
 
     def _remove_attempt(self, attempt_id: str) -> None:
         def remove(running: RunningAttempts) -> RunningAttempts:
             return evolve(running, by_id=running.by_id.delete(attempt_id))
 
-        with self._lock:
-            del self._disconnect_checks[attempt_id]
-            self._overdue_callbacks.pop(attempt_id, None)
-            self.board.update(RUNNING_ATTEMPTS, remove, writer=self.name)
+        self.board.update(RUNNING_ATTEMPTS, remove, writer=self.name)
+        del self._disconnect_checks[attempt_id]
+        self._overdue_callbacks.pop(attempt_id, None)
 
     def _set_active(self, is_active: bool) -> None:
         """Write the attempt watch only on a change: a write wakes the controller."""
--- a/snipespring/controllers/tests/test_canceller.py
+++ b/snipespring/controllers/tests/test_canceller.py
@@ -1,9 +1,11 @@
 from contextlib import AbstractContextManager
+from typing import Any
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from snipespring.blackboard import Board
+from snipespring.blackboard import Board, Region
 from snipespring.blackboard.regions import ATTEMPT_WATCH, RUNNING_ATTEMPTS
 from snipespring.controllers import Canceller
 from snipespring.utils import ManualClock
@@ -90,3 +92,31 @@
     sub.wait(0)
     assert canceller.step() is None
     assert not sub.wait(0)
+
+
+def test_attempt_that_begins_while_the_canceller_becomes_idle_is_cancelled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against an attempt that ends with its caller's deadline only, because the
+    # canceller did not see it and sleeps.
+    board, clock, write = Board(), ManualClock(), Board.write
+    transport = ScriptedTransport()
+    canceller = Canceller(board=board, clock=clock, transport=transport)
+    with canceller.watch("attempt-1", timeout_s=1.0, is_disconnected=lambda: False):
+        canceller.step()
+    late = canceller.watch("attempt-2", timeout_s=1.0, is_disconnected=lambda: False)
+
+    def begin_before_the_write(
+        self: Board, region: Region[Any], record: Any, *, writer: str
+    ) -> None:
+        monkeypatch.undo()
+        late.__enter__()
+        write(self, region, record, writer=writer)
+
+    monkeypatch.setattr(Board, "write", begin_before_the_write)
+    wait_s = canceller.step()
+    assert wait_s is not None
+    clock.advance(1.0)
+    canceller.step()
+    assert transport.cancelled == ["attempt-2"]
+    late.__exit__(None, None, None)
