Name the attempts of the transport apart from the record of the canceller

RunningAttempt is a record that the canceller writes; the transport's private class, which guards the connection of an attempt, becomes _AbortableAttempt. No behaviour changes. Tests of the transport: 22 passed.

--- a/snipespring/frontends/backends/transport.py
+++ b/snipespring/frontends/backends/transport.py
@@ -68,7 +68,7 @@
 
 
 @define(kw_only=True, eq=False)
-class _RunningAttempt:
+class _AbortableAttempt:
     """Let another thread abort an attempt until it ends."""
 
     conn: PooledConnection
@@ -99,7 +99,7 @@
     pool: ConnectionPool = field(factory=ConnectionPool)
     body_budget: BodyBudget = field(factory=UnlimitedBodies)
     connect_timeout_s: float = CONNECT_TIMEOUT_S
-    _running: dict[str, _RunningAttempt] = field(factory=dict, init=False)
+    _running: dict[str, _AbortableAttempt] = field(factory=dict, init=False)
 
     def send(self, server: ServerId, attempt: BackendRequest) -> BackendResult:
         """Run one attempt within its timeout and return its result."""
@@ -113,7 +113,7 @@
             )
         except OSError as exc:
             return ConnectFailed(reason=str(exc))
-        running = self._running[attempt.request_id] = _RunningAttempt(conn=conn)
+        running = self._running[attempt.request_id] = _AbortableAttempt(conn=conn)
         is_reusable = False
         try:
             result, is_reusable = self._exchange(conn, server, attempt, started_s)
