--- a/snipespring/controllers/tests/test_dispatcher.py
+++ b/snipespring/controllers/tests/test_dispatcher.py
@@ -193,6 +193,8 @@
 def test_slot_of_a_request_that_leaves_the_queue_meanwhile_stays_free(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # Guards against a slot that nobody releases, since the request for which it was
+    # reserved has reached its deadline.
     dispatcher = make_dispatcher(1)
     first = dispatcher.place(make_slot_request(1e4))
     assert isinstance(first, Placed)
@@ -213,6 +215,7 @@
 
 
 def test_threads_of_two_services_resolve_every_request_and_release_every_slot() -> None:
+    # Guards against a queued request that two threads resolve, or none.
     dispatcher = make_dispatcher(2, max_queued=3)
     add_service(dispatcher.board, STOCK)
 
