Wait in the tests until a frozen process stands still

Cause, from a trial: a process of 20 threads goes on for up to 12 ms after SIGSTOP is sent, beside eight busy processes (two series of 300, 99 in 100 8 and 12 ms); the owner can answer within that time. Ruled out by reading: a second run, which the test counts at its end.

Change: the harness returns from SIGSTOP once the process is stopped. The checks stay.

--- a/standins/harness.py
+++ b/standins/harness.py
@@ -216,8 +216,11 @@
         )
 
     def send_signal(self, name: str, signum: int) -> None:
-        """Send a signal to a process."""
-        self.processes[name].send_signal(signum)
+        """Send a signal to a process; after SIGSTOP, wait until it is stopped."""
+        process = self.processes[name]
+        process.send_signal(signum)
+        if signum == signal.SIGSTOP:
+            os.waitid(os.P_PID, process.pid, os.WSTOPPED)
 
     def wait_for_exit(self, name: str) -> int:
         """Wait for a process to exit and return its exit code.
