--- a/snipespring/controllers/tests/routing_fakes.py
+++ b/snipespring/controllers/tests/routing_fakes.py
@@ -57,7 +57,7 @@
 
 
 def add_service(board: Board, service: ServiceName) -> None:
-    """Give a further service the subset of the first, at other addresses."""
+    """Give a further service a subset with the addresses of the first."""
     by_service = board.read(SERVER_SUBSETS).by_service
     subset = by_service[SERVICE.name]
     members = tuple(
