Say what keeps a host from being ready

Neither the probe nor a log line of a host that runs tells which condition is missing, so that a host that waits for the store, for its lease or for servers cannot be told from one that has ended.

What makes a host ready is unchanged.

--- a/snipespring/controllers/__init__.pyi
+++ b/snipespring/controllers/__init__.pyi
@@ -31,6 +31,8 @@
 from .outcome_relay import OutcomeRelay
 from .place_reporter import PlaceReporter
 from .puller import Puller
+from .readiness import list_unready_reasons
+from .readiness_reporter import ReadinessReporter
 from .registration_checker import CheckedRegistry, RegistrationChecker
 from .responder import Responder
 from .roster_manager import RosterManager
@@ -112,6 +114,7 @@
     "PlaceReporter",
     "Puller",
     "Responder",
+    "ReadinessReporter",
     "RegistrationChecker",
     "RosterManager",
     "StoredRules",
@@ -131,6 +134,7 @@
     "UsageLimiter",
     "Watcher",
     "DomainLink",
+    "list_unready_reasons",
     "read_newest_configuration",
     "read_newest_roster",
 ]
--- a/snipespring/controllers/domain_address_lister.py
+++ b/snipespring/controllers/domain_address_lister.py
@@ -27,10 +27,6 @@
     own_host: PublishedHost
     address_limits: AddressListLimits
 
-    def is_ready(self) -> bool:
-        """Return whether this host takes new requests."""
-        return is_ready(self.board, self.clock.monotonic_s())
-
     def answer(self, domain: DomainName) -> AddressAnswer:
         """Return the hosts that callers in a domain should use."""
         return offer_addresses(
@@ -39,6 +35,6 @@
             self.own_host.host_id,
             domain,
             self.address_limits,
-            is_own_serving=self.is_ready(),
+            is_own_serving=is_ready(self.board, self.clock.monotonic_s()),
             rng=self.rng,
         )
--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -20,10 +20,12 @@
     Forwarder,
     HostRegistrar,
     PlaceReporter,
+    ReadinessReporter,
     RegistrationChecker,
     ServerFollower,
     StoreLeaseManager,
     StoreProbe,
+    list_unready_reasons,
 )
 from ..decisions.catalog import RetryBounds
 from ..decisions.confirmations import RelayLimits
@@ -66,6 +68,7 @@
     "build_callers_server",
     "build_evacuation_follower",
     "build_place_reporter",
+    "build_readiness_reporter",
     "build_server_follower",
     "build_store_followers",
     "build_auxiliary_servers",
@@ -302,6 +305,17 @@
     )
 
 
+def build_readiness_reporter(context: GatewayContext) -> ReadinessReporter:
+    """Build the controller that reports why the host is not ready."""
+    process = context.process
+    return ReadinessReporter(
+        board=process.board,
+        clock=process.clock,
+        event_recorder=process.event_recorder,
+        metrics=process.metrics,
+    )
+
+
 def _make_region_map(settings: GatewaySettings) -> RegionMap:
     return RegionMap(
         own_domain=settings.host.domain,
@@ -395,10 +409,14 @@
 
 def build_auxiliary_servers(context: GatewayContext) -> tuple[HttpServer, ...]:
     """Build the HTTP servers for readiness, address lists and operators."""
-    settings = context.settings
+    settings, board, clock = (
+        context.settings,
+        context.process.board,
+        context.process.clock,
+    )
     address_lister = DomainAddressLister(
-        board=context.process.board,
-        clock=context.process.clock,
+        board=board,
+        clock=clock,
         rng=context.process.rng,
         own_host=context.own_host,
         address_limits=AddressListLimits(
@@ -408,14 +426,17 @@
     listen = settings.listen
     return (
         _make_auxiliary_server(
-            listen.readiness, ReadinessApp(is_ready=address_lister.is_ready)
+            listen.readiness,
+            ReadinessApp(
+                list_unready_reasons=lambda: list_unready_reasons(
+                    board, clock.monotonic_s()
+                )
+            ),
         ),
         _make_auxiliary_server(
             listen.directory, DirectoryApp(list_addresses=address_lister.answer)
         ),
-        _make_auxiliary_server(
-            listen.operators, OperatorsApp(board=context.process.board)
-        ),
+        _make_auxiliary_server(listen.operators, OperatorsApp(board=board)),
     )
 
 
--- a/snipespring/decisions/serving.py
+++ b/snipespring/decisions/serving.py
@@ -1,6 +1,6 @@
 """Decide whether a host accepts new requests."""
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from attrs import frozen
 
@@ -16,7 +16,7 @@
     StopState,
 )
 
-__all__ = ["ServingConditions", "is_serving"]
+__all__ = ["ServingConditions", "is_serving", "list_unmet_conditions"]
 
 
 @frozen(kw_only=True)
@@ -36,22 +36,53 @@
 
 def is_serving(conditions: ServingConditions, now_s: float) -> bool:
     """Return whether the host has servers and a lease and is not leaving."""
-    match conditions.stop, conditions.lease:
-        case Leaving(), _:
-            return False
-        case Serving(), LeaseHeld(until_s=until_s):
-            return now_s < until_s and _has_chosen_servers(conditions)
-        case Serving(), LeaseLapsed():
-            return False
+    return not list_unmet_conditions(conditions, now_s)
 
 
-def _has_chosen_servers(state: ServingConditions) -> bool:
-    """Return whether servers are chosen for each service that has some.
+def list_unmet_conditions(
+    conditions: ServingConditions, now_s: float
+) -> tuple[str, ...]:
+    """Return what keeps the host from serving, nothing if it serves."""
+    return tuple(
+        unmet
+        for unmet in (
+            _find_unmet_stop(conditions.stop),
+            _find_unmet_lease(conditions.lease, now_s),
+            *_list_unmet_servers(conditions),
+        )
+        if unmet is not None
+    )
+
+
+def _find_unmet_stop(stop: StopState) -> str | None:
+    match stop:
+        case Leaving():
+            return "the host is leaving"
+        case Serving():
+            return None
+
+
+def _find_unmet_lease(lease: LeaseState, now_s: float) -> str | None:
+    match lease:
+        case LeaseHeld(until_s=until_s) if now_s < until_s:
+            return None
+        case LeaseHeld():
+            return "the lease has ended"
+        case LeaseLapsed(reason=reason):
+            return f"no lease: {reason}"
+
+
+def _list_unmet_servers(state: ServingConditions) -> Iterator[str]:
+    """Require chosen servers for each service that has some.
 
     Servers of a service that is not configured are never chosen nor needed.
     """
     cfg = state.configuration
-    if cfg.version == 0 or not state.has_servers:
-        return False
-    chosen = (state.subsets.get(name) for name in cfg.servers if name in cfg.services)
-    return all(subset is not None and subset.members for subset in chosen)
+    if cfg.version == 0:
+        yield "no configuration"
+    if not state.has_servers:
+        yield "the servers have not been listed"
+    for name in cfg.servers:
+        subset = state.subsets.get(name)
+        if name in cfg.services and not (subset is not None and subset.members):
+            yield f"no servers of {name} are chosen"
--- a/snipespring/decisions/tests/test_serving.py
+++ b/snipespring/decisions/tests/test_serving.py
@@ -1,7 +1,11 @@
 from attrs import evolve
 from immutables import Map
 
-from snipespring.decisions.serving import ServingConditions, is_serving
+from snipespring.decisions.serving import (
+    ServingConditions,
+    is_serving,
+    list_unmet_conditions,
+)
 from snipespring.records import (
     Address,
     Configuration,
@@ -65,3 +69,25 @@
     cfg = READY.configuration
     odd = cfg.servers.set(ServiceName("unknown"), (RULE,))
     assert is_serving(evolve(READY, configuration=evolve(cfg, servers=odd)), 9.0)
+
+
+def test_every_unmet_condition_is_named() -> None:
+    # Guards against a host that is not ready without a word on what it waits for.
+    started = ServingConditions(
+        stop=Serving(),
+        configuration=Configuration(),
+        lease=LeaseLapsed(reason="expired"),
+        has_servers=False,
+        subsets={},
+    )
+    assert list_unmet_conditions(started, 9.0) == (
+        "no lease: expired",
+        "no configuration",
+        "the servers have not been listed",
+    )
+    without_chosen = evolve(READY, subsets={})
+    assert list_unmet_conditions(without_chosen, 10.0) == (
+        "the lease has ended",
+        "no servers of ledger are chosen",
+    )
+    assert list_unmet_conditions(READY, 9.0) == ()
--- a/snipespring/platform/directory.py
+++ b/snipespring/platform/directory.py
@@ -42,9 +42,9 @@
 
 @define(kw_only=True, eq=False)
 class ReadinessApp:
-    """Report to the platform whether this host accepts requests."""
+    """Report to the platform whether this host accepts requests, or why it does not."""
 
-    is_ready: Callable[[], bool]
+    list_unready_reasons: Callable[[], tuple[str, ...]]
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
@@ -52,8 +52,10 @@
         """Answer one HTTP request."""
         if environ["PATH_INFO"] != READY_PATH:
             return _respond(start_response, NOT_FOUND, {"Error": "no such call"})
-        is_ready = self.is_ready()
-        return _respond(start_response, OK if is_ready else UNAVAILABLE, {})
+        reasons = self.list_unready_reasons()
+        if not reasons:
+            return _respond(start_response, OK, {})
+        return _respond(start_response, UNAVAILABLE, {"Reasons": reasons})
 
 
 def _respond(
--- a/snipespring/records/events.py
+++ b/snipespring/records/events.py
@@ -16,6 +16,7 @@
     "HostStep",
     "LeaseStep",
     "PlaceStep",
+    "ReadinessStep",
     "RequestRefused",
     "ServerStep",
     "StoreStep",
@@ -98,6 +99,15 @@
     evidence: str
 
 
+@frozen(kw_only=True)
+class ReadinessStep:
+    """Record that this host became ready, or why it is not."""
+
+    at_wall_s: float
+    state: str
+    evidence: str
+
+
 Event = (
     RequestRefused
     | ServerStep
@@ -107,6 +117,7 @@
     | HostStep
     | StoreStep
     | PlaceStep
+    | ReadinessStep
 )
 
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -197,6 +197,27 @@
     )
 
 
+def test_a_host_says_what_it_waits_for_until_it_is_ready(platform: Platform) -> None:
+    # Guards against a host that is never ready without a word on why.
+    platform.app.controller.set_fault(RejectedCalls())
+    platform.launch_gateway(0)
+    ready = f"{platform.ip(0)}:8081"
+    wait_until(lambda: call(ready, "GET", "/v1/ready").status == 503, "an answer")
+    reasons = call(ready, "GET", "/v1/ready").json()["Reasons"]
+    assert "no configuration" in reasons
+    wait_until(
+        lambda: list_readiness_states(platform, 0) == ["not ready"], "the first event"
+    )
+    platform.app.controller.set_fault(NoFault())
+    wait_until(lambda: list_readiness_states(platform, 0)[-1:] == ["ready"], "the host")
+    assert platform.is_ready(0)
+
+
+def list_readiness_states(platform: Platform, index: int) -> list[str]:
+    events = call(f"{platform.ip(index)}:7101", "GET", "/events").json()
+    return [event["state"] for event in events if event["kind"] == "ReadinessStep"]
+
+
 def test_hosts_offer_each_other_until_one_stops(platform: Platform) -> None:
     for index in range(2):
         platform.start_gateway(index)
