Say why a host can't load its modules

It says so in a traceback on standard error only, and its exit code 1 is that of any failure, so that an operator can't tell this from another end.

Nothing more is loaded at a start that succeeds.

--- a/snipespring/cli/commands.py
+++ b/snipespring/cli/commands.py
@@ -47,7 +47,7 @@
     """Run one host on the users' platform until SIGTERM.
 
     Exits 0 after a graceful stop, 2 if the settings are invalid, 3 if the host cannot
-    listen on its addresses.
+    listen on its addresses, 4 if its modules cannot be loaded.
     """
 
     settings: Annotated[
--- a/snipespring/cli/exits.py
+++ b/snipespring/cli/exits.py
@@ -1,8 +1,9 @@
 """Define the exit codes of the command line."""
 
-__all__ = ["BAD_INPUT", "UNREACHABLE", "REFUSED", "SUCCESS"]
+__all__ = ["BAD_INPUT", "BROKEN_INSTALLATION", "REFUSED", "SUCCESS", "UNREACHABLE"]
 
 SUCCESS = 0
 REFUSED = 1
 BAD_INPUT = 2
 UNREACHABLE = 3
+BROKEN_INSTALLATION = 4
--- /dev/null
+++ b/snipespring/cli/load_failure.py
@@ -0,0 +1,44 @@
+"""Report why the modules of a host can't be loaded.
+
+This module needs the standard library only: any other may be what can't be loaded.
+"""
+
+import json
+import sys
+import sysconfig
+import traceback
+from collections.abc import Iterator
+from datetime import UTC, datetime
+from importlib.machinery import EXTENSION_SUFFIXES
+from pathlib import Path
+
+__all__ = ["format_load_failure"]
+
+LOGGER_NAME = "snipespring.cli.start_gateway"
+
+
+def format_load_failure(exc: Exception) -> str:
+    """Return a log line with the reason, the files and the present interpreter."""
+    module = exc.name if isinstance(exc, ImportError) else None
+    fields = {
+        "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
+        "level": "ERROR",
+        "logger": LOGGER_NAME,
+        "message": "cannot load the modules of the host",
+        "reason": f"{type(exc).__name__}: {exc}",
+        "module": module,
+        "file": exc.path if isinstance(exc, ImportError) else None,
+        "interpreter": sysconfig.get_config_var("SOABI"),
+        "made_for_others": list(_list_foreign_files(module or "")),
+        "traceback": "".join(traceback.format_exception(exc)),
+    }
+    return json.dumps(fields)
+
+
+def _list_foreign_files(module: str) -> Iterator[str]:
+    """Return compiled files of a module that this interpreter does not load."""
+    *packages, name = module.split(".")
+    for folder in sys.path:
+        for path in Path(folder, *packages).glob(f"{name}.*.so"):
+            if path.name.removeprefix(name) not in EXTENSION_SUFFIXES:
+                yield str(path)
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -108,13 +108,17 @@
 class GatewayFleet:
     """Manage gateways before servers; `kinds` maps each service to its kind.
 
-    `bounds` are further settings of the gateways' section `platform`.
+    `bounds` are further settings of the gateways' section `platform`. The processes
+    are started by `command` in `working_folder`, with the variables `env`.
     """
 
     folder: Path
     kinds: dict[str, str]
     memory_mib: int = 300
     bounds: dict[str, str] = field(factory=dict)
+    command: tuple[str, ...] = (sys.executable, "-m", "snipespring.cli.start_gateway")
+    working_folder: Path | None = None
+    env: dict[str, str] = field(factory=lambda: dict(os.environ))
     network: str = field(factory=find_free_network)
     app: StoreApplication = field(factory=StoreApplication)
     processes: list[subprocess.Popen[bytes]] = field(factory=list)
@@ -177,10 +181,11 @@
             "platform": {"store": f"{self.network}.0.1:8500", **self.bounds},
         }
         path.write_text(yaml.safe_dump(settings))
-        command = [sys.executable, "-m", "snipespring.cli.start_gateway"]
-        env = {**os.environ, SETTINGS_VARIABLE: str(path)}
+        env = {**self.env, SETTINGS_VARIABLE: str(path)}
         with (self.folder / f"host-{number}.log").open("wb") as log:
-            process = subprocess.Popen(command, stdout=log, stderr=log, env=env)
+            process = subprocess.Popen(
+                self.command, cwd=self.working_folder, stdout=log, stderr=log, env=env
+            )
         self.processes.append(process)
         return process
 
