Install the libraries anew unless they are complete and fit

Cause, supposed for their machines and shown here: the build took any target/deps newer than deploy/requirements.txt for a finished one, also one made for another kind of machine, interpreter or list of libraries, or left half by an install that was cut short.

Change: deploy/install.py compares the digests of all files and what they were made for, installs beside the folder, imports the modules of a host with nothing but the new libraries, and renames. A second build waits.

Why it works: no time of change is read any more; what a host loads is what was imported once on this machine, byte for byte.

Tests: 6 of the 7 new ones failed with the build before, and pass now; the seventh (a build without need changes nothing) passed before too.

--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,6 @@
 
 types: setup
 	$(BIN)/mypy
+	$(BIN)/mypy deploy/install.py
 
 check: lint types test
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -115,6 +115,67 @@
         fleet.close()
 
 
+@pytest.mark.parametrize("damage", [remove_package, empty_file, change_machine])
+def test_a_build_replaces_libraries_that_do_not_fit(
+    checkout: Checkout,
+    fleets: list[GatewayFleet],
+    damage: Callable[[Path], None],
+    tmp_path: Path,
+) -> None:
+    # Guards against hosts that end at their first import, as the build took any folder
+    # newer than the list of libraries for a whole one.
+    damage(checkout.libraries)
+    os.utime(checkout.libraries)
+    checkout.build_whole()
+    fleets.append(checkout.make_fleet(tmp_path))
+    fleets[0].start_gateway()
+
+
+def test_a_build_follows_the_list_of_libraries_whatever_its_time(
+    checkout: Checkout,
+) -> None:
+    # Guards against a folder carried over from an earlier list.
+    requirements = checkout.root / "deploy/requirements.txt"
+    lines = requirements.read_text().splitlines()
+    requirements.write_text("\n".join([*lines, "# changed", ""]))
+    os.utime(requirements, (0, 0))
+    before = checkout.libraries.stat().st_ino
+    checkout.build_whole()
+    assert checkout.libraries.stat().st_ino != before
+
+
+def test_a_build_without_need_changes_nothing(checkout: Checkout) -> None:
+    checkout.build_whole()  # the copy is complete
+    before = checkout.libraries.stat()
+    assert checkout.build_whole() == ""
+    after = checkout.libraries.stat()
+    assert (after.st_ino, after.st_mtime_ns) == (before.st_ino, before.st_mtime_ns)
+
+
+def test_a_build_that_fails_says_so_and_keeps_the_folder(checkout: Checkout) -> None:
+    # Guards against half an installation after an install that was cut short.
+    remove_package(checkout.libraries)
+    os.utime(checkout.libraries)
+    kept = sorted(checkout.libraries.iterdir())
+    process = evolve(checkout, env={**checkout.env, "PIP_FIND_LINKS": "/none"}).build()
+    output, _ = process.communicate()
+    assert process.returncode != 0
+    assert "the libraries were not installed" in output
+    assert sorted(checkout.libraries.iterdir()) == kept
+
+
+def test_two_builds_at_the_same_time_end_with_a_whole_folder(
+    checkout: Checkout,
+) -> None:
+    # Guards against a build that takes the folder of another one that still installs.
+    shutil.rmtree(checkout.libraries)
+    processes = [checkout.build() for _ in range(2)]
+    outputs = [process.communicate(timeout=EXIT_TIMEOUT_S)[0] for process in processes]
+    assert [process.returncode for process in processes] == [0, 0], outputs
+    assert sorted(bool(output) for output in outputs) == [False, True]
+    assert checkout.build_whole() == ""
+
+
 @pytest.mark.parametrize(
     ("damage", "module"),
     [(remove_package, "cbor2"), (empty_file, "waitress.server"), (change_machine, "")],
