Bound the reasons of a host that is not ready

Read again: with many services without servers, a host named each of them in every answer of its readiness probe and in every log line. It now gives their number and the first. A manifest of the libraries whose parts have other types is a reason to install anew instead of an error of the build, and the search for compiled files of another machine needs a module's name.

--- a/deploy/install.py
+++ b/deploy/install.py
@@ -42,12 +42,12 @@
     """Return why the installation in a folder can't be used, None if it can."""
     try:
         manifest = json.loads((folder / MANIFEST_NAME).read_text())
-        made_for, digests = manifest["made_for"], manifest["files"]
-    except (OSError, ValueError, KeyError, TypeError):
+        made_for, digests = manifest["made_for"], manifest["files"].items()
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return "there is no complete installation"
     if made_for != _describe_target(requirements):
         return f"the present ones were made for {made_for}"
-    for name, digest in digests.items():
+    for name, digest in digests:
         if _compute_digest(folder / name) != digest:
             return f"{name} is missing or damaged"
     return None
--- a/snipespring/cli/load_failure.py
+++ b/snipespring/cli/load_failure.py
@@ -19,7 +19,9 @@
 
 def format_load_failure(exc: Exception) -> str:
     """Return a log line with the reason, the files and the present interpreter."""
-    module = exc.name if isinstance(exc, ImportError) else None
+    module, file = None, None
+    if isinstance(exc, ImportError):
+        module, file = exc.name, exc.path
     fields = {
         "time": datetime.now(UTC).isoformat(timespec="milliseconds"),
         "level": "ERROR",
@@ -27,16 +29,18 @@
         "message": "cannot load the modules of the host",
         "reason": f"{type(exc).__name__}: {exc}",
         "module": module,
-        "file": exc.path if isinstance(exc, ImportError) else None,
+        "file": file,
         "interpreter": sysconfig.get_config_var("SOABI"),
-        "made_for_others": list(_list_foreign_files(module or "")),
+        "made_for_others": list(_list_foreign_files(module)),
         "traceback": "".join(traceback.format_exception(exc)),
     }
     return json.dumps(fields)
 
 
-def _list_foreign_files(module: str) -> Iterator[str]:
+def _list_foreign_files(module: str | None) -> Iterator[str]:
     """Return compiled files of a module that this interpreter does not load."""
+    if module is None:
+        return
     *packages, name = module.split(".")
     for folder in sys.path:
         for path in Path(folder, *packages).glob(f"{name}.*.so"):
--- a/snipespring/decisions/serving.py
+++ b/snipespring/decisions/serving.py
@@ -82,7 +82,15 @@
         yield "no configuration"
     if not state.has_servers:
         yield "the servers have not been listed"
-    for name in cfg.servers:
-        subset = state.subsets.get(name)
-        if name in cfg.services and not (subset is not None and subset.members):
-            yield f"no servers of {name} are chosen"
+    unchosen = [
+        name
+        for name in cfg.servers
+        if name in cfg.services and not _has_members(state.subsets.get(name))
+    ]
+    if unchosen:
+        count, first = len(unchosen), unchosen[0]
+        yield f"no servers are chosen for {count} services (first: {first})"
+
+
+def _has_members(subset: ServerSubset | None) -> bool:
+    return subset is not None and bool(subset.members)
--- a/snipespring/decisions/tests/test_serving.py
+++ b/snipespring/decisions/tests/test_serving.py
@@ -88,6 +88,6 @@
     without_chosen = evolve(READY, subsets={})
     assert list_unmet_conditions(without_chosen, 10.0) == (
         "the lease has ended",
-        "no servers of ledger are chosen",
+        "no servers are chosen for 1 services (first: ledger)",
     )
     assert list_unmet_conditions(READY, 9.0) == ()
