--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -47,7 +47,7 @@
             text=True,
         )
 
-    def build_whole(self) -> str:
+    def build_or_fail(self) -> str:
         """Build and return the output; fail if the build does."""
         process = self.build()
         output, _ = process.communicate()
@@ -79,7 +79,7 @@
         shutil.copytree(ROOT / name, folder / "product" / name, ignore=ignored)
     env = {"PIP_NO_INDEX": "1", "PIP_FIND_LINKS": str(wheels)}
     checkout = Checkout(root=folder / "product", env=env)
-    checkout.build_whole()
+    checkout.build_or_fail()
     return checkout
 
 
@@ -126,7 +126,7 @@
     # newer than the list of libraries for a whole one.
     damage(checkout.libraries)
     os.utime(checkout.libraries)
-    checkout.build_whole()
+    checkout.build_or_fail()
     fleets.append(checkout.make_fleet(tmp_path))
     fleets[0].start_gateway()
 
@@ -140,14 +140,14 @@
     requirements.write_text("\n".join([*lines, "# changed", ""]))
     os.utime(requirements, (0, 0))
     before = checkout.libraries.stat().st_ino
-    checkout.build_whole()
+    checkout.build_or_fail()
     assert checkout.libraries.stat().st_ino != before
 
 
 def test_a_build_without_need_changes_nothing(checkout: Checkout) -> None:
-    checkout.build_whole()  # the copy is complete
+    checkout.build_or_fail()  # the copy is complete
     before = checkout.libraries.stat()
-    assert checkout.build_whole() == ""
+    assert checkout.build_or_fail() == ""
     after = checkout.libraries.stat()
     assert (after.st_ino, after.st_mtime_ns) == (before.st_ino, before.st_mtime_ns)
 
@@ -173,7 +173,7 @@
     outputs = [process.communicate(timeout=EXIT_TIMEOUT_S)[0] for process in processes]
     assert [process.returncode for process in processes] == [0, 0], outputs
     assert sorted(bool(output) for output in outputs) == [False, True]
-    assert checkout.build_whole() == ""
+    assert checkout.build_or_fail() == ""
 
 
 @pytest.mark.parametrize(
