--- a/snipespring/daemons/gateway_parts.py
+++ b/snipespring/daemons/gateway_parts.py
@@ -409,15 +409,11 @@
 
 def build_auxiliary_servers(context: GatewayContext) -> tuple[HttpServer, ...]:
     """Build the HTTP servers for readiness, address lists and operators."""
-    settings, board, clock = (
-        context.settings,
-        context.process.board,
-        context.process.clock,
-    )
+    settings, process = context.settings, context.process
     address_lister = DomainAddressLister(
-        board=board,
-        clock=clock,
-        rng=context.process.rng,
+        board=process.board,
+        clock=process.clock,
+        rng=process.rng,
         own_host=context.own_host,
         address_limits=AddressListLimits(
             lifetime_s=settings.callers.address_lifetime_s
@@ -429,14 +425,14 @@
             listen.readiness,
             ReadinessApp(
                 list_unready_reasons=lambda: list_unready_reasons(
-                    board, clock.monotonic_s()
+                    process.board, process.clock.monotonic_s()
                 )
             ),
         ),
         _make_auxiliary_server(
             listen.directory, DirectoryApp(list_addresses=address_lister.answer)
         ),
-        _make_auxiliary_server(listen.operators, OperatorsApp(board=board)),
+        _make_auxiliary_server(listen.operators, OperatorsApp(board=process.board)),
     )
 
 
