Keep the age of a confirmation out of the reasons of readiness

Read again: the reason of a lapsed lease holds an age, so that in an outage of the store a host could log and keep a new event at each check, one a second, and push older events out. The reasons say "no lease" now; the lease itself, in /dump and in its own events, has the rest.

--- a/snipespring/decisions/serving.py
+++ b/snipespring/decisions/serving.py
@@ -68,8 +68,9 @@
             return None
         case LeaseHeld():
             return "the lease has ended"
-        case LeaseLapsed(reason=reason):
-            return f"no lease: {reason}"
+        case LeaseLapsed():
+            # Its reason holds an age, which would make each check a new event.
+            return "no lease"
 
 
 def _list_unmet_servers(state: ServingConditions) -> Iterator[str]:
