--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -206,8 +206,7 @@
     reasons = call(ready, "GET", "/v1/ready").json()["Reasons"]
     assert "no configuration" in reasons
     wait_until(
-        lambda: set(list_readiness_states(platform, 0)) == {"not ready"},
-        "the first event",
+        lambda: list_readiness_states(platform, 0) == ["not ready"], "the first event"
     )
     platform.app.controller.set_fault(NoFault())
     wait_until(lambda: list_readiness_states(platform, 0)[-1:] == ["ready"], "the host")
